--- /dev/null
+++ b/include/bergamotstage/account/KeyCheck.h
@@ -0,0 +1,29 @@
+#ifndef BERGAMOTSTAGE_ACCOUNT_KEYCHECK_H
+#define BERGAMOTSTAGE_ACCOUNT_KEYCHECK_H
+
+#include "bergamotstage/rules/RuleBook.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bergamotstage {
+
+/// @brief Salted digest under which a key stands in the rules.
+/// @param SaltHex salt in hexadecimal digits
+/// @return 64 hexadecimal digits, or nothing if the salt is not hexadecimal
+std::optional<std::string> keyDigest(std::string_view SaltHex,
+                                     std::string_view Key);
+
+/// @brief The key of an account that matches what a caller presented.
+/// @return the rule of the key, or nothing
+/// Complexity: one digest for each key of the account.
+std::optional<KeyRule> findKey(const RuleBook &Rules, const AccountId &Account,
+                               std::string_view Presented);
+
+/// @brief Whether a key that a connection opened with is still in the rules.
+bool keyStands(const RuleBook &Rules, const KeyRule &Key);
+
+} // namespace bergamotstage
+
+#endif // BERGAMOTSTAGE_ACCOUNT_KEYCHECK_H
--- /dev/null
+++ b/include/bergamotstage/core/HistoryPoint.h
@@ -0,0 +1,31 @@
+#ifndef BERGAMOTSTAGE_CORE_HISTORYPOINT_H
+#define BERGAMOTSTAGE_CORE_HISTORYPOINT_H
+
+#include "bergamotstage/core/Ids.h"
+
+namespace bergamotstage {
+
+/// @brief A log position together with the term in which it was written.
+///
+/// Positions of different terms are never compared directly: the order is by
+/// term, then by position.
+struct HistoryPoint {
+  Term AtTerm;
+  LogPosition Position;
+
+  friend bool operator==(const HistoryPoint &Left, const HistoryPoint &Right) {
+    return Left.AtTerm == Right.AtTerm && Left.Position == Right.Position;
+  }
+  friend bool operator!=(const HistoryPoint &Left, const HistoryPoint &Right) {
+    return !(Left == Right);
+  }
+  friend bool operator<(const HistoryPoint &Left, const HistoryPoint &Right) {
+    if (Left.AtTerm != Right.AtTerm)
+      return Left.AtTerm < Right.AtTerm;
+    return Left.Position < Right.Position;
+  }
+};
+
+} // namespace bergamotstage
+
+#endif // BERGAMOTSTAGE_CORE_HISTORYPOINT_H
--- /dev/null
+++ b/include/bergamotstage/core/PlatformApi.h
@@ -0,0 +1,151 @@
+#ifndef BERGAMOTSTAGE_CORE_PLATFORMAPI_H
+#define BERGAMOTSTAGE_CORE_PLATFORMAPI_H
+
+#include "bergamotstage/core/HistoryPoint.h"
+#include "bergamotstage/core/Ids.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace bergamotstage {
+
+/// @brief One row of the platform's table service.
+struct TableRow {
+  std::string Key;
+  std::string Value;
+  std::uint64_t Version = 0; ///< 0 where the row does not exist.
+};
+
+/// @brief Reads the rows whose keys start with a prefix.
+struct ReadRows {
+  std::string Prefix;
+};
+
+/// @brief Changes rows if every compared row has the expected version.
+struct ConditionalWrite {
+  /// @brief A row that must still have the given version; 0: must not exist.
+  struct Condition {
+    std::string Key;
+    std::uint64_t Version = 0;
+  };
+  /// @brief A row to store; no value: to delete.
+  struct Change {
+    std::string Key;
+    std::optional<std::string> Value;
+  };
+  std::string WriteId; ///< Its fate can be read back under this id.
+  std::vector<Condition> Conditions;
+  std::vector<Change> Changes;
+};
+
+/// @brief Asks what became of a conditional write whose answer was lost.
+struct ReadWriteFate {
+  std::string WriteId;
+};
+
+/// @brief Stores an immutable object.
+struct PutObject {
+  std::string Name;
+  std::string Body;
+};
+
+/// @brief Reads an object.
+struct GetObject {
+  std::string Name;
+};
+
+/// @brief Lists the live and the leaving VMs, with a lag.
+struct ListVms {};
+
+/// @brief Reads terms, primaries and positions of all database groups.
+struct ReadGroups {};
+
+/// @brief Makes a target the primary of its group in a new term.
+struct Promote {
+  DatabaseId Database;
+  TargetId Candidate;
+  Term NewTerm;
+  std::string OrderId; ///< Repeats of one order are idempotent.
+};
+
+/// @brief A call to the platform.
+using PlatformRequest =
+    std::variant<ReadRows, ConditionalWrite, ReadWriteFate, PutObject,
+                 GetObject, ListVms, ReadGroups, Promote>;
+
+/// @brief A call that failed or whose answer did not come in time.
+struct PlatformFailed {
+  bool MayHaveTakenEffect = false;
+  std::string Reason;
+};
+
+/// @brief Answer to ReadRows.
+struct RowsRead {
+  std::vector<TableRow> Rows;
+};
+
+/// @brief Answer to ConditionalWrite and ReadWriteFate.
+struct WriteDecided {
+  bool Known = true; ///< False: no write of this id was ever decided.
+  bool Applied = false;
+};
+
+/// @brief Answer to PutObject.
+struct ObjectStored {};
+
+/// @brief Answer to GetObject.
+struct ObjectRead {
+  bool Found = false;
+  std::string Body;
+};
+
+/// @brief One line of the platform's lagging list of VMs.
+struct ListedVm {
+  VmId Vm;
+  DataCentreId DataCentre;
+  std::string PeerAddress; ///< IP number and port.
+  bool Leaving = false;
+};
+
+/// @brief Answer to ListVms.
+struct VmsListed {
+  std::vector<ListedVm> Vms;
+};
+
+/// @brief One target as the platform knows it.
+struct ListedTarget {
+  TargetId Target;
+  HistoryPoint Replayed;
+  bool Leaving = false;
+};
+
+/// @brief One database group as the platform knows it.
+struct ListedGroup {
+  DatabaseId Database;
+  Term CurrentTerm;
+  TargetId Primary;
+  std::vector<ListedTarget> Targets;
+};
+
+/// @brief Answer to ReadGroups.
+struct GroupsRead {
+  std::vector<ListedGroup> Groups;
+};
+
+/// @brief Answer to Promote.
+struct PromotionDecided {
+  bool Applied = false;
+  Term CurrentTerm;
+  std::string Reason;
+};
+
+/// @brief Answer to a call to the platform.
+using PlatformAnswer =
+    std::variant<PlatformFailed, RowsRead, WriteDecided, ObjectStored,
+                 ObjectRead, VmsListed, GroupsRead, PromotionDecided>;
+
+} // namespace bergamotstage
+
+#endif // BERGAMOTSTAGE_CORE_PLATFORMAPI_H
--- /dev/null
+++ b/include/bergamotstage/core/Time.h
@@ -0,0 +1,41 @@
+#ifndef BERGAMOTSTAGE_CORE_TIME_H
+#define BERGAMOTSTAGE_CORE_TIME_H
+
+#include <chrono>
+#include <cstdint>
+
+namespace bergamotstage {
+
+/// @brief Tag of the monotonic clock whose readings are passed in as values.
+///
+/// It has no now(): decision logic never reads a clock.
+struct MonotonicClock {
+  using rep = std::int64_t;
+  using period = std::micro;
+  using duration = std::chrono::duration<rep, period>;
+  using time_point = std::chrono::time_point<MonotonicClock, duration>;
+  static constexpr bool is_steady = true;
+};
+
+/// @brief A span of time in microseconds.
+using Duration = MonotonicClock::duration;
+/// @brief A reading of this VM's monotonic clock. Not comparable across VMs.
+using Instant = MonotonicClock::time_point;
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// @brief Fractional milliseconds of a duration, for reports.
+inline double toMilliseconds(Duration Span) {
+  return std::chrono::duration<double, std::milli>(Span).count();
+}
+
+/// @brief Fractional seconds of a duration, for rates.
+inline double toSeconds(Duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
+} // namespace bergamotstage
+
+#endif // BERGAMOTSTAGE_CORE_TIME_H
--- /dev/null
+++ b/include/bergamotstage/wire/Frontend.h
@@ -0,0 +1,122 @@
+#ifndef BERGAMOTSTAGE_WIRE_FRONTEND_H
+#define BERGAMOTSTAGE_WIRE_FRONTEND_H
+
+#include <tl/expected.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace bergamotstage::wire {
+
+/// @brief Largest start-up packet accepted, in bytes.
+constexpr std::size_t MaxStartupBytes = 10000;
+/// @brief Largest message accepted from a caller, in bytes.
+constexpr std::size_t MaxMessageBytes = std::size_t{1} << 20U;
+/// @brief Most parameters of one statement.
+constexpr std::size_t MaxParameters = 1000;
+
+/// @brief Start-up packet of protocol version 3.
+struct Startup {
+  std::map<std::string, std::string> Parameters;
+};
+/// @brief Request to go on under TLS.
+struct SslRequest {};
+/// @brief Request to go on under GSSAPI encryption.
+struct GssRequest {};
+/// @brief Request to cancel what another connection runs.
+struct CancelRequest {
+  std::uint32_t ProcessId = 0;
+  std::uint32_t Secret = 0;
+};
+/// @brief Answer to a password request.
+struct Password {
+  std::string Text;
+};
+/// @brief Simple query.
+struct Query {
+  std::string Text;
+};
+/// @brief Extended query: names a statement.
+struct Parse {
+  std::string Name;
+  std::string Text;
+  std::vector<std::uint32_t> ParameterTypes;
+};
+/// @brief Extended query: gives a named statement its values.
+struct Bind {
+  std::string Portal;
+  std::string Statement;
+  std::vector<std::int16_t> ParameterFormats;
+  std::vector<std::optional<std::string>> Values;
+  std::vector<std::int16_t> ResultFormats;
+};
+/// @brief Extended query: asks for the columns of a statement or portal.
+struct Describe {
+  char Kind = 'S'; ///< 'S' statement, 'P' portal.
+  std::string Name;
+};
+/// @brief Extended query: runs a portal.
+struct Execute {
+  std::string Portal;
+  std::uint32_t MaxRows = 0;
+};
+/// @brief Extended query: drops a statement or portal.
+struct Close {
+  char Kind = 'S';
+  std::string Name;
+};
+/// @brief Extended query: ends a batch.
+struct Sync {};
+/// @brief Extended query: asks for what has been answered so far.
+struct Flush {};
+/// @brief Ends the connection.
+struct Terminate {};
+/// @brief A message of the protocol that this program does not carry.
+struct Unsupported {
+  char Type = 0;
+};
+
+/// @brief A message of a caller.
+using FrontendMessage =
+    std::variant<Startup, SslRequest, GssRequest, CancelRequest, Password,
+                 Query, Parse, Bind, Describe, Execute, Close, Sync, Flush,
+                 Terminate, Unsupported>;
+
+/// @brief Why the bytes of a caller are not a message.
+struct WireError {
+  std::string Reason;
+};
+
+/// @brief Cuts a stream of bytes into the messages of callers.
+///
+/// Holds at most one message and what followed it in the last feed.
+class FrontendReader {
+public:
+  /// @brief Adds bytes as they arrived. Complexity: linear in the bytes.
+  void feed(std::string_view Bytes);
+
+  /// @brief Takes the next whole message.
+  /// @return the message, nothing if more bytes are needed, or an error after
+  /// which the stream cannot be followed any further
+  tl::expected<std::optional<FrontendMessage>, WireError> next();
+
+  /// @brief Bytes held at present.
+  std::size_t heldBytes() const { return m_Buffer.size() - m_Taken; }
+
+private:
+  tl::expected<std::optional<FrontendMessage>, WireError> nextStartup();
+
+  std::string m_Buffer;
+  std::size_t m_Taken = 0;
+  bool m_Started = false;
+};
+
+} // namespace bergamotstage::wire
+
+#endif // BERGAMOTSTAGE_WIRE_FRONTEND_H
--- /dev/null
+++ b/src/cli/Serve.cpp
@@ -0,0 +1,45 @@
+#include "cli/Commands.h"
+#include "cli/Files.h"
+#include "runtime/Daemon.h"
+
+#include <iostream>
+#include <memory>
+
+namespace bergamotstage::cli {
+namespace {
+
+void printFaults(const std::string &File,
+                 const std::vector<runtime::SettingsFault> &Faults) {
+  for (const runtime::SettingsFault &Fault : Faults)
+    std::cerr << File << ": " << Fault.Path << " " << Fault.Reason << "\n";
+}
+
+int serve(const std::string &File) {
+  auto Text = readFile(File);
+  if (!Text) {
+    std::cerr << Text.error() << "\n";
+    return ExitFailure;
+  }
+  auto Chosen = runtime::parseSettings(*Text);
+  if (!Chosen) {
+    printFaults(File, Chosen.error());
+    return ExitInvalid;
+  }
+  auto End = runtime::runDaemon(*Chosen);
+  if (!End) {
+    std::cerr << End.error() << "\n";
+    return ExitFailure;
+  }
+  return End->CutRequests ? ExitCut : ExitSuccess;
+}
+
+} // namespace
+
+void addServe(CLI::App &App, int &Code) {
+  auto File = std::make_shared<std::string>();
+  CLI::App *Command = App.add_subcommand("serve", "Run one VM of the proxy.");
+  Command->add_option("--settings", *File, "Settings in JSON.")->required();
+  Command->callback([File, &Code] { Code = serve(*File); });
+}
+
+} // namespace bergamotstage::cli
--- /dev/null
+++ b/src/core/Invariant.cpp
@@ -0,0 +1,13 @@
+#include "bergamotstage/core/Invariant.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace bergamotstage::detail {
+
+void reportBrokenInvariant(const char *Promise, const char *File, int Line) {
+  std::fprintf(stderr, "broken invariant: %s (%s:%d)\n", Promise, File, Line);
+  std::abort();
+}
+
+} // namespace bergamotstage::detail
--- /dev/null
+++ b/src/core/Parse.cpp
@@ -0,0 +1,93 @@
+#include "bergamotstage/core/Parse.h"
+
+#include <charconv>
+#include <cmath>
+#include <cstddef>
+
+namespace bergamotstage {
+namespace {
+
+struct Unit {
+  std::string_view Suffix;
+  double Microseconds;
+};
+
+constexpr Unit Units[] = {
+    {"us", 1}, {"ms", 1e3}, {"s", 1e6}, {"m", 60e6}, {"h", 3600e6}};
+
+constexpr double LongestSeconds = 3650.0 * 24 * 3600;
+
+int hexValue(char Digit) {
+  if (Digit >= '0' && Digit <= '9')
+    return Digit - '0';
+  if (Digit >= 'a' && Digit <= 'f')
+    return Digit - 'a' + 10;
+  return -1;
+}
+
+} // namespace
+
+std::optional<std::uint64_t> parseCount(std::string_view Text) {
+  std::uint64_t Value = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Stop, Fault] = std::from_chars(Text.data(), End, Value);
+  if (Text.empty() || Fault != std::errc() || Stop != End)
+    return std::nullopt;
+  return Value;
+}
+
+std::optional<double> parseNumber(std::string_view Text) {
+  double Value = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Stop, Fault] = std::from_chars(Text.data(), End, Value);
+  bool Whole = !Text.empty() && Fault == std::errc() && Stop == End;
+  if (!Whole || !std::isfinite(Value) || Value < 0)
+    return std::nullopt;
+  return Value;
+}
+
+std::optional<Duration> parseDuration(std::string_view Text) {
+  std::size_t Digits = Text.find_first_not_of("0123456789.");
+  if (Digits == std::string_view::npos)
+    return std::nullopt;
+  std::optional<double> Value = parseNumber(Text.substr(0, Digits));
+  if (!Value)
+    return std::nullopt;
+  for (const Unit &Candidate : Units) {
+    if (Candidate.Suffix != Text.substr(Digits))
+      continue;
+    double Microseconds = *Value * Candidate.Microseconds;
+    if (Microseconds > LongestSeconds * 1e6)
+      return std::nullopt;
+    return Duration(std::llround(Microseconds));
+  }
+  return std::nullopt;
+}
+
+std::string toHex(std::string_view Bytes) {
+  static const char Digits[] = "0123456789abcdef";
+  std::string Text;
+  Text.reserve(Bytes.size() * 2);
+  for (unsigned char Byte : Bytes) {
+    Text += Digits[Byte >> 4U];
+    Text += Digits[Byte & 15U];
+  }
+  return Text;
+}
+
+std::optional<std::string> fromHex(std::string_view Digits) {
+  if (Digits.size() % 2 != 0)
+    return std::nullopt;
+  std::string Bytes;
+  Bytes.reserve(Digits.size() / 2);
+  for (std::size_t At = 0; At < Digits.size(); At += 2) {
+    int High = hexValue(Digits[At]);
+    int Low = hexValue(Digits[At + 1]);
+    if (High < 0 || Low < 0)
+      return std::nullopt;
+    Bytes += static_cast<char>(High * 16 + Low);
+  }
+  return Bytes;
+}
+
+} // namespace bergamotstage
--- /dev/null
+++ b/src/core/TimerQueue.cpp
@@ -0,0 +1,38 @@
+#include "bergamotstage/core/TimerQueue.h"
+
+#include <utility>
+
+namespace bergamotstage {
+
+TimerId TimerQueue::schedule(Instant Time, Callback Run) {
+  ++m_LastNumber;
+  m_Pending.emplace(Place{Time, m_LastNumber}, std::move(Run));
+  m_Times.emplace(m_LastNumber, Time);
+  return TimerId(m_LastNumber);
+}
+
+void TimerQueue::cancel(TimerId Timer) {
+  auto Found = m_Times.find(Timer.value());
+  if (Found == m_Times.end())
+    return;
+  m_Pending.erase(Place{Found->second, Timer.value()});
+  m_Times.erase(Found);
+}
+
+void TimerQueue::runDue(Instant Now) {
+  while (!m_Pending.empty() && m_Pending.begin()->first.Time <= Now) {
+    auto First = m_Pending.begin();
+    Callback Run = std::move(First->second);
+    m_Times.erase(First->first.Number);
+    m_Pending.erase(First);
+    Run();
+  }
+}
+
+std::optional<Instant> TimerQueue::next() const {
+  if (m_Pending.empty())
+    return std::nullopt;
+  return m_Pending.begin()->first.Time;
+}
+
+} // namespace bergamotstage
--- /dev/null
+++ b/src/node/Node.cpp
@@ -0,0 +1,113 @@
+#include "bergamotstage/node/Node.h"
+
+#include <utility>
+#include <variant>
+
+namespace bergamotstage {
+namespace {
+
+constexpr std::size_t MinSecretBytes = 16;
+constexpr Duration DrainCheckInterval = milliseconds(20);
+
+Refusal shutdownRefusal() {
+  Refusal Reason;
+  Reason.SqlState = sqlstate::AdminShutdown;
+  Reason.State = RunState::NotRun;
+  Reason.Message = "the proxy is shutting down";
+  Reason.CloseConnection = true;
+  return Reason;
+}
+
+} // namespace
+
+tl::expected<std::unique_ptr<Node>, NodeError>
+Node::create(NodeSettings Settings, std::uint64_t Seed) {
+  if (Settings.Vm.value().empty())
+    return tl::make_unexpected(NodeError{"vm", "must not be empty"});
+  if (Settings.TokenSecret.size() < MinSecretBytes)
+    return tl::make_unexpected(
+        NodeError{"token_secret", "must have at least 16 bytes"});
+  return std::unique_ptr<Node>(new Node(std::move(Settings), Seed));
+}
+
+Node::Node(NodeSettings Settings, std::uint64_t Seed)
+    : m_Context(std::move(Settings), Seed), m_Accounts(m_Context),
+      m_Targets(m_Context), m_Statements(m_Context, m_Accounts, m_Targets),
+      m_Fleet(m_Context, [this] { rulesChanged(); }) {}
+
+void Node::start(Instant Now, Actions &Out) {
+  m_Context.begin(Now, Out);
+  m_Fleet.start();
+  m_Targets.start();
+  askToWake();
+}
+
+void Node::step(Instant Now, const Event &Happened, Actions &Out) {
+  m_Context.begin(Now, Out);
+  if (m_AskedWake && *m_AskedWake <= Now)
+    m_AskedWake.reset();
+  m_Context.timers().runDue(Now);
+  dispatch(Happened);
+  askToWake();
+}
+
+void Node::dispatch(const Event &Happened) {
+  struct Dispatcher {
+    Node &Self;
+    void operator()(const CallerOpened &E) { Self.m_Statements.opened(E); }
+    void operator()(const StatementArrived &E) { Self.m_Statements.arrived(E); }
+    void operator()(const CancelArrived &) {}
+    void operator()(const CallerClosed &E) { Self.m_Statements.closed(E); }
+    void operator()(const LinkOpened &E) { Self.m_Targets.links().opened(E); }
+    void operator()(const LinkFailed &E) { Self.m_Targets.links().failed(E); }
+    void operator()(const LinkAnswered &E) {
+      Self.m_Targets.links().answered(E);
+    }
+    void operator()(const PlatformAnswered &E) {
+      Self.m_Context.platformAnswered(E);
+    }
+    void operator()(const PeerReceived &E) { Self.m_Fleet.peerReceived(E); }
+    void operator()(const OperatorAsked &E) { Self.m_Fleet.operatorAsked(E); }
+    void operator()(const TimerFired &) {}
+    void operator()(const ShutdownAsked &) { Self.shutdown(); }
+  };
+  std::visit(Dispatcher{*this}, Happened);
+}
+
+void Node::rulesChanged() {
+  m_Targets.rulesChanged();
+  m_Accounts.rulesChanged();
+  m_Statements.rulesChanged();
+}
+
+void Node::shutdown() {
+  if (m_Draining) {
+    m_Context.act(Exit{m_Statements.busy()});
+    return;
+  }
+  m_Draining = true;
+  m_Context.timers().schedule(
+      m_Context.now() + m_Context.settings().DrainTimeout,
+      [this] { m_Context.act(Exit{m_Statements.busy()}); });
+  checkDrained();
+}
+
+void Node::checkDrained() {
+  m_Statements.closeIdle(shutdownRefusal());
+  if (!m_Statements.busy()) {
+    m_Context.act(Exit{false});
+    return;
+  }
+  m_Context.timers().schedule(m_Context.now() + DrainCheckInterval,
+                              [this] { checkDrained(); });
+}
+
+void Node::askToWake() {
+  std::optional<Instant> Next = m_Context.timers().next();
+  if (!Next || Next == m_AskedWake)
+    return;
+  m_AskedWake = Next;
+  m_Context.act(WakeAt{*Next});
+}
+
+} // namespace bergamotstage
--- /dev/null
+++ b/src/rules/RuleBook.cpp
@@ -0,0 +1,219 @@
+#include "bergamotstage/rules/RuleBook.h"
+
+#include "bergamotstage/core/Parse.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <functional>
+#include <set>
+#include <utility>
+
+namespace bergamotstage {
+namespace {
+
+using Stored = tl::expected<void, RuleFault>;
+
+tl::unexpected<RuleFault> fault(const RuleLine &Rule, std::string Reason) {
+  return tl::make_unexpected(RuleFault{Rule.Line, std::move(Reason)});
+}
+
+RuleRef sourceOf(const RuleLine &Rule) { return {Rule.Line, Rule.Author}; }
+
+std::string option(const RuleLine &Rule, const std::string &Name) {
+  auto Found = Rule.Options.find(Name);
+  return Found == Rule.Options.end() ? std::string() : Found->second;
+}
+
+template <class Map, class Value>
+Stored addOnce(Map &Into, const RuleLine &Rule, Value Entry) {
+  auto [Found, Added] = Into.emplace(Entry.Id, Entry);
+  if (!Added)
+    return fault(Rule, "'" + Rule.Words[0] + "' repeats line " +
+                           std::to_string(Found->second.Source.Line));
+  return {};
+}
+
+Stored addDataCentre(const RuleLine &Rule, RuleBook &Book) {
+  DataCentreRule Entry{DataCentreId(Rule.Words[0]), option(Rule, "region"),
+                       sourceOf(Rule)};
+  return addOnce(Book.DataCentres, Rule, Entry);
+}
+
+Stored addDatabase(const RuleLine &Rule, RuleBook &Book) {
+  DatabaseRule Entry{DatabaseId(Rule.Words[0]), sourceOf(Rule)};
+  return addOnce(Book.Databases, Rule, Entry);
+}
+
+Stored addTarget(const RuleLine &Rule, RuleBook &Book) {
+  TargetRule Entry;
+  Entry.Id = TargetId(Rule.Words[0]);
+  Entry.Database = DatabaseId(option(Rule, "database"));
+  Entry.DataCentre = DataCentreId(option(Rule, "data-centre"));
+  Entry.Address = option(Rule, "address");
+  auto Slots = parseCount(option(Rule, "slots"));
+  auto Connections = parseCount(option(Rule, "connections"));
+  if (!Slots || *Slots == 0 || *Slots > 10000)
+    return fault(Rule, "slots must be a whole number from 1 to 10000");
+  if (!Connections || *Connections == 0 || *Connections > 100000)
+    return fault(Rule, "connections must be a whole number from 1 to 100000");
+  Entry.Slots = static_cast<unsigned>(*Slots);
+  Entry.Connections = static_cast<unsigned>(*Connections);
+  Entry.Source = sourceOf(Rule);
+  return addOnce(Book.Targets, Rule, Entry);
+}
+
+Stored addAccount(const RuleLine &Rule, RuleBook &Book) {
+  auto Rate = parseNumber(option(Rule, "rate"));
+  auto Burst = parseNumber(option(Rule, "burst"));
+  std::string WeightText = option(Rule, "weight");
+  auto Weight = parseNumber(WeightText.empty() ? "1" : WeightText);
+  if (!Rate || *Rate <= 0)
+    return fault(Rule, "rate must be a number above 0, in statements a second");
+  if (!Burst || *Burst < 1)
+    return fault(Rule, "burst must be a number of at least 1, in statements");
+  if (!Weight || *Weight <= 0)
+    return fault(Rule, "weight must be a number above 0");
+  AccountRule Entry{AccountId(Rule.Words[0]), *Rate, *Burst, *Weight,
+                    sourceOf(Rule)};
+  return addOnce(Book.Accounts, Rule, Entry);
+}
+
+Stored addKey(const RuleLine &Rule, RuleBook &Book) {
+  KeyRule Entry{AccountId(Rule.Words[0]), Rule.Words[1], option(Rule, "salt"),
+                option(Rule, "digest"), sourceOf(Rule)};
+  constexpr std::size_t DigestDigits = 64;
+  if (!fromHex(Entry.Salt) || Entry.Salt.empty())
+    return fault(Rule, "salt must be hexadecimal");
+  if (!fromHex(Entry.Digest) || Entry.Digest.size() != DigestDigits)
+    return fault(Rule, "digest must be 64 hexadecimal digits");
+  for (const KeyRule &Other : Book.Keys)
+    if (Other.Account == Entry.Account && Other.KeyId == Entry.KeyId)
+      return fault(Rule, "key '" + Entry.KeyId + "' repeats line " +
+                             std::to_string(Other.Source.Line));
+  Book.Keys.push_back(Entry);
+  return {};
+}
+
+Stored addRoute(const RuleLine &Rule, RuleBook &Book) {
+  RouteRule Entry;
+  Entry.Id = RouteId(Rule.Words[0]);
+  Entry.Database = DatabaseId(option(Rule, "database"));
+  std::string Access = option(Rule, "access");
+  if (Access != "open" && Access != "keyed")
+    return fault(Rule, "access must be open or keyed");
+  Entry.Open = Access == "open";
+  std::string Age = option(Rule, "max-age");
+  if (!Age.empty()) {
+    Entry.MaxAge = parseDuration(Age);
+    if (!Entry.MaxAge)
+      return fault(Rule, "max-age must be a duration such as 5s");
+  }
+  Entry.Source = sourceOf(Rule);
+  return addOnce(Book.Routes, Rule, Entry);
+}
+
+Stored addPolicy(const RuleLine &Rule, RuleBook &Book) {
+  PolicyRule Entry{Rule.Words[0], Rule.Words[1], Rule.Options, sourceOf(Rule)};
+  auto [Found, Added] = Book.Policies.emplace(Entry.Kind, Entry);
+  if (!Added)
+    return fault(Rule, "policy '" + Entry.Kind + "' contradicts line " +
+                           std::to_string(Found->second.Source.Line));
+  return {};
+}
+
+/// @brief One kind of rule: its shape and what stores it.
+struct RuleKind {
+  std::string Name;
+  std::size_t Words;
+  std::set<std::string> Options; ///< Empty: any option.
+  std::function<Stored(const RuleLine &, RuleBook &)> Add;
+};
+
+const std::vector<RuleKind> &ruleKinds() {
+  static const std::vector<RuleKind> Kinds = {
+      {"data-centre", 1, {"region"}, addDataCentre},
+      {"database", 1, {"none"}, addDatabase},
+      {"target",
+       1,
+       {"database", "data-centre", "address", "slots", "connections"},
+       addTarget},
+      {"account", 1, {"rate", "burst", "weight"}, addAccount},
+      {"key", 2, {"salt", "digest"}, addKey},
+      {"route", 1, {"database", "access", "max-age"}, addRoute},
+      {"policy", 2, {}, addPolicy},
+  };
+  return Kinds;
+}
+
+Stored addRule(const RuleLine &Rule, RuleBook &Book) {
+  const std::vector<RuleKind> &Kinds = ruleKinds();
+  auto Kind = std::find_if(Kinds.begin(), Kinds.end(), [&](const auto &Entry) {
+    return Entry.Name == Rule.Kind;
+  });
+  if (Kind == Kinds.end())
+    return fault(Rule, "unknown kind of rule '" + Rule.Kind + "'");
+  if (Rule.Words.size() != Kind->Words)
+    return fault(Rule, "'" + Rule.Kind + "' takes " +
+                           std::to_string(Kind->Words) + " word(s) first");
+  for (const auto &[Name, Value] : Rule.Options)
+    if (!Kind->Options.empty() && Kind->Options.count(Name) == 0)
+      return fault(Rule, "unknown option '" + Name + "'");
+  return Kind->Add(Rule, Book);
+}
+
+void checkReferences(const RuleBook &Book, std::vector<RuleFault> &Faults) {
+  for (const auto &[Id, Target] : Book.Targets) {
+    if (Book.Databases.count(Target.Database) == 0)
+      Faults.push_back({Target.Source.Line,
+                        "unknown database '" + Target.Database.value() + "'"});
+    if (Book.DataCentres.count(Target.DataCentre) == 0)
+      Faults.push_back(
+          {Target.Source.Line,
+           "unknown data centre '" + Target.DataCentre.value() + "'"});
+  }
+  for (const auto &[Id, Route] : Book.Routes)
+    if (Book.Databases.count(Route.Database) == 0)
+      Faults.push_back({Route.Source.Line,
+                        "unknown database '" + Route.Database.value() + "'"});
+  for (const KeyRule &Key : Book.Keys)
+    if (Book.Accounts.count(Key.Account) == 0)
+      Faults.push_back({Key.Source.Line, "unknown client account '" +
+                                             Key.Account.value() + "'"});
+}
+
+bool isSkipped(std::string_view Line) {
+  std::size_t First = Line.find_first_not_of(" \t\r");
+  return First == std::string_view::npos || Line[First] == '#';
+}
+
+} // namespace
+
+tl::expected<RuleBook, std::vector<RuleFault>>
+parseRules(Revision Number, std::string_view Text) {
+  RuleBook Book;
+  Book.Number = Number;
+  std::vector<RuleFault> Faults;
+  unsigned LineNumber = 0;
+  while (!Text.empty()) {
+    ++LineNumber;
+    std::size_t End = Text.find('\n');
+    std::string_view Line = Text.substr(0, End);
+    Text = End == std::string_view::npos ? "" : Text.substr(End + 1);
+    if (isSkipped(Line))
+      continue;
+    auto Rule = parseRuleLine(LineNumber, Line);
+    if (!Rule) {
+      Faults.push_back(Rule.error());
+      continue;
+    }
+    Stored Result = addRule(*Rule, Book);
+    if (!Result)
+      Faults.push_back(Result.error());
+  }
+  checkReferences(Book, Faults);
+  if (!Faults.empty())
+    return tl::make_unexpected(std::move(Faults));
+  return Book;
+}
+
+} // namespace bergamotstage
--- /dev/null
+++ b/src/rules/RuleLine.cpp
@@ -0,0 +1,78 @@
+#include "bergamotstage/rules/RuleLine.h"
+
+#include <cstddef>
+
+namespace bergamotstage {
+namespace {
+
+std::string_view trim(std::string_view Text) {
+  const char *Blanks = " \t\r";
+  std::size_t Start = Text.find_first_not_of(Blanks);
+  if (Start == std::string_view::npos)
+    return {};
+  std::size_t End = Text.find_last_not_of(Blanks);
+  return Text.substr(Start, End - Start + 1);
+}
+
+/// @brief Position of the comment's sign outside quotes, or npos.
+std::size_t findComment(std::string_view Text) {
+  bool Quoted = false;
+  for (std::size_t At = 0; At < Text.size(); ++At) {
+    if (Text[At] == '"')
+      Quoted = !Quoted;
+    if (Text[At] == '#' && !Quoted)
+      return At;
+  }
+  return std::string_view::npos;
+}
+
+/// @brief Takes the next blank-separated word; quotes are removed.
+std::string takeWord(std::string_view &Rest) {
+  std::string Word;
+  bool Quoted = false;
+  std::size_t At = 0;
+  for (; At < Rest.size(); ++At) {
+    if (Rest[At] == '"') {
+      Quoted = !Quoted;
+      continue;
+    }
+    if (!Quoted && (Rest[At] == ' ' || Rest[At] == '\t'))
+      break;
+    Word += Rest[At];
+  }
+  Rest = trim(Rest.substr(At));
+  return Word;
+}
+
+} // namespace
+
+tl::expected<RuleLine, RuleFault> parseRuleLine(unsigned Line,
+                                                std::string_view Text) {
+  RuleLine Rule;
+  Rule.Line = Line;
+  std::size_t Comment = findComment(Text);
+  if (Comment == std::string_view::npos)
+    return tl::make_unexpected(
+        RuleFault{Line, "no comment that names who asked for the rule"});
+  Rule.Author = std::string(trim(Text.substr(Comment + 1)));
+  if (Rule.Author.empty())
+    return tl::make_unexpected(
+        RuleFault{Line, "the comment does not name who asked for the rule"});
+  std::string_view Rest = trim(Text.substr(0, Comment));
+  Rule.Kind = takeWord(Rest);
+  while (!Rest.empty()) {
+    std::string Word = takeWord(Rest);
+    std::size_t Equals = Word.find('=');
+    if (Equals == std::string::npos) {
+      Rule.Words.push_back(Word);
+      continue;
+    }
+    std::string Name = Word.substr(0, Equals);
+    if (!Rule.Options.emplace(Name, Word.substr(Equals + 1)).second)
+      return tl::make_unexpected(
+          RuleFault{Line, "option '" + Name + "' is given twice"});
+  }
+  return Rule;
+}
+
+} // namespace bergamotstage
--- /dev/null
+++ b/src/runtime/LogThread.h
@@ -0,0 +1,47 @@
+#ifndef BERGAMOTSTAGE_RUNTIME_LOGTHREAD_H
+#define BERGAMOTSTAGE_RUNTIME_LOGTHREAD_H
+
+#include "bergamotstage/node/Action.h"
+#include "runtime/Doorbell.h"
+#include "runtime/Ring.h"
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <thread>
+
+namespace bergamotstage::runtime {
+
+/// @brief One event as a line of key=value pairs; values with blanks, quotes
+/// or control characters are quoted and escaped.
+std::string formatLogLine(const WriteLog &Entry);
+
+/// @brief The thread that writes the log through log4cxx.
+///
+/// Lines that meet a full ring are dropped and counted; the count is logged.
+class LogThread {
+public:
+  /// @param Level one of debug, info, warning, error
+  explicit LogThread(const std::string &Level);
+  ~LogThread();
+  LogThread(const LogThread &) = delete;
+  LogThread &operator=(const LogThread &) = delete;
+
+  void start();
+  void stop();
+  void push(WriteLog &&Entry);
+
+private:
+  void run();
+  void drain();
+
+  Ring<WriteLog> m_Ring;
+  Doorbell m_Doorbell;
+  std::atomic<std::uint64_t> m_Dropped{0};
+  std::atomic<bool> m_Stopped{false};
+  std::thread m_Thread;
+};
+
+} // namespace bergamotstage::runtime
+
+#endif // BERGAMOTSTAGE_RUNTIME_LOGTHREAD_H
--- /dev/null
+++ b/src/runtime/Outbox.h
@@ -0,0 +1,56 @@
+#ifndef BERGAMOTSTAGE_RUNTIME_OUTBOX_H
+#define BERGAMOTSTAGE_RUNTIME_OUTBOX_H
+
+#include "runtime/Commands.h"
+
+#include <asio.hpp>
+
+#include <chrono>
+#include <deque>
+#include <utility>
+
+namespace bergamotstage::runtime {
+
+/// @brief Events that a thread must hand over even while the ring is full.
+///
+/// Lives on the producing thread. Holds at most one event for each connection
+/// that the thread owns, so it is bounded by their number.
+class Outbox {
+public:
+  Outbox(asio::io_context &Io, EventSink Events)
+      : m_Retry(Io), m_Events(std::move(Events)) {}
+
+  /// @brief Hands an event over now or as soon as the ring has room.
+  void push(Event &&Added) {
+    m_Waiting.push_back(std::move(Added));
+    if (m_Waiting.size() == 1)
+      drain();
+  }
+
+private:
+  static constexpr auto RetryInterval = std::chrono::milliseconds(1);
+
+  void drain() {
+    while (!m_Waiting.empty()) {
+      if (!m_Events(std::move(m_Waiting.front())))
+        return retryLater();
+      m_Waiting.pop_front();
+    }
+  }
+
+  void retryLater() {
+    m_Retry.expires_after(RetryInterval);
+    m_Retry.async_wait([this](std::error_code Fault) {
+      if (!Fault)
+        drain();
+    });
+  }
+
+  asio::steady_timer m_Retry;
+  EventSink m_Events;
+  std::deque<Event> m_Waiting;
+};
+
+} // namespace bergamotstage::runtime
+
+#endif // BERGAMOTSTAGE_RUNTIME_OUTBOX_H
--- /dev/null
+++ b/src/runtime/PeerThread.cpp
@@ -0,0 +1,112 @@
+#include "runtime/PeerThread.h"
+
+#include <chrono>
+#include <utility>
+
+namespace bergamotstage::runtime {
+namespace {
+
+constexpr std::size_t RingCapacity = 4096;
+constexpr auto DeliveryTimeout = std::chrono::seconds(1);
+constexpr std::uint32_t LastDuty =
+    static_cast<std::uint32_t>(PeerDuty::Forwarding);
+
+} // namespace
+
+/// @brief One message on its way.
+struct PeerThread::Delivery {
+  grpc::ClientContext Context;
+  wire::peer::Received Answer;
+  grpc::Status Status;
+  std::unique_ptr<grpc::ClientAsyncResponseReader<wire::peer::Received>> Reader;
+};
+
+PeerThread::PeerThread(VmId Self, Incarnation Start)
+    : m_Self(std::move(Self)), m_Start(Start), m_Ring(RingCapacity) {}
+
+PeerThread::~PeerThread() { stop(); }
+
+void PeerThread::start() {
+  m_Thread = std::thread([this] { run(); });
+}
+
+void PeerThread::stop() {
+  if (!m_Thread.joinable())
+    return;
+  {
+    std::lock_guard<std::mutex> Guard(m_WakeLock);
+    m_Stopped = true;
+    m_Queue.Shutdown();
+  }
+  m_Thread.join();
+}
+
+bool PeerThread::push(SendPeer &&Message) {
+  if (!m_Ring.push(std::move(Message)))
+    return false;
+  std::lock_guard<std::mutex> Guard(m_WakeLock);
+  if (!m_WakeSet && !m_Stopped) {
+    m_WakeSet = true;
+    m_Wake.Set(&m_Queue, std::chrono::system_clock::now(), nullptr);
+  }
+  return true;
+}
+
+void PeerThread::run() {
+  void *Tag = nullptr;
+  bool Succeeded = false;
+  while (m_Queue.Next(&Tag, &Succeeded)) {
+    if (Tag == nullptr)
+      takeMessages();
+    else
+      std::unique_ptr<Delivery>(static_cast<Delivery *>(Tag)).reset();
+  }
+}
+
+void PeerThread::takeMessages() {
+  {
+    std::lock_guard<std::mutex> Guard(m_WakeLock);
+    m_WakeSet = false;
+    if (m_Stopped)
+      return;
+  }
+  SendPeer Next;
+  while (m_Ring.pop(Next))
+    begin(Next);
+}
+
+void PeerThread::begin(const SendPeer &Message) {
+  auto &Stub = m_Stubs[Message.Address];
+  if (!Stub)
+    Stub = wire::peer::Peer::NewStub(grpc::CreateChannel(
+        Message.Address, grpc::InsecureChannelCredentials()));
+  wire::peer::Envelope Envelope;
+  Envelope.set_from(m_Self.value());
+  Envelope.set_incarnation(m_Start.value());
+  Envelope.set_duty(static_cast<std::uint32_t>(Message.Message.Duty));
+  Envelope.set_payload(Message.Message.Payload);
+  auto Sent = std::make_unique<Delivery>();
+  Sent->Context.set_deadline(std::chrono::system_clock::now() +
+                             DeliveryTimeout);
+  Sent->Reader = Stub->AsyncDeliver(&Sent->Context, Envelope, &m_Queue);
+  Sent->Reader->Finish(&Sent->Answer, &Sent->Status, Sent.get());
+  // The queue owns the delivery until it hands its tag back.
+  static_cast<void>(Sent.release());
+}
+
+grpc::Status PeerService::Deliver(grpc::ServerContext *,
+                                  const wire::peer::Envelope *Message,
+                                  wire::peer::Received *) {
+  if (Message->duty() > LastDuty)
+    return {grpc::StatusCode::INVALID_ARGUMENT, "unknown duty"};
+  PeerReceived Event;
+  Event.From = VmId(Message->from());
+  Event.FromStart = Incarnation(Message->incarnation());
+  Event.Message.Duty = static_cast<PeerDuty>(Message->duty());
+  Event.Message.Payload = Message->payload();
+  if (!m_Events(std::move(Event)))
+    return {grpc::StatusCode::RESOURCE_EXHAUSTED, "overloaded"};
+  return grpc::Status::OK;
+}
+
+} // namespace bergamotstage::runtime
--- /dev/null
+++ b/src/runtime/PeerThread.h
@@ -0,0 +1,70 @@
+#ifndef BERGAMOTSTAGE_RUNTIME_PEERTHREAD_H
+#define BERGAMOTSTAGE_RUNTIME_PEERTHREAD_H
+
+#include "peer.grpc.pb.h"
+#include "runtime/Commands.h"
+#include "runtime/Ring.h"
+
+#include <grpcpp/alarm.h>
+#include <grpcpp/grpcpp.h>
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace bergamotstage::runtime {
+
+/// @brief The thread that sends messages to other VMs over gRPC.
+///
+/// A message that cannot be delivered in time is dropped: duties of the node
+/// send again where it matters.
+class PeerThread {
+public:
+  PeerThread(VmId Self, Incarnation Start);
+  ~PeerThread();
+  PeerThread(const PeerThread &) = delete;
+  PeerThread &operator=(const PeerThread &) = delete;
+
+  void start();
+  void stop();
+
+  /// @brief Hands over a message; false if the ring is full.
+  bool push(SendPeer &&Message);
+
+private:
+  struct Delivery;
+
+  void run();
+  void takeMessages();
+  void begin(const SendPeer &Message);
+
+  VmId m_Self;
+  Incarnation m_Start;
+  Ring<SendPeer> m_Ring;
+  std::map<std::string, std::unique_ptr<wire::peer::Peer::Stub>> m_Stubs;
+  grpc::CompletionQueue m_Queue;
+  grpc::Alarm m_Wake;
+  std::mutex m_WakeLock;
+  bool m_WakeSet = false;
+  bool m_Stopped = false;
+  std::thread m_Thread;
+};
+
+/// @brief Receives messages of other VMs.
+class PeerService final : public wire::peer::Peer::Service {
+public:
+  explicit PeerService(EventSink Events) : m_Events(std::move(Events)) {}
+
+  grpc::Status Deliver(grpc::ServerContext *Context,
+                       const wire::peer::Envelope *Message,
+                       wire::peer::Received *Answer) override;
+
+private:
+  EventSink m_Events;
+};
+
+} // namespace bergamotstage::runtime
+
+#endif // BERGAMOTSTAGE_RUNTIME_PEERTHREAD_H
--- /dev/null
+++ b/src/runtime/PlatformThread.h
@@ -0,0 +1,54 @@
+#ifndef BERGAMOTSTAGE_RUNTIME_PLATFORMTHREAD_H
+#define BERGAMOTSTAGE_RUNTIME_PLATFORMTHREAD_H
+
+#include "platform.grpc.pb.h"
+#include "runtime/Commands.h"
+#include "runtime/Ring.h"
+
+#include <grpcpp/alarm.h>
+#include <grpcpp/grpcpp.h>
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace bergamotstage::runtime {
+
+/// @brief The thread that calls the platform over gRPC.
+///
+/// Each call ends with exactly one PlatformAnswered, at the latest at its
+/// timeout.
+class PlatformThread {
+public:
+  PlatformThread(const std::string &Address, EventSink Events);
+  ~PlatformThread();
+  PlatformThread(const PlatformThread &) = delete;
+  PlatformThread &operator=(const PlatformThread &) = delete;
+
+  void start();
+  void stop();
+
+  /// @brief Hands over a call; false if the ring is full.
+  bool push(CallPlatform &&Call);
+
+private:
+  void run();
+  void takeCalls();
+  void begin(const CallPlatform &Call);
+
+  std::shared_ptr<grpc::Channel> m_Channel;
+  std::unique_ptr<wire::platform::Platform::Stub> m_Stub;
+  EventSink m_Events;
+  Ring<CallPlatform> m_Ring;
+  grpc::CompletionQueue m_Queue;
+  grpc::Alarm m_Wake;
+  std::mutex m_WakeLock;
+  bool m_WakeSet = false;
+  bool m_Stopped = false;
+  std::thread m_Thread;
+};
+
+} // namespace bergamotstage::runtime
+
+#endif // BERGAMOTSTAGE_RUNTIME_PLATFORMTHREAD_H
--- /dev/null
+++ b/src/runtime/Ring.h
@@ -0,0 +1,64 @@
+#ifndef BERGAMOTSTAGE_RUNTIME_RING_H
+#define BERGAMOTSTAGE_RUNTIME_RING_H
+
+#include <boost/lockfree/spsc_queue.hpp>
+
+#include <cstddef>
+#include <deque>
+#include <mutex>
+#include <utility>
+
+namespace bergamotstage::runtime {
+
+/// @brief A bounded queue from exactly one thread to exactly one other.
+template <class Item> class Ring {
+public:
+  explicit Ring(std::size_t Capacity) : m_Queue(Capacity) {}
+
+  /// @brief Adds an item unless the ring is full. Never blocks.
+  /// @return false if the ring is full; the item is then unchanged
+  bool push(Item &&Added) { return m_Queue.push(std::move(Added)); }
+
+  /// @brief Takes the oldest item if there is one. Never blocks.
+  bool pop(Item &Taken) {
+    return m_Queue.consume_one([&](Item &Front) { Taken = std::move(Front); });
+  }
+
+private:
+  boost::lockfree::spsc_queue<Item> m_Queue;
+};
+
+/// @brief A bounded queue from any number of threads to one.
+template <class Item> class SharedRing {
+public:
+  explicit SharedRing(std::size_t Capacity) : m_Capacity(Capacity) {}
+
+  /// @brief Adds an item unless the ring is full.
+  /// @return false if the ring is full; the item is then unchanged
+  bool push(Item &&Added) {
+    std::lock_guard<std::mutex> Guard(m_Lock);
+    if (m_Items.size() >= m_Capacity)
+      return false;
+    m_Items.push_back(std::move(Added));
+    return true;
+  }
+
+  /// @brief Takes the oldest item if there is one.
+  bool pop(Item &Taken) {
+    std::lock_guard<std::mutex> Guard(m_Lock);
+    if (m_Items.empty())
+      return false;
+    Taken = std::move(m_Items.front());
+    m_Items.pop_front();
+    return true;
+  }
+
+private:
+  std::size_t m_Capacity;
+  std::mutex m_Lock;
+  std::deque<Item> m_Items;
+};
+
+} // namespace bergamotstage::runtime
+
+#endif // BERGAMOTSTAGE_RUNTIME_RING_H
--- /dev/null
+++ b/src/runtime/Settings.cpp
@@ -0,0 +1,179 @@
+#include "runtime/Settings.h"
+
+#include "runtime/Address.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <set>
+#include <utility>
+
+namespace bergamotstage::runtime {
+namespace {
+
+using Json = nlohmann::json;
+
+/// @brief Reads members of one JSON object and notes each fault.
+class MemberReader {
+public:
+  MemberReader(const Json &Object, std::string Path,
+               std::vector<SettingsFault> &Faults)
+      : m_Object(Object), m_Path(std::move(Path)), m_Faults(Faults) {
+    if (!m_Object.is_object())
+      m_Faults.push_back({m_Path, "must be an object"});
+  }
+
+  void text(const char *Name, std::string &Out, bool Required) {
+    const Json *Found = find(Name, Required);
+    if (Found == nullptr)
+      return;
+    if (!Found->is_string())
+      return fault(Name, "must be a string");
+    Out = Found->get<std::string>();
+    if (Required && Out.empty())
+      fault(Name, "must not be empty");
+  }
+
+  void address(const char *Name, std::string &Out) {
+    text(Name, Out, true);
+    if (!Out.empty() && !parseEndpoint(Out))
+      fault(Name, "must be an IP number and a port, such as 127.0.0.1:6432");
+  }
+
+  void choice(const char *Name, std::string &Out,
+              const std::set<std::string> &Allowed) {
+    text(Name, Out, false);
+    if (Allowed.count(Out) == 0)
+      fault(Name, "is not one of the allowed words");
+  }
+
+  void count(const char *Name, unsigned &Out, unsigned Least, unsigned Most) {
+    const Json *Found = find(Name, false);
+    if (Found == nullptr)
+      return;
+    bool InRange = Found->is_number_unsigned() &&
+                   Found->get<std::uint64_t>() >= Least &&
+                   Found->get<std::uint64_t>() <= Most;
+    if (!InRange)
+      return fault(Name, "must be a whole number from " +
+                             std::to_string(Least) + " to " +
+                             std::to_string(Most));
+    Out = Found->get<unsigned>();
+  }
+
+  void duration(const char *Name, Duration &Out, Duration Least,
+                Duration Most) {
+    const Json *Found = find(Name, false);
+    if (Found == nullptr)
+      return;
+    if (!Found->is_string())
+      return fault(Name, "must be a duration such as \"500ms\"");
+    auto Parsed = parseDuration(Found->get<std::string>());
+    if (!Parsed)
+      return fault(Name, "must be a duration such as \"500ms\"");
+    if (*Parsed < Least || *Parsed > Most)
+      return fault(Name, "is out of range");
+    Out = *Parsed;
+  }
+
+  void object(const char *Name, bool Required,
+              const std::function<void(MemberReader &)> &Read) {
+    const Json *Found = find(Name, Required);
+    if (Found == nullptr)
+      return;
+    MemberReader Inner(*Found, join(Name), m_Faults);
+    Read(Inner);
+    Inner.finish();
+  }
+
+  /// @brief Notes every member that was not asked for.
+  void finish() {
+    if (!m_Object.is_object())
+      return;
+    for (const auto &[Name, Value] : m_Object.items())
+      if (m_Known.count(Name) == 0)
+        fault(Name.c_str(), "is not a known setting");
+  }
+
+private:
+  const Json *find(const char *Name, bool Required) {
+    m_Known.insert(Name);
+    if (!m_Object.is_object())
+      return nullptr;
+    auto Found = m_Object.find(Name);
+    if (Found != m_Object.end())
+      return &*Found;
+    if (Required)
+      fault(Name, "is missing");
+    return nullptr;
+  }
+
+  void fault(const char *Name, std::string Reason) {
+    m_Faults.push_back({join(Name), std::move(Reason)});
+  }
+
+  std::string join(const char *Name) const {
+    return m_Path.empty() ? Name : m_Path + "." + Name;
+  }
+
+  const Json &m_Object;
+  std::string m_Path;
+  std::vector<SettingsFault> &m_Faults;
+  std::set<std::string> m_Known;
+};
+
+void readTimeouts(MemberReader &Members, NodeSettings &Out) {
+  Members.duration("statement", Out.StatementTimeout, milliseconds(10),
+                   seconds(3600));
+  Members.duration("confirm", Out.ConfirmTimeout, milliseconds(10),
+                   seconds(60));
+  Members.duration("platform", Out.PlatformTimeout, milliseconds(10),
+                   seconds(60));
+  Members.duration("drain", Out.DrainTimeout, milliseconds(10), seconds(3600));
+}
+
+void readIntervals(MemberReader &Members, NodeSettings &Out) {
+  Members.duration("rules", Out.RulesPollInterval, milliseconds(100),
+                   seconds(60));
+  Members.duration("groups", Out.GroupsPollInterval, milliseconds(10),
+                   seconds(60));
+}
+
+} // namespace
+
+tl::expected<Settings, std::vector<SettingsFault>>
+parseSettings(const std::string &Text) {
+  std::vector<SettingsFault> Faults;
+  Json Root = Json::parse(Text, nullptr, false);
+  if (Root.is_discarded()) {
+    Faults.push_back({"", "is not JSON"});
+    return tl::make_unexpected(std::move(Faults));
+  }
+  Settings Out;
+  std::string Vm;
+  std::string DataCentre;
+  MemberReader Members(Root, "", Faults);
+  Members.text("vm", Vm, true);
+  Members.text("data_centre", DataCentre, true);
+  Members.address("listen", Out.ListenAddress);
+  Members.address("peer_address", Out.Node.PeerAddress);
+  Members.address("platform", Out.PlatformAddress);
+  Members.text("token_secret", Out.Node.TokenSecret, true);
+  Members.text("target_user", Out.Target.User, true);
+  Members.text("target_password", Out.Target.Password, false);
+  Members.choice("log_level", Out.LogLevel,
+                 {"debug", "info", "warning", "error"});
+  Members.count("max_callers", Out.Node.MaxCallers, 1, 1000000);
+  Members.object("timeouts", false,
+                 [&](MemberReader &Inner) { readTimeouts(Inner, Out.Node); });
+  Members.object("intervals", false,
+                 [&](MemberReader &Inner) { readIntervals(Inner, Out.Node); });
+  Members.finish();
+  Out.Node.Vm = VmId(Vm);
+  Out.Node.DataCentre = DataCentreId(DataCentre);
+  if (!Faults.empty())
+    return tl::make_unexpected(std::move(Faults));
+  return Out;
+}
+
+} // namespace bergamotstage::runtime
--- /dev/null
+++ b/src/runtime/Settings.h
@@ -0,0 +1,37 @@
+#ifndef BERGAMOTSTAGE_RUNTIME_SETTINGS_H
+#define BERGAMOTSTAGE_RUNTIME_SETTINGS_H
+
+#include "bergamotstage/node/NodeSettings.h"
+#include "runtime/TargetLink.h"
+
+#include <tl/expected.hpp>
+
+#include <string>
+#include <vector>
+
+namespace bergamotstage::runtime {
+
+/// @brief All settings of one process.
+struct Settings {
+  NodeSettings Node;
+  std::string ListenAddress;   ///< For callers.
+  std::string PlatformAddress; ///< Of the platform's service.
+  TargetCredentials Target;
+  std::string LogLevel = "info";
+};
+
+/// @brief A member of the settings that cannot be taken.
+struct SettingsFault {
+  std::string Path; ///< Such as `listen.callers`.
+  std::string Reason;
+};
+
+/// @brief Reads settings in JSON.
+/// @return the settings, or every fault: unknown members, wrong types, values
+/// out of range, missing members
+tl::expected<Settings, std::vector<SettingsFault>>
+parseSettings(const std::string &Text);
+
+} // namespace bergamotstage::runtime
+
+#endif // BERGAMOTSTAGE_RUNTIME_SETTINGS_H
--- /dev/null
+++ b/src/runtime/TargetLink.cpp
@@ -0,0 +1,324 @@
+#include "runtime/TargetLink.h"
+
+#include "bergamotstage/core/Parse.h"
+#include "bergamotstage/wire/Backend.h"
+
+#include <cstddef>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace bergamotstage::runtime {
+namespace {
+
+constexpr auto RetryInterval = std::chrono::milliseconds(1);
+const char *const ConnectTimeoutSeconds = "5";
+
+void ignoreNotice(void *, const PGresult *) {}
+
+std::string trimmed(const char *Text) {
+  std::string Clean = Text == nullptr ? "" : Text;
+  while (!Clean.empty() && (Clean.back() == '\n' || Clean.back() == ' '))
+    Clean.pop_back();
+  return Clean;
+}
+
+std::uint64_t reported(const PGconn *Connection, const char *Name) {
+  const char *Value = PQparameterStatus(Connection, Name);
+  return Value == nullptr ? 0 : parseCount(Value).value_or(0);
+}
+
+void describeRows(const PGresult *Result, std::string &Out) {
+  std::vector<wire::Column> Columns;
+  for (int At = 0; At < PQnfields(Result); ++At) {
+    wire::Column Entry;
+    Entry.Name = PQfname(Result, At);
+    Entry.TypeId = PQftype(Result, At);
+    Entry.TypeSize = static_cast<std::int16_t>(PQfsize(Result, At));
+    Entry.TypeModifier = PQfmod(Result, At);
+    Entry.Format = static_cast<std::int16_t>(PQfformat(Result, At));
+    Columns.push_back(std::move(Entry));
+  }
+  wire::BackendWriter(Out).rowDescription(Columns);
+}
+
+void encodeRows(const PGresult *Result, std::string &Out) {
+  std::vector<std::optional<std::string_view>> Cells;
+  for (int Row = 0; Row < PQntuples(Result); ++Row) {
+    Cells.clear();
+    for (int At = 0; At < PQnfields(Result); ++At) {
+      if (PQgetisnull(Result, Row, At) != 0) {
+        Cells.emplace_back(std::nullopt);
+        continue;
+      }
+      auto Length = static_cast<std::size_t>(PQgetlength(Result, Row, At));
+      Cells.emplace_back(std::string_view(PQgetvalue(Result, Row, At), Length));
+    }
+    wire::BackendWriter(Out).dataRow(Cells);
+  }
+}
+
+} // namespace
+
+TargetLink::TargetLink(asio::io_context &Io, LinkId Id, EventSink Events,
+                       ChunkSink Chunks)
+    : m_Io(Io), m_Id(Id), m_Events(std::move(Events)),
+      m_Chunks(std::move(Chunks)), m_Retry(Io) {}
+
+TargetLink::~TargetLink() { close(); }
+
+void TargetLink::open(const OpenLink &Wanted,
+                      const TargetCredentials &Credentials) {
+  std::size_t Colon = Wanted.Address.rfind(':');
+  std::string Host = Wanted.Address.substr(0, Colon);
+  std::string Port =
+      Colon == std::string::npos ? "5432" : Wanted.Address.substr(Colon + 1);
+  const char *Names[] = {"hostaddr", "port",       "dbname",
+                         "user",     "password",   "application_name",
+                         "sslmode",  "gssencmode", "connect_timeout",
+                         nullptr};
+  const char *Values[] = {Host.c_str(),
+                          Port.c_str(),
+                          Wanted.DatabaseName.c_str(),
+                          Credentials.User.c_str(),
+                          Credentials.Password.c_str(),
+                          "bergamotstage",
+                          "prefer",
+                          "disable",
+                          ConnectTimeoutSeconds,
+                          nullptr};
+  m_Connection = PQconnectStartParams(Names, Values, 0);
+  if (m_Connection == nullptr || PQstatus(m_Connection) == CONNECTION_BAD)
+    return fail("the connection could not be started");
+  PQsetNoticeReceiver(m_Connection, ignoreNotice, nullptr);
+  m_Descriptor.emplace(m_Io, PQsocket(m_Connection));
+  m_Descriptor->async_wait(asio::posix::descriptor_base::wait_write,
+                           [Self = shared_from_this()](std::error_code Fault) {
+                             if (!Fault && !Self->m_Closed)
+                               Self->pollConnect();
+                           });
+}
+
+void TargetLink::pollConnect() {
+  PostgresPollingStatusType Status = PQconnectPoll(m_Connection);
+  if (Status == PGRES_POLLING_FAILED)
+    return fail(trimmed(PQerrorMessage(m_Connection)));
+  if (Status == PGRES_POLLING_OK) {
+    PQsetnonblocking(m_Connection, 1);
+    m_Events(LinkOpened{m_Id});
+    waitReadable();
+    return;
+  }
+  if (m_Descriptor->native_handle() != PQsocket(m_Connection)) {
+    m_Descriptor->release();
+    m_Descriptor.emplace(m_Io, PQsocket(m_Connection));
+  }
+  auto Wanted = Status == PGRES_POLLING_READING
+                    ? asio::posix::descriptor_base::wait_read
+                    : asio::posix::descriptor_base::wait_write;
+  m_Descriptor->async_wait(Wanted,
+                           [Self = shared_from_this()](std::error_code Fault) {
+                             if (!Fault && !Self->m_Closed)
+                               Self->pollConnect();
+                           });
+}
+
+void TargetLink::run(const RunStatement &Wanted) {
+  m_Answer = LinkAnswered();
+  m_Answer.Link = m_Id;
+  m_Answer.Statement = Wanted.Statement;
+  m_Caller = Wanted.Caller;
+  m_Internal = false;
+  const StatementBody &Body = *Wanted.Body;
+  if (!Body.Extended) {
+    startQuery(PQsendQuery(m_Connection, Body.Text.c_str()) == 1);
+    return;
+  }
+  std::vector<const char *> Values;
+  std::vector<int> Lengths;
+  std::vector<int> Formats;
+  for (std::size_t At = 0; At < Body.Values.size(); ++At) {
+    const auto &Value = Body.Values[At];
+    Values.push_back(Value ? Value->c_str() : nullptr);
+    Lengths.push_back(Value ? static_cast<int>(Value->size()) : 0);
+    std::size_t FormatAt = Body.ParameterFormats.size() == 1 ? 0 : At;
+    bool Given = FormatAt < Body.ParameterFormats.size();
+    Formats.push_back(Given ? Body.ParameterFormats[FormatAt] : 0);
+  }
+  bool Typed = Body.ParameterTypes.size() == Body.Values.size();
+  std::vector<Oid> Types(Body.ParameterTypes.begin(),
+                         Body.ParameterTypes.end());
+  startQuery(PQsendQueryParams(m_Connection, Body.Text.c_str(),
+                               static_cast<int>(Values.size()),
+                               Typed ? Types.data() : nullptr, Values.data(),
+                               Lengths.data(), Formats.data(),
+                               Body.ResultFormat) == 1);
+}
+
+void TargetLink::run(const RunInternal &Wanted) {
+  m_Answer = LinkAnswered();
+  m_Answer.Link = m_Id;
+  m_Answer.Statement = Wanted.Statement;
+  m_Internal = true;
+  startQuery(PQsendQuery(m_Connection, Wanted.Text.c_str()) == 1);
+}
+
+void TargetLink::startQuery(bool Sent) {
+  m_Busy = true;
+  m_Described = false;
+  m_Unpassed.clear();
+  if (!Sent)
+    return fail(trimmed(PQerrorMessage(m_Connection)));
+  if (!m_Internal)
+    PQsetSingleRowMode(m_Connection);
+  flushOutput();
+}
+
+void TargetLink::flushOutput() {
+  int Left = PQflush(m_Connection);
+  if (Left < 0)
+    return fail(trimmed(PQerrorMessage(m_Connection)));
+  if (Left == 0)
+    return;
+  m_Descriptor->async_wait(asio::posix::descriptor_base::wait_write,
+                           [Self = shared_from_this()](std::error_code Fault) {
+                             if (!Fault && !Self->m_Closed)
+                               Self->flushOutput();
+                           });
+}
+
+void TargetLink::waitReadable() {
+  m_Descriptor->async_wait(asio::posix::descriptor_base::wait_read,
+                           [Self = shared_from_this()](std::error_code Fault) {
+                             if (Fault || Self->m_Closed)
+                               return;
+                             if (PQconsumeInput(Self->m_Connection) == 0)
+                               return Self->fail(
+                                   trimmed(PQerrorMessage(Self->m_Connection)));
+                             Self->readResults();
+                           });
+}
+
+void TargetLink::readResults() {
+  while (m_Busy && PQisBusy(m_Connection) == 0) {
+    PGresult *Result = PQgetResult(m_Connection);
+    if (Result == nullptr) {
+      finish();
+      break;
+    }
+    bool Passed = takeResult(Result);
+    PQclear(Result);
+    if (!Passed)
+      return retryLater();
+  }
+  if (!m_Closed)
+    waitReadable();
+}
+
+bool TargetLink::takeResult(PGresult *Result) {
+  switch (PQresultStatus(Result)) {
+  case PGRES_SINGLE_TUPLE:
+    return passRows(Result);
+  case PGRES_TUPLES_OK:
+    m_Answer.Tag = PQcmdStatus(Result);
+    if (m_Internal) {
+      keepCells(Result);
+      return true;
+    }
+    return passRows(Result);
+  case PGRES_COMMAND_OK:
+    m_Answer.Tag = PQcmdStatus(Result);
+    return true;
+  case PGRES_EMPTY_QUERY:
+    return true;
+  default:
+    keepError(Result);
+    return true;
+  }
+}
+
+bool TargetLink::passRows(PGresult *Result) {
+  std::string Bytes;
+  if (!m_Described)
+    describeRows(Result, Bytes);
+  m_Described = true;
+  encodeRows(Result, Bytes);
+  if (Bytes.empty())
+    return true;
+  RowChunk Chunk{m_Caller, m_Answer.Statement, std::move(Bytes)};
+  ++m_Answer.Chunks;
+  if (m_Chunks(std::move(Chunk)))
+    return true;
+  m_Unpassed = std::move(Chunk.Bytes);
+  return false;
+}
+
+void TargetLink::retryLater() {
+  m_Retry.expires_after(RetryInterval);
+  m_Retry.async_wait([Self = shared_from_this()](std::error_code Fault) {
+    if (Fault || Self->m_Closed)
+      return;
+    RowChunk Chunk{Self->m_Caller, Self->m_Answer.Statement,
+                   std::move(Self->m_Unpassed)};
+    if (Self->m_Chunks(std::move(Chunk))) {
+      Self->m_Unpassed.clear();
+      return Self->readResults();
+    }
+    Self->m_Unpassed = std::move(Chunk.Bytes);
+    Self->retryLater();
+  });
+}
+
+void TargetLink::keepCells(const PGresult *Result) {
+  if (PQntuples(Result) == 0)
+    return;
+  for (int At = 0; At < PQnfields(Result); ++At)
+    m_Answer.Cells.emplace_back(PQgetvalue(Result, 0, At));
+}
+
+void TargetLink::keepError(const PGresult *Result) {
+  const char *State = PQresultErrorField(Result, PG_DIAG_SQLSTATE);
+  m_Answer.ErrorSqlState = State == nullptr ? "XX000" : State;
+  m_Answer.ErrorMessage =
+      trimmed(PQresultErrorField(Result, PG_DIAG_MESSAGE_PRIMARY));
+}
+
+void TargetLink::finish() {
+  if (PQstatus(m_Connection) != CONNECTION_OK)
+    return fail("the connection was lost");
+  m_Busy = false;
+  m_Answer.Reported = {Term(reported(m_Connection, "group_term")),
+                       LogPosition(reported(m_Connection, "group_position"))};
+  PGTransactionStatusType Status = PQtransactionStatus(m_Connection);
+  m_Answer.TransactionFailed = Status == PQTRANS_INERROR;
+  m_Answer.InTransaction =
+      Status == PQTRANS_INTRANS || Status == PQTRANS_INERROR;
+  m_Events(std::move(m_Answer));
+}
+
+void TargetLink::fail(const std::string &Reason) {
+  if (m_Closed)
+    return;
+  std::uint64_t Chunks = m_Busy ? m_Answer.Chunks : 0;
+  close();
+  LinkFailed Event;
+  Event.Link = m_Id;
+  Event.Chunks = Chunks;
+  Event.Reason = Reason;
+  m_Events(std::move(Event));
+}
+
+void TargetLink::close() {
+  m_Closed = true;
+  if (m_Descriptor) {
+    std::error_code Ignored;
+    m_Descriptor->cancel(Ignored);
+    m_Descriptor->release();
+    m_Descriptor.reset();
+  }
+  if (m_Connection != nullptr)
+    PQfinish(m_Connection);
+  m_Connection = nullptr;
+}
+
+} // namespace bergamotstage::runtime
--- /dev/null
+++ b/src/standin/Group.cpp
@@ -0,0 +1,63 @@
+#include "standin/Group.h"
+
+namespace bergamotstage::standin {
+
+Group::Group(DatabaseId Database, const std::vector<TargetId> &Names,
+             Instant Now)
+    : m_Database(std::move(Database)) {
+  for (const TargetId &Name : Names) {
+    Member Entry;
+    Entry.Id = Name;
+    m_Members.push_back(std::move(Entry));
+  }
+  m_Primary = Names.front();
+  m_Members.front().State.lead(m_Term, Now);
+}
+
+Group::Member *Group::find(const TargetId &Id) {
+  for (Member &Entry : m_Members)
+    if (Entry.Id == Id)
+      return &Entry;
+  return nullptr;
+}
+
+void Group::tick(Instant Now) {
+  Member *Primary = find(m_Primary);
+  if (Primary->Cut || !Primary->State.leads())
+    return;
+  for (Member &Entry : m_Members)
+    if (&Entry != Primary && !Entry.Cut)
+      Entry.State.replicateFrom(Primary->State, Now - Entry.Lag);
+}
+
+PromotionDecided Group::promote(const Promote &Order, Instant Now) {
+  if (Order.OrderId == m_LastOrder)
+    return {true, m_Term, "repeated"};
+  Member *Candidate = find(Order.Candidate);
+  if (Candidate == nullptr || Candidate->Cut)
+    return {false, m_Term, "the candidate does not answer"};
+  if (Order.NewTerm <= m_Term)
+    return {false, m_Term, "the term is not new"};
+  if (Candidate->State.seenTerm() > Order.NewTerm)
+    return {false, m_Term, "the candidate has seen a later term"};
+  m_Term = Order.NewTerm;
+  m_Primary = Order.Candidate;
+  m_LastOrder = Order.OrderId;
+  Candidate->State.lead(m_Term, Now);
+  return {true, m_Term, ""};
+}
+
+ListedGroup Group::view() {
+  ListedGroup Listed;
+  Listed.Database = m_Database;
+  Listed.CurrentTerm = m_Term;
+  Listed.Primary = m_Primary;
+  for (Member &Entry : m_Members) {
+    if (!Entry.Cut)
+      m_LastKnown[Entry.Id] = Entry.State.replayed();
+    Listed.Targets.push_back({Entry.Id, m_LastKnown[Entry.Id], Entry.Leaving});
+  }
+  return Listed;
+}
+
+} // namespace bergamotstage::standin
--- /dev/null
+++ b/src/standin/Instance.h
@@ -0,0 +1,128 @@
+#ifndef BERGAMOTSTAGE_STANDIN_INSTANCE_H
+#define BERGAMOTSTAGE_STANDIN_INSTANCE_H
+
+#include "bergamotstage/core/HistoryPoint.h"
+#include "bergamotstage/core/Time.h"
+#include "standin/Sql.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bergamotstage::standin {
+
+/// @brief One change of a row; no cells: the row goes.
+struct RowChange {
+  std::string Table;
+  std::string Key;
+  std::optional<std::vector<std::string>> Cells;
+};
+
+/// @brief One committed transaction in the log.
+struct LogEntry {
+  HistoryPoint At;
+  Instant Written{};
+  std::vector<RowChange> Changes;
+};
+
+/// @brief State of one connection to an instance.
+struct SqlSession {
+  std::uint64_t Number = 0;
+  bool InTransaction = false;
+  bool Failed = false;
+  std::vector<RowChange> Changes;
+};
+
+/// @brief Result of one statement.
+struct SqlResult {
+  std::string SqlState; ///< Empty on success.
+  std::string Message;
+  std::string Tag;
+  std::vector<std::string> Columns;
+  std::vector<std::vector<std::string>> Rows;
+  Duration Takes{}; ///< Time that the statement wants to take.
+};
+
+/// @brief One target of a stand-in database group: tables, log and term.
+///
+/// Not a database: it knows the statement shapes of Sql.h and row locks.
+class Instance {
+public:
+  /// @brief Runs a statement.
+  /// @return nothing while the statement waits for a row lock or a position
+  std::optional<SqlResult> execute(SqlSession &Session, const Sql &Statement,
+                                   Instant Now);
+
+  /// @brief Drops what a closed connection had open.
+  void closeSession(SqlSession &Session);
+
+  /// @brief Takes over log entries of the primary that are old enough, and
+  /// drops those that the primary lacks. A primary of a term earlier than the
+  /// latest seen is ignored.
+  void replicateFrom(const Instance &Primary, Instant NotAfter);
+
+  /// @brief Becomes the primary in a term, whose start is a log entry.
+  void lead(Term NewTerm, Instant Now);
+
+  /// @brief Term and position of the last log entry. A replica reports a term
+  /// only once it holds that term's start, and with it all that came before.
+  HistoryPoint replayed() const;
+  Term seenTerm() const { return m_SeenTerm; }
+  bool leads() const { return m_Leads; }
+  const std::vector<LogEntry> &log() const { return m_Log; }
+
+private:
+  using Rows = std::map<std::string, std::vector<std::string>>;
+  using Lock = std::pair<std::string, std::string>;
+
+  std::optional<SqlResult> run(SqlSession &Session, const Insert &Statement,
+                               Instant Now);
+  std::optional<SqlResult> run(SqlSession &Session, const Update &Statement,
+                               Instant Now);
+  std::optional<SqlResult> run(SqlSession &Session, const Delete &Statement,
+                               Instant Now);
+  std::optional<SqlResult> run(SqlSession &Session, const Select &Statement,
+                               Instant Now);
+  std::optional<SqlResult> run(SqlSession &Session,
+                               const SelectLiteral &Statement, Instant Now);
+  std::optional<SqlResult> run(SqlSession &Session, const Sleep &Statement,
+                               Instant Now);
+  std::optional<SqlResult> run(SqlSession &Session, const Series &Statement,
+                               Instant Now);
+  std::optional<SqlResult> run(SqlSession &Session, const Control &Statement,
+                               Instant Now);
+  std::optional<SqlResult> run(SqlSession &Session, const Confirm &Statement,
+                               Instant Now);
+  std::optional<SqlResult> run(SqlSession &Session, const Fence &Statement,
+                               Instant Now);
+
+  bool lock(const SqlSession &Session, const std::string &Table,
+            const std::string &Key);
+  void unlock(const SqlSession &Session);
+  std::optional<std::vector<std::string>> visible(const SqlSession &Session,
+                                                  const std::string &Table,
+                                                  const std::string &Key) const;
+  Rows visibleRows(const SqlSession &Session, const std::string &Table) const;
+  SqlResult change(SqlSession &Session, RowChange Change, std::string Tag,
+                   Instant Now);
+  void commit(SqlSession &Session, Instant Now);
+  void apply(const LogEntry &Entry);
+  void rebuild();
+  void dropDiverged(const Instance &Primary);
+
+  std::vector<LogEntry> m_Log;
+  std::map<std::string, Rows> m_Tables;
+  std::map<Lock, std::uint64_t> m_Locks;
+  Term m_SeenTerm{1};
+  std::string m_FenceOrder;
+  Term m_LeadTerm{1};
+  bool m_Leads = false;
+};
+
+} // namespace bergamotstage::standin
+
+#endif // BERGAMOTSTAGE_STANDIN_INSTANCE_H
--- /dev/null
+++ b/src/standin/PlatformService.h
@@ -0,0 +1,90 @@
+#ifndef BERGAMOTSTAGE_STANDIN_PLATFORMSERVICE_H
+#define BERGAMOTSTAGE_STANDIN_PLATFORMSERVICE_H
+
+#include "platform.grpc.pb.h"
+#include "standin/Store.h"
+#include "standin/TargetServer.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace bergamotstage::standin {
+
+/// @brief Faults that are set on the stand-in platform.
+struct PlatformFaults {
+  bool StoreDown = false;
+  Duration StoreDelay{};
+  bool LoseWriteAnswer = false;
+  bool LosePromoteAnswer = false;
+};
+
+/// @brief What the services of the stand-in platform share.
+struct SharedPlatform {
+  std::mutex Lock;
+  Store Kept;
+  std::vector<ListedVm> Vms;
+  PlatformFaults Faults;
+  std::map<DatabaseId, std::shared_ptr<SharedGroup>> Groups;
+};
+
+/// @brief The platform's calls, as platform.proto defines them.
+class PlatformService final : public wire::platform::Platform::Service {
+public:
+  explicit PlatformService(std::shared_ptr<SharedPlatform> Shared)
+      : m_Shared(std::move(Shared)) {}
+
+  grpc::Status ReadRows(grpc::ServerContext *Context,
+                        const wire::platform::ReadRowsRequest *Request,
+                        wire::platform::ReadRowsAnswer *Answer) override;
+  grpc::Status Write(grpc::ServerContext *Context,
+                     const wire::platform::WriteRequest *Request,
+                     wire::platform::WriteAnswer *Answer) override;
+  grpc::Status ReadFate(grpc::ServerContext *Context,
+                        const wire::platform::FateRequest *Request,
+                        wire::platform::WriteAnswer *Answer) override;
+  grpc::Status PutObject(grpc::ServerContext *Context,
+                         const wire::platform::PutObjectRequest *Request,
+                         wire::platform::PutObjectAnswer *Answer) override;
+  grpc::Status GetObject(grpc::ServerContext *Context,
+                         const wire::platform::GetObjectRequest *Request,
+                         wire::platform::GetObjectAnswer *Answer) override;
+  grpc::Status ListVms(grpc::ServerContext *Context,
+                       const wire::platform::ListVmsRequest *Request,
+                       wire::platform::ListVmsAnswer *Answer) override;
+  grpc::Status ReadGroups(grpc::ServerContext *Context,
+                          const wire::platform::ReadGroupsRequest *Request,
+                          wire::platform::ReadGroupsAnswer *Answer) override;
+  grpc::Status Promote(grpc::ServerContext *Context,
+                       const wire::platform::PromoteRequest *Request,
+                       wire::platform::PromoteAnswer *Answer) override;
+
+private:
+  /// @brief Waits as long as the store is slow; an error while it is down.
+  grpc::Status passStore();
+
+  std::shared_ptr<SharedPlatform> m_Shared;
+};
+
+/// @brief Sets faults of the stand-in.
+class FaultService final : public wire::platform::StandIn::Service {
+public:
+  explicit FaultService(std::shared_ptr<SharedPlatform> Shared)
+      : m_Shared(std::move(Shared)) {}
+
+  grpc::Status SetFault(grpc::ServerContext *Context,
+                        const wire::platform::FaultRequest *Request,
+                        wire::platform::FaultAnswer *Answer) override;
+
+private:
+  bool setStoreFault(const wire::platform::FaultRequest &Request);
+  bool setTargetFault(const wire::platform::FaultRequest &Request);
+
+  std::shared_ptr<SharedPlatform> m_Shared;
+};
+
+} // namespace bergamotstage::standin
+
+#endif // BERGAMOTSTAGE_STANDIN_PLATFORMSERVICE_H
--- /dev/null
+++ b/src/standin/StandIn.h
@@ -0,0 +1,46 @@
+#ifndef BERGAMOTSTAGE_STANDIN_STANDIN_H
+#define BERGAMOTSTAGE_STANDIN_STANDIN_H
+
+#include "bergamotstage/core/Ids.h"
+#include "bergamotstage/core/PlatformApi.h"
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bergamotstage::standin {
+
+/// @brief One target of a stand-in group.
+struct StandInTarget {
+  TargetId Id;
+  std::uint16_t Port = 0;
+};
+
+/// @brief One database group of the stand-in.
+struct StandInGroup {
+  DatabaseId Database;
+  std::vector<StandInTarget> Targets;
+};
+
+/// @brief What a stand-in platform holds when it starts.
+struct StandInSettings {
+  std::string ListenAddress; ///< Of the platform's service.
+  std::vector<StandInGroup> Groups;
+  std::vector<ListedVm> Vms;
+  std::string RulesText; ///< Stored as revision 1 unless empty.
+  std::uint64_t LagMilliseconds = 0;
+};
+
+/// @brief Runs a stand-in platform and its targets until told to stop.
+/// @param Wait returns when the process is asked to end
+/// @return the reason when it could not start
+tl::expected<void, std::string> runStandIn(const StandInSettings &Settings,
+                                           const std::function<void()> &Wait);
+
+} // namespace bergamotstage::standin
+
+#endif // BERGAMOTSTAGE_STANDIN_STANDIN_H
--- /dev/null
+++ b/test/Main.cpp
@@ -0,0 +1,7 @@
+#include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
+int main(int Count, char **Words) {
+  MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+  return CommandLineTestRunner::RunAllTests(Count, Words);
+}
