--- a/include/bergamotstage/account/AccountDuty.h
+++ b/include/bergamotstage/account/AccountDuty.h
@@ -25,7 +25,7 @@
 
   /// @brief Takes one statement's token, at once or after a loan.
   /// @param Done gets the refusal, which is truly "not run", or nothing
-  void admit(const AccountId &Account, AdmitCallback Done);
+  void admit(const AccountId &Account, const AdmitCallback &Done);
 
 private:
   NodeContext &m_Context;
--- a/include/bergamotstage/core/Time.h
+++ b/include/bergamotstage/core/Time.h
@@ -14,6 +14,7 @@
   using period = std::micro;
   using duration = std::chrono::duration<rep, period>;
   using time_point = std::chrono::time_point<MonotonicClock, duration>;
+  // NOLINTNEXTLINE(readability-identifier-naming): named by std::chrono.
   static constexpr bool is_steady = true;
 };
 
--- a/src/account/AccountDuty.cpp
+++ b/src/account/AccountDuty.cpp
@@ -15,7 +15,7 @@
   m_Buckets = std::move(Buckets);
 }
 
-void AccountDuty::admit(const AccountId &Account, AdmitCallback Done) {
+void AccountDuty::admit(const AccountId &Account, const AdmitCallback &Done) {
   auto Found = m_Buckets.find(Account);
   if (Found == m_Buckets.end() || Found->second.take(m_Context.now())) {
     Done({});
--- a/src/cli/DemoClient.cpp
+++ b/src/cli/DemoClient.cpp
@@ -15,7 +15,10 @@
 std::string optionsText(const std::map<std::string, std::string> &Settings) {
   std::string Text;
   for (const auto &[Name, Value] : Settings)
-    Text += (Text.empty() ? "-c" : " -c") + Name + "=" + Value;
+    Text.append(Text.empty() ? "-c" : " -c")
+        .append(Name)
+        .append("=")
+        .append(Value);
   return Text;
 }
 
--- a/src/runtime/PlatformThread.cpp
+++ b/src/runtime/PlatformThread.cpp
@@ -55,7 +55,8 @@
       continue;
     }
     std::unique_ptr<PendingCall> Call(static_cast<PendingCall *>(Tag));
-    PlatformAnswered Answered{Call->Id, Call->answer()};
+    Event Answered = PlatformAnswered{Call->Id, Call->answer()};
+    // NOLINTNEXTLINE(bugprone-use-after-move): a full ring moves nothing.
     while (!m_Events(std::move(Answered)))
       std::this_thread::yield();
   }
--- a/src/runtime/TargetLink.cpp
+++ b/src/runtime/TargetLink.cpp
@@ -249,6 +249,7 @@
   ++m_Answer.Chunks;
   if (m_Chunks(std::move(Chunk)))
     return true;
+  // NOLINTNEXTLINE(bugprone-use-after-move): a full ring moves nothing.
   m_Unpassed = std::move(Chunk.Bytes);
   return false;
 }
@@ -264,6 +265,7 @@
       Self->m_Unpassed.clear();
       return Self->readResults();
     }
+    // NOLINTNEXTLINE(bugprone-use-after-move): a full ring moves nothing.
     Self->m_Unpassed = std::move(Chunk.Bytes);
     Self->retryLater();
   });
