--- /dev/null
+++ b/bench/BenchStep.cpp
@@ -0,0 +1,25 @@
+#include "bench/Cases.h"
+#include "standin/SmallSite.h"
+
+#include <chrono>
+
+namespace bergamotstage::bench {
+
+std::vector<BenchRow> benchStep() {
+  constexpr int Reads = 20000;
+  standin::LoopbackFleet Fleet({}, 1);
+  VmId Vm = standin::startSmallSite(Fleet);
+  standin::LoopbackCaller &Caller = standin::connectClerk(Fleet, Vm);
+  auto Started = std::chrono::steady_clock::now();
+  for (int Read = 0; Read < Reads; ++Read) {
+    Fleet.send(Caller, "SELECT value FROM offers WHERE key = 'plot-7'");
+    while (Caller.Waiting)
+      Fleet.runUntil(Fleet.now() + milliseconds(1));
+  }
+  std::chrono::duration<double, std::micro> Took =
+      std::chrono::steady_clock::now() - Started;
+  return {
+      {"step", "one read through core and fakes", Took.count() / Reads, "us"}};
+}
+
+} // namespace bergamotstage::bench
--- /dev/null
+++ b/bench/Cases.h
@@ -0,0 +1,13 @@
+#ifndef BERGAMOTSTAGE_BENCH_CASES_H
+#define BERGAMOTSTAGE_BENCH_CASES_H
+
+#include "bench/Bench.h"
+
+namespace bergamotstage::bench {
+
+/// @brief Each runs one measurement and returns its rows.
+std::vector<BenchRow> benchStep();
+
+} // namespace bergamotstage::bench
+
+#endif // BERGAMOTSTAGE_BENCH_CASES_H
--- /dev/null
+++ b/bench/Registry.cpp
@@ -0,0 +1,13 @@
+#include "bench/Bench.h"
+#include "bench/Cases.h"
+
+namespace bergamotstage::bench {
+
+const std::vector<BenchCase> &benchCases() {
+  static const std::vector<BenchCase> Cases = {
+      {"step", "time that the decision core takes for one read", benchStep},
+  };
+  return Cases;
+}
+
+} // namespace bergamotstage::bench
--- /dev/null
+++ b/examples/compare.cmake
@@ -0,0 +1,15 @@
+# Fails unless PROGRAM exits with 0 and prints exactly what GOLDEN holds.
+# With the environment variable GOLDEN_UPDATE set, writes GOLDEN instead.
+execute_process(COMMAND ${PROGRAM} OUTPUT_VARIABLE PRINTED RESULT_VARIABLE CODE)
+if(NOT CODE EQUAL 0)
+  message(FATAL_ERROR "${PROGRAM} ended with ${CODE}")
+endif()
+if(DEFINED ENV{GOLDEN_UPDATE})
+  file(WRITE ${GOLDEN} "${PRINTED}")
+  return()
+endif()
+file(READ ${GOLDEN} EXPECTED)
+if(NOT PRINTED STREQUAL EXPECTED)
+  file(WRITE ${GOLDEN}.printed "${PRINTED}")
+  message(FATAL_ERROR "the output differs from ${GOLDEN}; see ${GOLDEN}.printed")
+endif()
--- a/include/bergamotstage/account/AccountDuty.h
+++ b/include/bergamotstage/account/AccountDuty.h
@@ -27,6 +27,9 @@
   /// @param Done gets the refusal, which is truly "not run", or nothing
   void admit(const AccountId &Account, const AdmitCallback &Done);
 
+  /// @brief Takes a message about tokens from another VM.
+  void peerReceived(const PeerReceived &Event);
+
 private:
   NodeContext &m_Context;
   std::map<AccountId, TokenBucket> m_Buckets;
--- a/include/bergamotstage/core/PeerMessage.h
+++ b/include/bergamotstage/core/PeerMessage.h
@@ -3,6 +3,7 @@
 
 #include "bergamotstage/core/Ids.h"
 
+#include <cstdint>
 #include <string>
 
 namespace bergamotstage {
--- a/include/bergamotstage/node/Node.h
+++ b/include/bergamotstage/node/Node.h
@@ -56,6 +56,7 @@
   Node(NodeSettings Settings, std::uint64_t Seed);
 
   void dispatch(const Event &Happened);
+  void peerReceived(const PeerReceived &Received);
   void rulesChanged();
   void shutdown();
   void checkDrained();
--- a/include/bergamotstage/node/NodeContext.h
+++ b/include/bergamotstage/node/NodeContext.h
@@ -2,6 +2,7 @@
 #define BERGAMOTSTAGE_NODE_NODECONTEXT_H
 
 #include "bergamotstage/core/TimerQueue.h"
+#include "bergamotstage/fleet/MemberState.h"
 #include "bergamotstage/node/Action.h"
 #include "bergamotstage/node/Event.h"
 #include "bergamotstage/node/NodeSettings.h"
@@ -28,7 +29,14 @@
 
   NodeContext(NodeSettings Settings, std::uint64_t Seed)
       : m_Settings(std::move(Settings)), m_Random(Seed),
-        m_Rules(std::make_shared<RuleBook>()) {}
+        m_Rules(std::make_shared<RuleBook>()) {
+    m_Members[m_Settings.Vm] = {m_Settings.Vm,
+                                m_Settings.DataCentre,
+                                m_Settings.PeerAddress,
+                                m_Settings.Start,
+                                true,
+                                false};
+  }
 
   const NodeSettings &settings() const { return m_Settings; }
   Instant now() const { return m_Now; }
@@ -41,6 +49,17 @@
     m_Rules = std::move(Rules);
   }
 
+  /// @brief All known VMs, this one included; kept by the fleet's duty.
+  const MemberMap &members() const { return m_Members; }
+  MemberMap &changeMembers() { return m_Members; }
+
+  /// @brief Sends a message to a VM if its address is known; it may be lost.
+  void sendPeer(const VmId &To, PeerDuty Duty, std::string Payload) {
+    auto Found = m_Members.find(To);
+    if (Found != m_Members.end())
+      act(SendPeer{To, Found->second.PeerAddress, {Duty, std::move(Payload)}});
+  }
+
   /// @brief Starts a step: time and the list that actions go to.
   void begin(Instant Now, Actions &Out) {
     m_Now = Now;
@@ -88,6 +107,7 @@
   TimerQueue m_Timers;
   std::mt19937_64 m_Random;
   std::shared_ptr<const RuleBook> m_Rules;
+  MemberMap m_Members;
   std::unordered_map<CallId, PlatformCallback> m_Calls;
   std::uint64_t m_LastLink = 0;
   std::uint64_t m_LastInternal = 0;
--- a/include/bergamotstage/target/TargetDuty.h
+++ b/include/bergamotstage/target/TargetDuty.h
@@ -24,6 +24,9 @@
   /// @brief The group of a database, or null if the rules do not name it.
   GroupState *group(const DatabaseId &Database);
 
+  /// @brief Takes a message about targets from another VM.
+  void peerReceived(const PeerReceived &Event);
+
   LinkPool &links() { return m_Links; }
   Confirmation &confirmation() { return m_Confirmation; }
 
--- a/src/account/AccountDuty.cpp
+++ b/src/account/AccountDuty.cpp
@@ -30,4 +30,6 @@
   Done(tl::make_unexpected(Reason));
 }
 
+void AccountDuty::peerReceived(const PeerReceived &) {}
+
 } // namespace bergamotstage
--- /dev/null
+++ b/src/cli/BenchCommand.cpp
@@ -0,0 +1,62 @@
+#include "bench/Bench.h"
+#include "cli/Commands.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bergamotstage::cli {
+namespace {
+
+void printRow(const bench::BenchRow &Row) {
+  std::printf("%-28s %-52s %14.3f %s\n", Row.Figure.c_str(),
+              Row.Variant.c_str(), Row.Value, Row.Unit.c_str());
+}
+
+nlohmann::json toJson(const bench::BenchRow &Row) {
+  return {{"figure", Row.Figure},
+          {"variant", Row.Variant},
+          {"value", Row.Value},
+          {"unit", Row.Unit}};
+}
+
+int runBench(const std::vector<std::string> &Names,
+             const std::string &JsonFile) {
+  nlohmann::json All = nlohmann::json::array();
+  for (const bench::BenchCase &Case : bench::benchCases()) {
+    bool Wanted = Names.empty();
+    for (const std::string &Name : Names)
+      Wanted = Wanted || Name == Case.Name;
+    if (!Wanted)
+      continue;
+    for (const bench::BenchRow &Row : Case.Run()) {
+      printRow(Row);
+      All.push_back(toJson(Row));
+    }
+    std::fflush(stdout);
+  }
+  if (JsonFile.empty())
+    return ExitSuccess;
+  std::ofstream Out(JsonFile);
+  Out << All.dump(2) << "\n";
+  return Out ? ExitSuccess : ExitFailure;
+}
+
+} // namespace
+
+void addBench(CLI::App &App, int &Code) {
+  auto Names = std::make_shared<std::vector<std::string>>();
+  auto JsonFile = std::make_shared<std::string>();
+  CLI::App *Command = App.add_subcommand("bench", "Measure and print figures.");
+  Command->add_option("names", *Names, "Measurements; none: all.");
+  Command->add_option("--json", *JsonFile, "File for the figures in JSON.");
+  Command->callback(
+      [Names, JsonFile, &Code] { Code = runBench(*Names, *JsonFile); });
+}
+
+} // namespace bergamotstage::cli
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -23,6 +23,7 @@
 void addStandIn(CLI::App &App, int &Code);
 void addFault(CLI::App &App, int &Code);
 void addDemo(CLI::App &App, int &Code);
+void addBench(CLI::App &App, int &Code);
 
 } // namespace bergamotstage::cli
 
--- a/src/cli/Main.cpp
+++ b/src/cli/Main.cpp
@@ -18,6 +18,7 @@
   addStandIn(App, Code);
   addFault(App, Code);
   addDemo(App, Code);
+  addBench(App, Code);
   try {
     App.parse(Count, Words);
   } catch (const CLI::ParseError &Fault) {
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -66,7 +66,7 @@
     void operator()(const PlatformAnswered &E) {
       Self.m_Context.platformAnswered(E);
     }
-    void operator()(const PeerReceived &E) { Self.m_Fleet.peerReceived(E); }
+    void operator()(const PeerReceived &E) { Self.peerReceived(E); }
     void operator()(const OperatorAsked &E) { Self.m_Fleet.operatorAsked(E); }
     void operator()(const TimerFired &) {}
     void operator()(const ShutdownAsked &) { Self.shutdown(); }
@@ -74,6 +74,20 @@
   std::visit(Dispatcher{*this}, Happened);
 }
 
+void Node::peerReceived(const PeerReceived &Received) {
+  switch (Received.Message.Duty) {
+  case PeerDuty::Membership:
+  case PeerDuty::Rules:
+    return m_Fleet.peerReceived(Received);
+  case PeerDuty::Allocation:
+    return m_Accounts.peerReceived(Received);
+  case PeerDuty::Failover:
+    return m_Targets.peerReceived(Received);
+  case PeerDuty::Forwarding:
+    return;
+  }
+}
+
 void Node::rulesChanged() {
   m_Targets.rulesChanged();
   m_Accounts.rulesChanged();
--- /dev/null
+++ b/src/standin/LoopbackFleet.h
@@ -0,0 +1,174 @@
+#ifndef BERGAMOTSTAGE_STANDIN_LOOPBACKFLEET_H
+#define BERGAMOTSTAGE_STANDIN_LOOPBACKFLEET_H
+
+#include "bergamotstage/node/Node.h"
+#include "standin/Group.h"
+#include "standin/Store.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bergamotstage::standin {
+
+/// @brief Delays of the fakes, one way.
+struct LoopbackDelays {
+  Duration Peer = microseconds(1500);
+  Duration Target = microseconds(500);
+  Duration Platform = milliseconds(2);
+  Duration Connect = milliseconds(10);     ///< A new link to a target.
+  Duration ConnectTimeout = seconds(5);    ///< Where no answer comes.
+  Duration ReadService = milliseconds(1);  ///< A slot's time for a read.
+  Duration WriteService = milliseconds(2); ///< A slot's time for a write.
+};
+
+/// @brief One caller of a LoopbackFleet, as its client library would see it.
+struct LoopbackCaller {
+  VmId At;
+  CallerId Id;
+  CallerOpened Opening;
+  bool Admitted = false;
+  bool Closed = false;
+  std::string Token;
+  std::optional<StatementId> Waiting;
+  std::function<void(const AnswerStatement &,
+                     const std::vector<std::vector<std::string>> &)>
+      OnAnswer;
+};
+
+/// @brief Joins nodes to fakes of callers, targets, platform and peers, on
+/// virtual time and in one thread.
+///
+/// Two parties are named "vm:ID", "target:ID" or "platform" where a hook asks
+/// whether a message between them is lost.
+class LoopbackFleet {
+public:
+  using BlockedHook =
+      std::function<bool(const std::string &From, const std::string &To)>;
+
+  LoopbackFleet(LoopbackDelays Delays, std::uint64_t Seed);
+
+  Instant now() const { return m_Now; }
+  Store &store() { return m_Store; }
+  Group &group(const DatabaseId &Database);
+  const LoopbackDelays &delays() const { return m_Delays; }
+
+  /// @brief Adds a database group; the first target leads.
+  /// @param Slots statements that each target runs at once; others wait there
+  void addGroup(const DatabaseId &Database, const std::vector<TargetId> &Names,
+                unsigned Slots, Duration Lag);
+  /// @brief Stores the first rules, as revision 1.
+  void storeRules(const std::string &Text);
+
+  /// @brief Starts a VM's process; a VM of the same name must have ended.
+  Node &startVm(NodeSettings Settings);
+  /// @brief Ends a VM's process at once; its connections break.
+  void killVm(const VmId &Vm);
+  /// @brief Delivers nothing to a VM before the given time.
+  void pauseVm(const VmId &Vm, Instant Until);
+  bool alive(const VmId &Vm) const { return m_Vms.count(Vm) > 0; }
+  Node &node(const VmId &Vm) { return *m_Vms.at(Vm).Deciding; }
+  /// @brief What the platform lists; startVm() adds, nothing removes.
+  std::vector<ListedVm> &listedVms() { return m_Listed; }
+
+  /// @brief Connects a caller; admitted once its answer has come.
+  /// @return a reference that stays valid as long as the fleet
+  LoopbackCaller &connect(const VmId &Vm, CallerOpened Opening);
+  /// @brief Sends a statement; the caller must be admitted and idle.
+  void send(LoopbackCaller &Caller, const std::string &Text);
+  void disconnect(LoopbackCaller &Caller);
+  /// @brief Hands any event to a VM now.
+  void deliver(const VmId &Vm, Event Happened);
+  /// @brief Runs a callback at a time of the fleet's clock.
+  void at(Instant Time, std::function<void()> Run);
+
+  /// @brief Carries everything out up to and including the given time.
+  void runUntil(Instant Time);
+
+  BlockedHook Blocked;    ///< Unset: no message is lost.
+  bool StoreDown = false; ///< Calls to tables and objects fail.
+  bool LoseWriteAnswers = false;
+  bool LosePromoteAnswers = false;
+  Duration ExtraPlatformDelay{};
+  std::function<void(const VmId &, const Action &)> OnAction; ///< Observer.
+  std::uint64_t PeerMessages = 0;
+  std::uint64_t PeerBytes = 0;
+  std::uint64_t StoreReads = 0;
+  std::uint64_t StoreWrites = 0;
+
+private:
+  struct Link {
+    TargetId Target;
+    DatabaseId Database;
+    SqlSession Session;
+    bool Open = false;
+    Incarnation Owner;
+  };
+  struct Vm {
+    std::unique_ptr<Node> Deciding;
+    Incarnation Start;
+    Instant PausedUntil{};
+    std::map<LinkId, std::shared_ptr<Link>> Links;
+    std::map<StatementId, LoopbackCaller *> Statements;
+  };
+  struct TargetLoad {
+    unsigned Slots = 1;
+    unsigned Running = 0;
+    std::deque<std::function<void()>> Waiting;
+  };
+  struct Job {
+    VmId Vm;
+    LinkId Id;
+    std::shared_ptr<Link> On;
+    StatementId Statement;
+    Sql Parsed;
+    bool Read = false;
+    LoopbackCaller *Caller = nullptr;
+  };
+
+  bool blocked(const std::string &From, const std::string &To) const;
+  void carryOut(const VmId &Name, Actions &Wanted);
+  void carryOutOne(const VmId &Name, Vm &At, Action &Wanted);
+  void openLink(const VmId &Name, Vm &At, const OpenLink &Wanted);
+  void closeLink(Vm &At, LinkId Id);
+  void runOnLink(const VmId &Name, Vm &At, LinkId Id, StatementId Statement,
+                 const StatementBody &Body, LoopbackCaller *Caller);
+  void enterTarget(const Job &Work);
+  void attempt(const Job &Work);
+  void leaveTarget(const TargetId &Target);
+  void answerJob(const Job &Work, const SqlResult &Result,
+                 const HistoryPoint &Reported);
+  void callPlatform(const VmId &Name, const CallPlatform &Wanted);
+  PlatformAnswer answerPlatform(const PlatformRequest &Request);
+  void answerCaller(const VmId &Name, Vm &At, const AnswerStatement &Answer);
+  LoopbackCaller *caller(const VmId &Name, CallerId Id);
+  void deliverTo(const VmId &Name, Incarnation Start, Event Happened);
+
+  LoopbackDelays m_Delays;
+  std::uint64_t m_Seed;
+  Instant m_Now{};
+  std::multimap<Instant, std::function<void()>> m_Queue;
+  Store m_Store;
+  std::map<DatabaseId, std::unique_ptr<Group>> m_Groups;
+  std::map<TargetId, TargetLoad> m_Loads;
+  std::map<TargetId, DatabaseId> m_DatabaseOf;
+  std::vector<ListedVm> m_Listed;
+  std::map<VmId, Vm> m_Vms;
+  std::deque<LoopbackCaller> m_Callers;
+  std::map<std::pair<VmId, CallerId>, LoopbackCaller *> m_CallerOf;
+  std::map<std::pair<VmId, StatementId>, std::vector<std::vector<std::string>>>
+      m_Rows;
+  std::uint64_t m_LastCaller = 0;
+  std::uint64_t m_LastStatement = 0;
+  std::uint64_t m_LastSession = 0;
+};
+
+} // namespace bergamotstage::standin
+
+#endif // BERGAMOTSTAGE_STANDIN_LOOPBACKFLEET_H
--- a/src/target/TargetDuty.cpp
+++ b/src/target/TargetDuty.cpp
@@ -60,6 +60,8 @@
   return Found == m_Groups.end() ? nullptr : &Found->second;
 }
 
+void TargetDuty::peerReceived(const PeerReceived &) {}
+
 void TargetDuty::readGroups() {
   m_Context.callPlatform(ReadGroups{}, [this](const PlatformAnswer &Answer) {
     if (const auto *Read = std::get_if<GroupsRead>(&Answer))
