Confirm commits outside the slots, and share slots fairly

Confirmations ran on links that callers' statements needed, asked for the highest commit that waited, and took one refusal for a lost commit. They now run on monitor links within the connection budget, ask for the earliest commit, take every reported position as evidence, and settle a commit as superseded only when a majority can no longer hold it. Slots are lent by start-time fair queueing over client accounts (policy queue fair|fifo), links are reset before reuse, opened with back-off and jitter, and closed when idle.

--- a/include/bergamotstage/target/Confirmation.h
+++ b/include/bergamotstage/target/Confirmation.h
@@ -5,56 +5,96 @@
 #include "bergamotstage/core/Ids.h"
 #include "bergamotstage/node/NodeContext.h"
 #include "bergamotstage/target/GroupState.h"
-#include "bergamotstage/target/LinkPool.h"
+#include "bergamotstage/target/MonitorLinks.h"
 
 #include <functional>
 #include <map>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace bergamotstage {
 
 /// @brief What became of a commit that waited for its confirmation.
 enum class Confirmed : std::uint8_t {
-  Durable,    ///< A further target holds it: every later promotion keeps it.
-  Superseded, ///< A target has seen a later term: it may be lost.
-  TimedOut    ///< No target confirmed in time.
+  Durable,    ///< Held by a majority: every later promotion keeps it.
+  Unchecked,  ///< The policy `acknowledge immediate` asked for no check.
+  Superseded, ///< A majority has seen a later term: it may be lost.
+  TimedOut    ///< Not confirmed in time: its outcome is unknown.
 };
 
-/// @brief Confirms commits on a target other than the primary.
+/// @brief Whether a commit of that result is acknowledged to the caller.
+inline bool mayAcknowledge(Confirmed Result) {
+  return Result == Confirmed::Durable || Result == Confirmed::Unchecked;
+}
+
+/// @brief Statement that a target answers once it holds a point, and refuses
+/// once it has seen a later term.
+std::string confirmText(const HistoryPoint &Point);
+
+/// @brief SQLSTATE of a target's refusal because of a later term.
+constexpr const char *LaterTermSeen = "55000";
+
+/// @brief Confirms commits on targets other than the primary that ran them.
 ///
-/// One CONFIRM statement at a time runs on each replica and covers all commits
-/// that wait when it is sent. A replica that has seen a later term refuses.
+/// A commit is durable once a majority of its group, the primary included,
+/// holds it in its own term: a promotion fences a majority, takes the highest
+/// point among it, and fenced targets take nothing more from earlier terms.
+/// One CONFIRM at a time runs on each target and asks for the earliest commit
+/// that waits; every answer of a target, to whatever statement, confirms all
+/// commits that the reported position covers.
+/// Memory: one entry for each caller that waits.
 class Confirmation {
 public:
   using Callback = std::function<void(Confirmed)>;
+  /// @brief Told that a target refused a term because it has seen a later one.
+  using FencedHook = std::function<void(const DatabaseId &, Term)>;
 
-  Confirmation(NodeContext &Context, LinkPool &Links)
+  Confirmation(NodeContext &Context, MonitorLinks &Links)
       : m_Context(Context), m_Links(Links) {}
 
-  /// @brief Waits until a replica of the group holds a commit.
-  void wait(const GroupState &Group, const HistoryPoint &Commit, Callback Done);
+  void onFenced(FencedHook Hook) { m_FencedHook = std::move(Hook); }
+
+  /// @brief Waits until a majority of the group holds a commit.
+  /// @param RanAt target that ran it; empty if it is no longer known, in which
+  /// case the commit cannot be confirmed
+  void wait(const GroupState &Group, const TargetId &RanAt,
+            const HistoryPoint &Commit, Callback Done);
+
+  /// @brief Takes the position that a target reported with an answer.
+  void observed(const DatabaseId &Database, const TargetId &Target,
+                const HistoryPoint &Point);
+
+  /// @brief Commits that wait, of all databases.
+  std::size_t waiting() const;
 
 private:
   struct Pending {
     HistoryPoint Commit;
+    TargetId RanAt;
+    std::size_t Others = 0; ///< Targets beside the one that ran it.
+    std::size_t Needed = 0; ///< How many of them have to hold it.
+    std::set<TargetId> Holders;
+    std::set<TargetId> Refusers;
     Callback Done;
     TimerId Timer;
   };
-  struct Replica {
-    DatabaseId Database;
-    bool Busy = false;
-  };
+  using PendingMap = std::map<std::uint64_t, Pending>;
 
   void ask(const DatabaseId &Database, const TargetId &Target);
   void answered(const DatabaseId &Database, const TargetId &Target,
-                const HistoryPoint &Asked, const LinkPool::Answer &Answer);
+                const HistoryPoint &Asked, const LinkResult &Result);
+  void refused(const DatabaseId &Database, const TargetId &Target, Term Old);
+  const Pending *earliest(const DatabaseId &Database,
+                          const TargetId &Target) const;
   void settle(const DatabaseId &Database, std::uint64_t Number,
               Confirmed Result);
 
   NodeContext &m_Context;
-  LinkPool &m_Links;
-  std::map<DatabaseId, std::map<std::uint64_t, Pending>> m_Pending;
-  std::map<TargetId, Replica> m_Replicas;
+  MonitorLinks &m_Links;
+  FencedHook m_FencedHook;
+  std::map<DatabaseId, PendingMap> m_Pending;
+  std::set<TargetId> m_Asked; ///< Targets on which a CONFIRM runs.
   std::uint64_t m_LastNumber = 0;
 };
 
--- a/include/bergamotstage/target/GroupState.h
+++ b/include/bergamotstage/target/GroupState.h
@@ -21,6 +21,7 @@
   unsigned Running = 0;
   unsigned Queued = 0;
   bool Leaving = false;
+  bool Suspected = false; ///< It last failed to answer.
 };
 
 /// @brief What this VM knows of one database group.
--- a/include/bergamotstage/target/LinkPool.h
+++ b/include/bergamotstage/target/LinkPool.h
@@ -6,38 +6,40 @@
 #include "bergamotstage/core/Time.h"
 #include "bergamotstage/node/Event.h"
 #include "bergamotstage/node/NodeContext.h"
+#include "bergamotstage/target/LinkResult.h"
+#include "bergamotstage/target/TargetShare.h"
+#include "bergamotstage/target/WaitQueue.h"
 
 #include <tl/expected.hpp>
 
 #include <deque>
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 #include <unordered_map>
 
 namespace bergamotstage {
 
-/// @brief A statement whose link broke before it answered.
-struct LinkLost {
-  std::string Reason;
-  bool NeverSent = false;   ///< The statement certainly did not run.
-  std::uint64_t Chunks = 0; ///< Chunks of its answer passed to the caller.
-};
-
-/// @brief Connections to targets: opens, lends, resets and closes them.
+/// @brief Connections to targets for statements of callers: opens, lends,
+/// resets and closes them.
 ///
 /// Each target has a queue of those who wait for a link; a wait ends at its
-/// deadline with a refusal that is truly "not run".
+/// deadline with a refusal that is truly "not run", and a wait that cannot end
+/// in time is refused at once. A link that carried a caller's statement is
+/// reset before it is lent again; one in doubt is closed, and what still comes
+/// on it is discarded because its id is never used again.
 class LinkPool {
 public:
   using Lent = tl::expected<LinkId, Refusal>;
   using LendCallback = std::function<void(Lent)>;
-  using Answer = tl::expected<LinkAnswered, LinkLost>;
-  using AnswerCallback = std::function<void(const Answer &)>;
+  using Answer = LinkResult;
+  using AnswerCallback = LinkResultCallback;
   using OpenHook = std::function<void(const TargetId &, bool Opened)>;
   using ReportHook =
       std::function<void(const TargetId &, const LinkAnswered &)>;
+  using OverdueHook = std::function<void(const TargetId &)>;
+  using LoadHook = std::function<void(const TargetId &, unsigned Running,
+                                      std::size_t Queued)>;
 
   explicit LinkPool(NodeContext &Context) : m_Context(Context) {}
 
@@ -45,20 +47,25 @@
   void onOpen(OpenHook Hook) { m_OpenHook = std::move(Hook); }
   /// @brief Called with every answer, before the answer's own callback.
   void onReport(ReportHook Hook) { m_ReportHook = std::move(Hook); }
+  /// @brief Called when a statement has gone unanswered for a while.
+  void onOverdue(OverdueHook Hook) { m_OverdueHook = std::move(Hook); }
+  /// @brief Called when the work at a target changed.
+  void onLoad(LoadHook Hook) { m_LoadHook = std::move(Hook); }
 
   /// @brief Adds or changes a target.
-  /// @param Slots statements at once that this VM may run there
-  /// @param Connections links that this VM may hold there
   void configure(const TargetId &Target, const std::string &Address,
-                 const std::string &DatabaseName, unsigned Slots,
-                 unsigned Connections);
+                 const std::string &DatabaseName, const TargetShare &Share);
+
+  /// @brief Chooses the order of the queues, for example queuePolicy("fair").
+  void setQueuePolicy(const QueuePolicy &Policy);
 
   /// @brief Lends a link on which nothing runs, at once or later.
   /// @param Account whose statement it is for; empty for the proxy's own
   void acquire(const TargetId &Target, const AccountId &Account,
                Instant Deadline, LendCallback Callback);
 
-  /// @brief Runs a caller's statement on a lent link.
+  /// @brief Runs a caller's statement on a lent link. Without an answer within
+  /// the statement timeout the link is closed and the outcome is unknown.
   void run(LinkId Link, CallerId Caller, StatementId Statement, SharedBody Body,
            AnswerCallback Callback);
 
@@ -70,7 +77,14 @@
   /// closed and never lent again.
   void release(LinkId Link, bool Clean);
 
-  /// @brief Target of a lent link.
+  /// @brief Gives a target up: refuses all who wait for it, and closes its
+  /// links, whose running statements are lost.
+  void abandon(const TargetId &Target, const std::string &Reason);
+
+  /// @brief Refuses all who wait for a target as not run, and nothing else.
+  void refuseWaiting(const TargetId &Target, const std::string &Reason);
+
+  /// @brief Target of a link that is open; empty if it is gone.
   TargetId targetOf(LinkId Link) const;
 
   void opened(const LinkOpened &Event);
@@ -86,30 +100,55 @@
   struct Target {
     std::string Address;
     std::string DatabaseName;
-    unsigned Slots = 1;
-    unsigned Connections = 1;
+    TargetShare Share;
     unsigned Lent = 0;
     unsigned Opening = 0;
     unsigned Total = 0;
+    unsigned Failures = 0; ///< Since a link last opened or answered.
+    Instant ReopenAt{};
+    Instant UsedAt{}; ///< When a link was last asked for.
     std::deque<LinkId> Idle;
-    std::map<std::uint64_t, Waiter> Waiters; ///< By order of arrival.
+    std::map<std::uint64_t, Waiter> Waiters;
+    WaitQueue Order;
   };
+  enum class LinkPhase : std::uint8_t { Opening, Idle, Lent, Resetting };
   struct Link {
     TargetId At;
-    bool Open = false;
-    bool Lent = false;
+    LinkPhase Phase = LinkPhase::Opening;
+    bool Used = false; ///< Carried a caller's statement since its reset.
+    AccountId Account;
+    Instant LentAt{};
+    Instant IdleSince{};
     StatementId Running;
     AnswerCallback Callback; ///< Set while a statement runs.
+    TimerId Progress;        ///< Ends what it does without progress.
   };
 
+  double weightOf(const AccountId &Account) const;
   void serve(const TargetId &Id);
+  void lend(Target &At, LinkId Id, Waiter Next);
   void openMore(const TargetId &Id, Target &At);
+  void openOne(const TargetId &Id, Target &At);
   void expire(const TargetId &Id, std::uint64_t Ticket);
+  void start(LinkId Id, Link &On, StatementId Statement,
+             AnswerCallback Callback);
+  void watch(LinkId Id, Duration Limit, const std::string &Reason);
+  void overdue(LinkId Id, StatementId Statement);
+  void reset(LinkId Id);
+  void makeIdle(LinkId Id);
+  void closeUnused(LinkId Id);
+  void returnSlot(const Link &On);
+  void lose(LinkId Id, bool CloseIt, const LinkLost &Why);
   void forget(LinkId Id, bool CloseIt);
+  void delayReopening(const TargetId &Name);
+  void tellLoad(const TargetId &Id);
 
   NodeContext &m_Context;
   OpenHook m_OpenHook;
   ReportHook m_ReportHook;
+  OverdueHook m_OverdueHook;
+  LoadHook m_LoadHook;
+  QueuePolicy m_Policy;
   std::map<TargetId, Target> m_Targets;
   std::unordered_map<LinkId, Link> m_Links;
   std::uint64_t m_LastTicket = 0;
--- /dev/null
+++ b/include/bergamotstage/target/MonitorLinks.h
@@ -0,0 +1,95 @@
+#ifndef BERGAMOTSTAGE_TARGET_MONITORLINKS_H
+#define BERGAMOTSTAGE_TARGET_MONITORLINKS_H
+
+#include "bergamotstage/node/NodeContext.h"
+#include "bergamotstage/target/LinkResult.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace bergamotstage {
+
+/// @brief Connections for statements of the proxy's own: confirmations,
+/// heartbeats and fencing.
+///
+/// They take no slot of a target but count towards its connections. Every
+/// statement has a timeout that covers opening and answer; a link that misses
+/// it is closed, and whatever still comes on it is discarded.
+class MonitorLinks {
+public:
+  /// @brief Which link a statement may run on.
+  enum class Choice : std::uint8_t {
+    Any,    ///< The next one that is free.
+    Prompt, ///< A free one, or a new one in place of a busy one.
+    Fresh   ///< A new one: tells a dead target from a dead link.
+  };
+  /// @brief Told of each statement whose result says whether the target lives.
+  using OutcomeHook =
+      std::function<void(const TargetId &, const LinkResult &)>;
+
+  explicit MonitorLinks(NodeContext &Context) : m_Context(Context) {}
+
+  void onOutcome(OutcomeHook Hook) { m_OutcomeHook = std::move(Hook); }
+
+  /// @brief Adds or changes a target.
+  /// @param Limit connections of this sort that this VM may hold there
+  void configure(const TargetId &Target, const std::string &Address,
+                 const std::string &DatabaseName, unsigned Limit);
+
+  /// @brief Runs a statement; the callback is called exactly once.
+  void run(const TargetId &Target, std::string Text, Duration Timeout,
+           Choice On, LinkResultCallback Callback);
+
+  /// @brief Take what happened to links; links of others are ignored.
+  void opened(const LinkOpened &Event);
+  void failed(const LinkFailed &Event);
+  void answered(const LinkAnswered &Event);
+
+private:
+  struct Work {
+    TargetId Target;
+    std::string Text;
+    LinkResultCallback Callback;
+    TimerId Timer;
+    std::optional<LinkId> Link; ///< Unset while it waits for one.
+    StatementId Statement;      ///< 0 until it is sent.
+  };
+  struct Link {
+    TargetId Target;
+    bool Open = false;
+    std::uint64_t Work = 0; ///< Number of its work; 0 while it is free.
+  };
+  struct Target {
+    std::string Address;
+    std::string DatabaseName;
+    unsigned Limit = 1;
+    std::vector<LinkId> Links; ///< Oldest first.
+    std::deque<std::uint64_t> Waiting;
+  };
+
+  LinkId open(const TargetId &Name, Target &At, std::uint64_t Number);
+  std::optional<LinkId> freeLink(const Target &At) const;
+  void assign(LinkId Id, std::uint64_t Number);
+  void makeRoom(const TargetId &Name);
+  void drop(LinkId Id, bool CloseIt, const std::string &Reason);
+  void serve(const TargetId &Name);
+  void expire(std::uint64_t Number);
+  void finish(std::uint64_t Number, const LinkResult &Result,
+              bool TellsOfTarget = true);
+
+  NodeContext &m_Context;
+  OutcomeHook m_OutcomeHook;
+  std::map<TargetId, Target> m_Targets;
+  std::unordered_map<LinkId, Link> m_Links;
+  std::map<std::uint64_t, Work> m_Work;
+  std::uint64_t m_LastWork = 0;
+};
+
+} // namespace bergamotstage
+
+#endif // BERGAMOTSTAGE_TARGET_MONITORLINKS_H
--- a/include/bergamotstage/target/TargetDuty.h
+++ b/include/bergamotstage/target/TargetDuty.h
@@ -5,6 +5,8 @@
 #include "bergamotstage/target/Confirmation.h"
 #include "bergamotstage/target/GroupState.h"
 #include "bergamotstage/target/LinkPool.h"
+#include "bergamotstage/target/MonitorLinks.h"
+#include "bergamotstage/target/PrimaryCheck.h"
 
 #include <map>
 
@@ -27,6 +29,16 @@
   /// @brief Takes a message about targets from another VM.
   void peerReceived(const PeerReceived &Event);
 
+  /// @brief Take what happened to links to targets.
+  void linkOpened(const LinkOpened &Event);
+  void linkFailed(const LinkFailed &Event);
+  void linkAnswered(const LinkAnswered &Event);
+
+  /// @brief Tells whether the primary that this VM knows is the current one.
+  ///
+  /// False within a second where that cannot be told.
+  void verifyPrimary(const DatabaseId &Database, PrimaryCheck::Callback Done);
+
   LinkPool &links() { return m_Links; }
   Confirmation &confirmation() { return m_Confirmation; }
 
@@ -36,11 +48,18 @@
 private:
   void readGroups();
   void takeGroups(const GroupsRead &Read);
+  void chooseQueue();
+  void configureLinks();
   void takeReport(const TargetId &Target, const LinkAnswered &Answer);
+  void takeOutcome(const TargetId &Target, bool Answered);
+  void takeLoad(const TargetId &Target, unsigned Running, std::size_t Queued);
+  GroupState *groupOf(const TargetId &Target);
 
   NodeContext &m_Context;
   LinkPool m_Links;
+  MonitorLinks m_Monitors;
   Confirmation m_Confirmation;
+  PrimaryCheck m_PrimaryCheck;
   std::map<DatabaseId, GroupState> m_Groups;
   std::map<TargetId, DatabaseId> m_DatabaseOf;
 };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -58,11 +58,9 @@
     void operator()(const StatementArrived &E) { Self.m_Statements.arrived(E); }
     void operator()(const CancelArrived &) {}
     void operator()(const CallerClosed &E) { Self.m_Statements.closed(E); }
-    void operator()(const LinkOpened &E) { Self.m_Targets.links().opened(E); }
-    void operator()(const LinkFailed &E) { Self.m_Targets.links().failed(E); }
-    void operator()(const LinkAnswered &E) {
-      Self.m_Targets.links().answered(E);
-    }
+    void operator()(const LinkOpened &E) { Self.m_Targets.linkOpened(E); }
+    void operator()(const LinkFailed &E) { Self.m_Targets.linkFailed(E); }
+    void operator()(const LinkAnswered &E) { Self.m_Targets.linkAnswered(E); }
     void operator()(const PlatformAnswered &E) {
       Self.m_Context.platformAnswered(E);
     }
--- a/src/request/StatementDuty.cpp
+++ b/src/request/StatementDuty.cpp
@@ -269,9 +269,10 @@
       Caller == nullptr ? nullptr : m_Targets.group(Caller->Route.Database);
   if (Group == nullptr)
     return;
+  TargetId RanAt = m_Targets.links().targetOf(Answer.Link);
   m_Targets.confirmation().wait(
-      *Group, Answer.Reported, [this, Work, Answer](Confirmed Result) {
-        if (Result == Confirmed::Durable)
+      *Group, RanAt, Answer.Reported, [this, Work, Answer](Confirmed Result) {
+        if (mayAcknowledge(Result))
           return acknowledge(Work, Answer);
         refuse(Work,
                refusal(sqlstate::TransactionUnknown, RunState::Unknown,
--- a/src/target/Confirmation.cpp
+++ b/src/target/Confirmation.cpp
@@ -1,5 +1,8 @@
 #include "bergamotstage/target/Confirmation.h"
 
+#include "bergamotstage/core/Invariant.h"
+#include "bergamotstage/rules/PolicyChoice.h"
+
 #include <string>
 #include <utility>
 
@@ -7,85 +10,133 @@
 namespace {
 
 constexpr Duration AskAgainDelay = milliseconds(50);
-const char *const SupersededState = "55000";
+
+bool covers(const HistoryPoint &Point, const HistoryPoint &Commit) {
+  return Point.AtTerm == Commit.AtTerm && Point.Position >= Commit.Position;
+}
+
+bool isImmediate(const RuleBook &Rules) {
+  return choosePolicy(Rules, "acknowledge", "confirmed", 0).Choice ==
+         "immediate";
+}
+
+} // namespace
 
 std::string confirmText(const HistoryPoint &Point) {
   return "CONFIRM " + std::to_string(Point.AtTerm.value()) + " " +
          std::to_string(Point.Position.value());
 }
 
-} // namespace
-
-void Confirmation::wait(const GroupState &Group, const HistoryPoint &Commit,
-                        Callback Done) {
+void Confirmation::wait(const GroupState &Group, const TargetId &RanAt,
+                        const HistoryPoint &Commit, Callback Done) {
+  if (isImmediate(m_Context.rules()))
+    return Done(Confirmed::Unchecked);
+  if (RanAt.value().empty())
+    return Done(Confirmed::TimedOut);
+  std::size_t Needed = Group.Targets.size() / 2;
+  if (Needed == 0)
+    return Done(Confirmed::Durable);
   std::uint64_t Number = ++m_LastNumber;
   DatabaseId Database = Group.Database;
-  TimerId Timer = m_Context.timers().schedule(
+  Pending New;
+  New.Commit = Commit;
+  New.RanAt = RanAt;
+  New.Others = Group.Targets.size() - 1;
+  New.Needed = Needed;
+  New.Done = std::move(Done);
+  New.Timer = m_Context.timers().schedule(
       m_Context.now() + m_Context.settings().ConfirmTimeout,
       [this, Database, Number] {
         settle(Database, Number, Confirmed::TimedOut);
       });
-  m_Pending[Database].emplace(Number, Pending{Commit, std::move(Done), Timer});
-  for (const TargetState &Target : Group.Targets) {
-    if (Target.Id == Group.Primary)
-      continue;
-    m_Replicas[Target.Id].Database = Database;
-    ask(Database, Target.Id);
+  m_Pending[Database].emplace(Number, std::move(New));
+  std::vector<TargetId> Others;
+  for (const TargetState &Target : Group.Targets)
+    if (Target.Id != RanAt)
+      Others.push_back(Target.Id);
+  for (const TargetId &Target : Others)
+    ask(Database, Target);
+}
+
+const Confirmation::Pending *
+Confirmation::earliest(const DatabaseId &Database,
+                       const TargetId &Target) const {
+  auto Waiting = m_Pending.find(Database);
+  if (Waiting == m_Pending.end())
+    return nullptr;
+  const Pending *First = nullptr;
+  for (const auto &[Number, Entry] : Waiting->second) {
+    bool Open = Entry.RanAt != Target && Entry.Holders.count(Target) == 0 &&
+                Entry.Refusers.count(Target) == 0;
+    if (Open && (First == nullptr || Entry.Commit < First->Commit))
+      First = &Entry;
   }
+  return First;
 }
 
 void Confirmation::ask(const DatabaseId &Database, const TargetId &Target) {
-  Replica &At = m_Replicas[Target];
-  auto &Waiting = m_Pending[Database];
-  if (At.Busy || Waiting.empty())
+  const Pending *First = earliest(Database, Target);
+  if (First == nullptr || !m_Asked.insert(Target).second)
     return;
-  At.Busy = true;
-  Instant Deadline = m_Context.now() + m_Context.settings().ConfirmTimeout;
-  m_Links.acquire(Target, AccountId(), Deadline,
-                  [this, Database, Target](const LinkPool::Lent &Lent) {
-                    auto &Commits = m_Pending[Database];
-                    if (!Lent || Commits.empty()) {
-                      m_Replicas[Target].Busy = false;
-                      if (Lent)
-                        m_Links.release(*Lent, true);
-                      return;
-                    }
-                    HistoryPoint Highest;
-                    for (const auto &[Number, Entry] : Commits)
-                      if (Highest < Entry.Commit)
-                        Highest = Entry.Commit;
-                    LinkId Link = *Lent;
-                    m_Links.runInternal(
-                        Link, confirmText(Highest),
-                        [this, Database, Target, Link,
-                         Highest](const LinkPool::Answer &Answer) {
-                          m_Links.release(Link, Answer.has_value());
-                          answered(Database, Target, Highest, Answer);
-                        });
-                  });
+  HistoryPoint Point = First->Commit;
+  m_Links.run(Target, confirmText(Point), m_Context.settings().ConfirmTimeout,
+              MonitorLinks::Choice::Any,
+              [this, Database, Target, Point](const LinkResult &Result) {
+                answered(Database, Target, Point, Result);
+              });
 }
 
 void Confirmation::answered(const DatabaseId &Database, const TargetId &Target,
                             const HistoryPoint &Asked,
-                            const LinkPool::Answer &Answer) {
-  m_Replicas[Target].Busy = false;
-  bool Success = Answer && Answer->ErrorSqlState.empty();
-  bool Refused = Answer && Answer->ErrorSqlState == SupersededState;
-  std::vector<std::uint64_t> Settled;
-  if (Success || Refused)
-    for (const auto &[Number, Entry] : m_Pending[Database])
-      if (Entry.Commit.AtTerm == Asked.AtTerm &&
-          (Refused || !(Asked < Entry.Commit)))
-        Settled.push_back(Number);
-  for (std::uint64_t Number : Settled)
-    settle(Database, Number,
-           Success ? Confirmed::Durable : Confirmed::Superseded);
+                            const LinkResult &Result) {
+  m_Asked.erase(Target);
+  bool Success = Result && Result->ErrorSqlState.empty();
+  bool Fenced = Result && Result->ErrorSqlState == LaterTermSeen;
+  if (Success)
+    observed(Database, Target, Asked);
+  if (Fenced)
+    refused(Database, Target, Asked.AtTerm);
   Duration Delay = Success ? Duration(0) : AskAgainDelay;
   m_Context.timers().schedule(
       m_Context.now() + Delay,
       [this, Database, Target] { ask(Database, Target); });
 }
 
+void Confirmation::observed(const DatabaseId &Database, const TargetId &Target,
+                            const HistoryPoint &Point) {
+  auto Waiting = m_Pending.find(Database);
+  if (Waiting == m_Pending.end())
+    return;
+  std::vector<std::uint64_t> Durable;
+  for (auto &[Number, Entry] : Waiting->second) {
+    if (Entry.RanAt == Target || !covers(Point, Entry.Commit))
+      continue;
+    Entry.Holders.insert(Target);
+    if (Entry.Holders.size() >= Entry.Needed)
+      Durable.push_back(Number);
+  }
+  for (std::uint64_t Number : Durable)
+    settle(Database, Number, Confirmed::Durable);
+}
+
+void Confirmation::refused(const DatabaseId &Database, const TargetId &Target,
+                           Term Old) {
+  std::vector<std::uint64_t> Superseded;
+  for (auto &[Number, Entry] : m_Pending[Database]) {
+    bool Concerned = Entry.Commit.AtTerm <= Old && Entry.RanAt != Target &&
+                     Entry.Holders.count(Target) == 0;
+    if (!Concerned)
+      continue;
+    Entry.Refusers.insert(Target);
+    if (Entry.Others - Entry.Refusers.size() < Entry.Needed)
+      Superseded.push_back(Number);
+  }
+  for (std::uint64_t Number : Superseded)
+    settle(Database, Number, Confirmed::Superseded);
+  if (m_FencedHook)
+    m_FencedHook(Database, Old);
+}
+
 void Confirmation::settle(const DatabaseId &Database, std::uint64_t Number,
                           Confirmed Result) {
   auto &Waiting = m_Pending[Database];
@@ -95,7 +146,18 @@
   Pending Entry = std::move(Found->second);
   Waiting.erase(Found);
   m_Context.timers().cancel(Entry.Timer);
+  bool Held = Entry.Holders.size() >= Entry.Needed &&
+              Entry.Holders.count(Entry.RanAt) == 0;
+  BERGAMOTSTAGE_INVARIANT(Result != Confirmed::Durable || Held,
+                          "a commit is durable once a majority holds it");
   Entry.Done(Result);
 }
 
+std::size_t Confirmation::waiting() const {
+  std::size_t Count = 0;
+  for (const auto &[Database, Waiting] : m_Pending)
+    Count += Waiting.size();
+  return Count;
+}
+
 } // namespace bergamotstage
