Forward statements to the home VM of their database

Cause: with 25 connections and 3 slots a target, 9 or 420 VMs cannot each hold links. Change: rendezvous hashing over reachable VMs near the primary; the origin checks key and rate, the home runs the statement as for a caller of its own. The runtime still answers 'never sent' until its transport is there.

--- /dev/null
+++ b/include/bergamotstage/forward/HomeMap.h
@@ -0,0 +1,23 @@
+#ifndef BERGAMOTSTAGE_FORWARD_HOMEMAP_H
+#define BERGAMOTSTAGE_FORWARD_HOMEMAP_H
+
+#include "bergamotstage/fleet/MemberState.h"
+
+#include <optional>
+
+namespace bergamotstage {
+
+/// @brief The VM that holds the links to a database's targets.
+///
+/// Rendezvous hashing over the VMs that are reachable and not leaving, those
+/// of the primary's data centre before all others: when a VM comes or goes,
+/// only the databases that it gains or loses move.
+/// @param Near data centre of the primary; empty if none is known
+/// @return the home, or nothing while no VM is fit
+/// Complexity: linear in the VMs.
+std::optional<VmId> homeOf(const DatabaseId &Database, const DataCentreId &Near,
+                           const MemberMap &Members);
+
+} // namespace bergamotstage
+
+#endif // BERGAMOTSTAGE_FORWARD_HOMEMAP_H
--- a/include/bergamotstage/node/Action.h
+++ b/include/bergamotstage/node/Action.h
@@ -7,6 +7,7 @@
 #include "bergamotstage/core/PeerMessage.h"
 #include "bergamotstage/core/PlatformApi.h"
 #include "bergamotstage/core/Time.h"
+#include "bergamotstage/node/Forward.h"
 #include "bergamotstage/request/StatementBody.h"
 
 #include <cstdint>
@@ -123,10 +124,11 @@
 };
 
 /// @brief All that a node can ask of its surroundings.
-using Action = std::variant<AskForKey, AdmitCaller, CloseCaller,
-                            ReportParameter, AnswerStatement, OpenLink,
-                            CloseLink, RunStatement, RunInternal, CallPlatform,
-                            SendPeer, AnswerOperator, WriteLog, WakeAt, Exit>;
+using Action =
+    std::variant<AskForKey, AdmitCaller, CloseCaller, ReportParameter,
+                 AnswerStatement, OpenLink, CloseLink, RunStatement,
+                 RunInternal, CallPlatform, SendPeer, ForwardStatement,
+                 CloseForward, AnswerOperator, WriteLog, WakeAt, Exit>;
 
 /// @brief Actions in the order in which they are to be carried out.
 using Actions = std::vector<Action>;
--- a/include/bergamotstage/node/Event.h
+++ b/include/bergamotstage/node/Event.h
@@ -6,6 +6,7 @@
 #include "bergamotstage/core/Outcome.h"
 #include "bergamotstage/core/PeerMessage.h"
 #include "bergamotstage/core/PlatformApi.h"
+#include "bergamotstage/node/Forward.h"
 #include "bergamotstage/request/StatementBody.h"
 
 #include <cstdint>
@@ -102,8 +103,9 @@
 /// @brief All that can happen to a node.
 using Event =
     std::variant<CallerOpened, StatementArrived, CancelArrived, CallerClosed,
-                 LinkOpened, LinkFailed, LinkAnswered, PlatformAnswered,
-                 PeerReceived, OperatorAsked, TimerFired, ShutdownAsked>;
+                 LinkOpened, LinkFailed, LinkAnswered, ForwardArrived,
+                 ForwardAnswered, ForwardLost, PlatformAnswered, PeerReceived,
+                 OperatorAsked, TimerFired, ShutdownAsked>;
 
 } // namespace bergamotstage
 
--- a/include/bergamotstage/node/Node.h
+++ b/include/bergamotstage/node/Node.h
@@ -49,6 +49,11 @@
   /// change.
   void step(Instant Now, const Event &Happened, Actions &Out);
 
+  /// @brief Makes a VM known before membership has heard of it.
+  void introduce(const MemberState &Member) {
+    m_Context.changeMembers()[Member.Vm] = Member;
+  }
+
   const NodeContext &context() const { return m_Context; }
   const TargetDuty &targets() const { return m_Targets; }
 
@@ -57,6 +62,9 @@
 
   void dispatch(const Event &Happened);
   void peerReceived(const PeerReceived &Received);
+  /// @brief The VM that statements of a database go through, unless it is
+  /// this one or the rules name no homes.
+  std::optional<VmId> homeElsewhere(const DatabaseId &Database);
   void rulesChanged();
   void shutdown();
   void checkDrained();
--- a/include/bergamotstage/request/CallerState.h
+++ b/include/bergamotstage/request/CallerState.h
@@ -29,7 +29,9 @@
   TransactionState Transaction = TransactionState::None;
   std::optional<LinkId> Pinned; ///< The link of an open transaction.
   std::optional<StatementId> Running;
-  bool Gone = false; ///< Closed while a statement runs.
+  bool Gone = false;        ///< Closed while a statement runs.
+  bool Remote = false;      ///< Connected to another VM, which forwards it.
+  std::optional<VmId> Home; ///< VM that holds its forwarded transaction.
 };
 
 } // namespace bergamotstage
--- a/include/bergamotstage/request/StatementDuty.h
+++ b/include/bergamotstage/request/StatementDuty.h
@@ -7,7 +7,10 @@
 #include "bergamotstage/request/Statement.h"
 #include "bergamotstage/target/TargetDuty.h"
 
+#include <functional>
+#include <optional>
 #include <unordered_map>
+#include <utility>
 
 namespace bergamotstage {
 
@@ -17,10 +20,22 @@
   StatementDuty(NodeContext &Context, AccountDuty &Accounts,
                 TargetDuty &Targets);
 
+  /// @brief Tells the VM that statements of a database go through; nothing
+  /// where this VM runs them itself.
+  using HomeHook = std::function<std::optional<VmId>(const DatabaseId &)>;
+  void onHome(HomeHook Hook) { m_HomeOf = std::move(Hook); }
+
   void opened(const CallerOpened &Event);
   void arrived(const StatementArrived &Event);
   void closed(const CallerClosed &Event);
 
+  /// @brief At the home: runs a statement that another VM forwarded.
+  void forwardArrived(const ForwardArrived &Event);
+  /// @brief At the origin: takes the home's answer.
+  void forwardAnswered(const ForwardAnswered &Event);
+  /// @brief At the origin: settles a statement that gets no answer.
+  void forwardLost(const ForwardLost &Event);
+
   /// @brief Closes all callers whose key the rules no longer hold.
   void rulesChanged();
 
@@ -44,6 +59,9 @@
   void takeSetting(CallerState &Caller, const std::string &Name,
                    const std::string &Value);
   void answerSetting(CallerState &Caller, const StatementArrived &Event);
+  void route(const Running &Work, CallerState &Caller);
+  void forward(const Running &Work, CallerState &Caller, const VmId &Home);
+  CallerState &forwardedCaller(const ForwardArrived &Event);
   void runFree(const Running &Work, const CallerState &Caller);
   void runOn(const Running &Work, LinkId Link);
   void answered(const Running &Work, LinkId Link,
@@ -60,7 +78,9 @@
   NodeContext &m_Context;
   AccountDuty &m_Accounts;
   TargetDuty &m_Targets;
+  HomeHook m_HomeOf;
   std::unordered_map<CallerId, CallerState> m_Callers;
+  std::unordered_map<StatementId, Running> m_Forwarded;
 };
 
 } // namespace bergamotstage
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -1,5 +1,8 @@
 #include "bergamotstage/node/Node.h"
 
+#include "bergamotstage/forward/HomeMap.h"
+#include "bergamotstage/rules/PolicyChoice.h"
+
 #include <utility>
 #include <variant>
 
@@ -33,7 +36,10 @@
 Node::Node(NodeSettings Settings, std::uint64_t Seed)
     : m_Context(std::move(Settings), Seed), m_Accounts(m_Context),
       m_Targets(m_Context), m_Statements(m_Context, m_Accounts, m_Targets),
-      m_Fleet(m_Context, [this] { rulesChanged(); }) {}
+      m_Fleet(m_Context, [this] { rulesChanged(); }) {
+  m_Statements.onHome(
+      [this](const DatabaseId &Database) { return homeElsewhere(Database); });
+}
 
 void Node::start(Instant Now, Actions &Out) {
   m_Context.begin(Now, Out);
@@ -63,6 +69,13 @@
     void operator()(const LinkAnswered &E) {
       Self.m_Targets.links().answered(E);
     }
+    void operator()(const ForwardArrived &E) {
+      Self.m_Statements.forwardArrived(E);
+    }
+    void operator()(const ForwardAnswered &E) {
+      Self.m_Statements.forwardAnswered(E);
+    }
+    void operator()(const ForwardLost &E) { Self.m_Statements.forwardLost(E); }
     void operator()(const PlatformAnswered &E) {
       Self.m_Context.platformAnswered(E);
     }
@@ -88,6 +101,20 @@
   }
 }
 
+std::optional<VmId> Node::homeElsewhere(const DatabaseId &Database) {
+  PolicyChoice Policy =
+      choosePolicy(m_Context.rules(), "home", "rendezvous", 0);
+  const GroupState *Group = m_Targets.group(Database);
+  if (Policy.Choice == "none" || Group == nullptr)
+    return std::nullopt;
+  const TargetState *Primary = Group->find(Group->Primary);
+  DataCentreId Near = Primary == nullptr ? DataCentreId() : Primary->DataCentre;
+  std::optional<VmId> Home = homeOf(Database, Near, m_Context.members());
+  if (!Home || *Home == m_Context.settings().Vm)
+    return std::nullopt;
+  return Home;
+}
+
 void Node::rulesChanged() {
   m_Targets.rulesChanged();
   m_Accounts.rulesChanged();
--- a/src/request/StatementDuty.cpp
+++ b/src/request/StatementDuty.cpp
@@ -105,6 +105,8 @@
 void StatementDuty::dropCaller(CallerState &Caller) {
   if (Caller.Pinned)
     m_Targets.links().release(*Caller.Pinned, false);
+  if (Caller.Home)
+    m_Context.act(CloseForward{*Caller.Home, Caller.Id});
   m_Callers.erase(Caller.Id);
 }
 
@@ -123,7 +125,7 @@
 
 bool StatementDuty::busy() const {
   for (const auto &[Id, Caller] : m_Callers)
-    if (Caller.Running || Caller.Pinned)
+    if (Caller.Running || Caller.Pinned || Caller.Home)
       return true;
   return false;
 }
@@ -131,7 +133,7 @@
 void StatementDuty::closeIdle(const Refusal &Reason) {
   std::vector<CallerId> Idle;
   for (const auto &[Id, Caller] : m_Callers)
-    if (!Caller.Running && !Caller.Pinned)
+    if (!Caller.Running && !Caller.Pinned && !Caller.Home)
       Idle.push_back(Id);
   for (CallerId Id : Idle) {
     m_Context.act(CloseCaller{Id, Reason});
@@ -155,7 +157,8 @@
                                 "this statement is not carried"));
   if (Work.Kind == StatementKind::Setting)
     return answerSetting(*Caller, Event);
-  bool OutsideEnd = endsTransaction(Work.Kind) && !Caller->Pinned;
+  bool InTransaction = Caller->Pinned || Caller->Home;
+  bool OutsideEnd = endsTransaction(Work.Kind) && !InTransaction;
   if (Work.Kind == StatementKind::Empty || OutsideEnd) {
     AnswerStatement Answer;
     Answer.Tag = Work.Kind == StatementKind::Commit     ? "COMMIT"
@@ -165,14 +168,16 @@
   }
   if (Caller->Pinned)
     return runOn(Work, *Caller->Pinned);
+  if (Caller->Home)
+    return forward(Work, *Caller, *Caller->Home);
   m_Accounts.admit(Caller->Account,
                    [this, Work](const AccountDuty::Admitted &Admitted) {
-                     const CallerState *Known = caller(Work.Caller);
+                     CallerState *Known = caller(Work.Caller);
                      if (Known == nullptr)
                        return;
                      if (!Admitted)
                        return refuse(Work, Admitted.error());
-                     runFree(Work, *Known);
+                     route(Work, *Known);
                    });
 }
 
@@ -333,7 +338,9 @@
   Answer.TransactionFailed = Caller->Transaction == TransactionState::Failed;
   bool Close = Answer.Error && Answer.Error->CloseConnection;
   m_Context.act(std::move(Answer));
-  if (Close)
+  bool Finished =
+      Caller->Remote && Caller->Transaction == TransactionState::None;
+  if (Close || Finished)
     dropCaller(*Caller);
 }
 
--- a/src/runtime/Commands.h
+++ b/src/runtime/Commands.h
@@ -25,6 +25,9 @@
 using TargetCommand =
     std::variant<OpenLink, CloseLink, RunStatement, RunInternal>;
 
+/// @brief What the decision thread tells the transport to other VMs.
+using ForwardCommand = std::variant<ForwardStatement, CloseForward>;
+
 /// @brief Hands an event to the decision thread; false if its ring is full.
 using EventSink = std::function<bool(Event &&)>;
 
--- a/src/runtime/Daemon.cpp
+++ b/src/runtime/Daemon.cpp
@@ -81,6 +81,14 @@
     return PlatformAt->push(std::move(C));
   };
   Sinks.Peers = [&](SendPeer &&M) { return Peers.push(std::move(M)); };
+  DecisionThread *DecisionAt = nullptr;
+  Sinks.Forwards = [&](ForwardCommand &&C) {
+    const auto *Wanted = std::get_if<ForwardStatement>(&C);
+    if (Wanted == nullptr)
+      return true;
+    ForwardLost Lost{Wanted->Caller, Wanted->Statement, true, 0};
+    return DecisionAt->otherEvents()(Lost);
+  };
   Sinks.Operators = [&](AnswerOperator &&A) {
     OperatorsAt->answer(std::move(A));
   };
@@ -94,6 +102,7 @@
   PlatformThread Platform(Chosen.PlatformAddress, Decision.platformEvents());
   OperatorService Operators(Decision.otherEvents());
   PeerService PeerInput(Decision.otherEvents());
+  DecisionAt = &Decision;
   CallersAt = &Callers;
   TargetsAt = &Targets;
   PlatformAt = &Platform;
--- a/src/runtime/DecisionThread.cpp
+++ b/src/runtime/DecisionThread.cpp
@@ -127,6 +127,8 @@
       Self.m_Sinks.Peers(std::move(A));
       return true;
     }
+    bool operator()(ForwardStatement &A) { return Self.m_Sinks.Forwards(A); }
+    bool operator()(CloseForward &A) { return Self.m_Sinks.Forwards(A); }
     bool operator()(AnswerOperator &A) {
       Self.m_Sinks.Operators(std::move(A));
       return true;
--- a/src/runtime/DecisionThread.h
+++ b/src/runtime/DecisionThread.h
@@ -22,6 +22,7 @@
   std::function<bool(TargetCommand &&)> Targets;
   std::function<bool(CallPlatform &&)> Platform;
   std::function<bool(SendPeer &&)> Peers;
+  std::function<bool(ForwardCommand &&)> Forwards;
   std::function<void(AnswerOperator &&)> Operators;
   std::function<void(WriteLog &&)> Log;
   std::function<void(const Exit &)> Exit;
--- a/src/standin/LoopbackFleet.cpp
+++ b/src/standin/LoopbackFleet.cpp
@@ -76,6 +76,7 @@
   while (!Found->second.Links.empty())
     closeLink(Found->second, Found->second.Links.begin()->first);
   m_Vms.erase(Found);
+  breakTunnels(Name);
   for (auto &[Key, Caller] : m_CallerOf)
     if (Key.first == Name)
       Caller->Closed = true;
@@ -157,6 +158,8 @@
         Caller->Closed = true;
     }
     void operator()(ReportParameter &A) const {
+      if (isForwarded(A.Caller))
+        Self.m_Tunnels[A.Caller].Token = A.Value;
       if (LoopbackCaller *Caller = Self.caller(Name, A.Caller))
         Caller->Token = A.Value;
     }
@@ -166,13 +169,12 @@
     void operator()(OpenLink &A) const { Self.openLink(Name, At, A); }
     void operator()(CloseLink &A) const { Self.closeLink(At, A.Link); }
     void operator()(RunStatement &A) const {
-      Self.runOnLink(Name, At, A.Link, A.Statement, *A.Body,
-                     Self.caller(Name, A.Caller));
+      Self.runOnLink(Name, At, A.Link, A.Statement, *A.Body, true);
     }
     void operator()(RunInternal &A) const {
       StatementBody Body;
       Body.Text = A.Text;
-      Self.runOnLink(Name, At, A.Link, A.Statement, Body, nullptr);
+      Self.runOnLink(Name, At, A.Link, A.Statement, Body, false);
     }
     void operator()(CallPlatform &A) const { Self.callPlatform(Name, A); }
     void operator()(SendPeer &A) const {
@@ -185,6 +187,8 @@
           Self.m_Now + Self.m_Delays.Peer,
           [Self = &Self, To = A.To, Received] { Self->deliver(To, Received); });
     }
+    void operator()(ForwardStatement &A) const { Self.forward(Name, A); }
+    void operator()(CloseForward &A) const { Self.closeForward(Name, A); }
     void operator()(AnswerOperator &) const {}
     void operator()(WriteLog &) const {}
     void operator()(WakeAt &A) const {
@@ -231,6 +235,8 @@
 
 void LoopbackFleet::answerCaller(const VmId &Name, Vm &,
                                  const AnswerStatement &Answer) {
+  if (isForwarded(Answer.Caller))
+    return answerForward(Name, Answer);
   auto Rows = m_Rows.find({Name, Answer.Statement});
   std::vector<std::vector<std::string>> Taken;
   if (Rows != m_Rows.end()) {
@@ -289,7 +295,7 @@
 
 void LoopbackFleet::runOnLink(const VmId &Name, Vm &At, LinkId Id,
                               StatementId Statement, const StatementBody &Body,
-                              LoopbackCaller *Caller) {
+                              bool ForCaller) {
   auto Found = At.Links.find(Id);
   if (Found == At.Links.end())
     return;
@@ -298,7 +304,7 @@
   Work.Id = Id;
   Work.On = Found->second;
   Work.Statement = Statement;
-  Work.Caller = Caller;
+  Work.ForCaller = ForCaller;
   Work.Read = classifyStatement(Body.Text) == StatementKind::Read;
   auto Parsed = parseSql(Body.Text, Body.Values);
   if (!Parsed) {
@@ -375,7 +381,7 @@
   Answered.InTransaction = Work.On->Session.InTransaction;
   Answered.TransactionFailed = Work.On->Session.Failed;
   Answered.Reported = Reported;
-  if (Work.Caller != nullptr) {
+  if (Work.ForCaller) {
     Answered.Chunks = Result.Rows.size();
     m_Rows[{Work.Vm, Work.Statement}] = Result.Rows;
   } else if (!Result.Rows.empty()) {
@@ -465,4 +471,109 @@
   return std::visit(Visitor{*this}, Request);
 }
 
+void LoopbackFleet::forward(const VmId &Name, const ForwardStatement &Wanted) {
+  CallerId Virtual(ForwardedIdBit | ++m_LastForwarded);
+  for (auto &[Id, Known] : m_Tunnels)
+    if (Known.Origin == Name && Known.Caller == Wanted.Caller &&
+        Known.Home == Wanted.To)
+      Virtual = Id;
+  Tunnel &On = m_Tunnels[Virtual];
+  On.Origin = Name;
+  On.Home = Wanted.To;
+  On.Caller = Wanted.Caller;
+  On.Statement = Wanted.Statement;
+  On.Token.clear();
+  bool Lost = blocked(vmParty(Name), vmParty(Wanted.To)) || !alive(Wanted.To);
+  if (Lost) {
+    at(m_Now + m_Delays.Peer, [this, Virtual] { loseForward(Virtual, true); });
+    return;
+  }
+  ForwardArrived Arrived{Name,
+                         Virtual,
+                         StatementId(ForwardedIdBit | ++m_LastForwarded),
+                         Wanted.Session,
+                         Wanted.Body,
+                         Wanted.TimeLeft};
+  On.AtHome = Arrived.Statement;
+  at(m_Now + m_Delays.Peer, [this, To = Wanted.To, Arrived] {
+    if (alive(To))
+      deliver(To, Arrived);
+    else
+      loseForward(Arrived.Caller, true);
+  });
+}
+
+void LoopbackFleet::loseForward(CallerId Virtual, bool NeverSent) {
+  auto Found = m_Tunnels.find(Virtual);
+  if (Found == m_Tunnels.end() || !Found->second.Statement)
+    return;
+  Tunnel Broken = Found->second;
+  m_Tunnels.erase(Found);
+  deliver(Broken.Origin,
+          ForwardLost{Broken.Caller, *Broken.Statement, NeverSent, 0});
+}
+
+void LoopbackFleet::answerForward(const VmId &Name,
+                                  const AnswerStatement &Answer) {
+  auto Found = m_Tunnels.find(Answer.Caller);
+  if (Found == m_Tunnels.end() || Found->second.AtHome != Answer.Statement)
+    return;
+  Tunnel &On = Found->second;
+  ForwardAnswered Given;
+  Given.Caller = On.Caller;
+  Given.Statement = *On.Statement;
+  Given.Chunks = Answer.Chunks;
+  Given.Error = Answer.Error;
+  Given.Tag = Answer.Tag;
+  Given.Notice = Answer.Notice;
+  Given.Token = On.Token;
+  Given.InTransaction = Answer.InTransaction;
+  Given.TransactionFailed = Answer.TransactionFailed;
+  auto Rows = m_Rows.find({Name, Answer.Statement});
+  if (Rows != m_Rows.end()) {
+    m_Rows[{On.Origin, Given.Statement}] = std::move(Rows->second);
+    m_Rows.erase(Rows);
+  }
+  VmId Origin = On.Origin;
+  On.Statement.reset();
+  if (blocked(vmParty(Name), vmParty(Origin))) {
+    ForwardLost Lost{Given.Caller, Given.Statement, false, 0};
+    at(m_Now + m_Delays.ConnectTimeout,
+       [this, Origin, Lost] { deliver(Origin, Lost); });
+    return;
+  }
+  at(m_Now + m_Delays.Peer,
+     [this, Origin, Given = std::move(Given)] { deliver(Origin, Given); });
+}
+
+void LoopbackFleet::closeForward(const VmId &Name, const CloseForward &Wanted) {
+  for (auto Known = m_Tunnels.begin(); Known != m_Tunnels.end(); ++Known) {
+    const Tunnel &On = Known->second;
+    if (On.Origin != Name || On.Home != Wanted.To || On.Caller != Wanted.Caller)
+      continue;
+    CallerId Virtual = Known->first;
+    m_Tunnels.erase(Known);
+    at(m_Now + m_Delays.Peer,
+       [this, To = Wanted.To, Virtual] { deliver(To, CallerClosed{Virtual}); });
+    return;
+  }
+}
+
+void LoopbackFleet::breakTunnels(const VmId &Gone) {
+  std::vector<CallerId> Broken;
+  for (const auto &[Id, Known] : m_Tunnels)
+    if (Known.Home == Gone || Known.Origin == Gone)
+      Broken.push_back(Id);
+  for (CallerId Id : Broken) {
+    Tunnel On = m_Tunnels.at(Id);
+    if (On.Origin == Gone) {
+      m_Tunnels.erase(Id);
+      at(m_Now + m_Delays.Peer,
+         [this, Home = On.Home, Id] { deliver(Home, CallerClosed{Id}); });
+      continue;
+    }
+    at(m_Now + m_Delays.Peer, [this, Id] { loseForward(Id, false); });
+  }
+}
+
 } // namespace bergamotstage::standin
--- a/src/standin/LoopbackFleet.h
+++ b/src/standin/LoopbackFleet.h
@@ -122,6 +122,15 @@
     unsigned Running = 0;
     std::deque<std::function<void()>> Waiting;
   };
+  /// @brief One caller of one VM whose statements go through another VM.
+  struct Tunnel {
+    VmId Origin;
+    VmId Home;
+    CallerId Caller;                      ///< At the origin.
+    std::optional<StatementId> Statement; ///< Under way, at the origin.
+    StatementId AtHome;
+    std::string Token;
+  };
   struct Job {
     VmId Vm;
     LinkId Id;
@@ -129,7 +138,7 @@
     StatementId Statement;
     Sql Parsed;
     bool Read = false;
-    LoopbackCaller *Caller = nullptr;
+    bool ForCaller = false;
   };
 
   bool blocked(const std::string &From, const std::string &To) const;
@@ -138,7 +147,7 @@
   void openLink(const VmId &Name, Vm &At, const OpenLink &Wanted);
   void closeLink(Vm &At, LinkId Id);
   void runOnLink(const VmId &Name, Vm &At, LinkId Id, StatementId Statement,
-                 const StatementBody &Body, LoopbackCaller *Caller);
+                 const StatementBody &Body, bool ForCaller);
   void enterTarget(const Job &Work);
   void attempt(const Job &Work);
   void leaveTarget(const TargetId &Target);
@@ -147,6 +156,11 @@
   void callPlatform(const VmId &Name, const CallPlatform &Wanted);
   PlatformAnswer answerPlatform(const PlatformRequest &Request);
   void answerCaller(const VmId &Name, Vm &At, const AnswerStatement &Answer);
+  void forward(const VmId &Name, const ForwardStatement &Wanted);
+  void loseForward(CallerId Virtual, bool NeverSent);
+  void answerForward(const VmId &Name, const AnswerStatement &Answer);
+  void closeForward(const VmId &Name, const CloseForward &Wanted);
+  void breakTunnels(const VmId &Gone);
   LoopbackCaller *caller(const VmId &Name, CallerId Id);
   void deliverTo(const VmId &Name, Incarnation Start, Event Happened);
 
@@ -164,6 +178,8 @@
   std::map<std::pair<VmId, CallerId>, LoopbackCaller *> m_CallerOf;
   std::map<std::pair<VmId, StatementId>, std::vector<std::vector<std::string>>>
       m_Rows;
+  std::map<CallerId, Tunnel> m_Tunnels; ///< By the caller's id at the home.
+  std::uint64_t m_LastForwarded = 0;
   std::uint64_t m_LastCaller = 0;
   std::uint64_t m_LastStatement = 0;
   std::uint64_t m_LastSession = 0;
