--- /dev/null
+++ b/bench/BenchCore.cpp
@@ -0,0 +1,93 @@
+#include "bench/Cases.h"
+#include "standin/SmallSite.h"
+
+#include "bergamotstage/rules/RuleBook.h"
+
+#include <malloc.h>
+
+#include <chrono>
+#include <string>
+
+namespace bergamotstage::bench {
+namespace {
+
+double heapBytes() { return static_cast<double>(mallinfo2().uordblks); }
+
+double elapsedMilliseconds(std::chrono::steady_clock::time_point Since) {
+  return std::chrono::duration<double, std::milli>(
+             std::chrono::steady_clock::now() - Since)
+      .count();
+}
+
+/// @brief Rules of a fleet with the given number of databases, each with
+/// three targets and a route, and as many client accounts.
+std::string largeRules(int Databases) {
+  std::string Text = "data-centre east-1 region=east # Platform team\n"
+                     "data-centre east-2 region=east # Platform team\n"
+                     "data-centre west-1 region=west # Platform team\n"
+                     "data-centre west-2 region=west # Platform team\n";
+  const char *const Centres[] = {"east-1", "east-2", "west-1"};
+  for (int At = 0; At < Databases; ++At) {
+    std::string Name = "db-" + std::to_string(At);
+    Text += "database " + Name + " # Ledger office\n";
+    for (int Replica = 0; Replica < 3; ++Replica) {
+      Text += "target " + Name + "-" + std::to_string(Replica);
+      Text += " database=" + Name + " data-centre=" + Centres[Replica];
+      Text += " address=127.0.0.1:5432 slots=3 connections=25";
+      Text += " # Ledger office\n";
+    }
+    Text += "route " + Name + " database=" + Name;
+    Text += " access=keyed # Ledger office\n";
+    Text += "account ward-" + std::to_string(At);
+    Text += " rate=100 burst=200 # Ward office\n";
+  }
+  return Text;
+}
+
+void measureRules(std::vector<BenchRow> &Rows) {
+  constexpr int Databases = 600;
+  std::string Text = largeRules(Databases);
+  double HeapBefore = heapBytes();
+  auto Started = std::chrono::steady_clock::now();
+  auto Parsed = parseRules(Revision(1), Text);
+  double Took = elapsedMilliseconds(Started);
+  double Held = heapBytes() - HeapBefore;
+  bool Valid = Parsed.has_value();
+  Rows.push_back({"rules-size", "databases=600", Text.size() / 1e3, "KB"});
+  Rows.push_back({"rules-parse", "databases=600", Took, "ms"});
+  Rows.push_back({"rules-memory", "databases=600", Held / 1e6, "MB"});
+  Rows.push_back({"rules-valid", "databases=600", Valid ? 1.0 : 0.0, "1=yes"});
+}
+
+void measureCallers(std::vector<BenchRow> &Rows) {
+  constexpr int Callers = 7400;
+  standin::LoopbackFleet Fleet({}, 1);
+  VmId Vm = standin::startSmallSite(Fleet);
+  Node &Deciding = Fleet.node(Vm);
+  Actions Wanted;
+  double HeapBefore = heapBytes();
+  auto Started = std::chrono::steady_clock::now();
+  for (int At = 1; At <= Callers; ++At) {
+    CallerOpened Opening = standin::clerkOpening();
+    Opening.Caller = CallerId(static_cast<std::uint64_t>(At));
+    Deciding.step(Fleet.now(), Opening, Wanted);
+    Wanted.clear();
+  }
+  double Took = elapsedMilliseconds(Started);
+  double Held = heapBytes() - HeapBefore;
+  Rows.push_back({"caller-memory", "decision core, idle", Held / Callers,
+                  "bytes"});
+  Rows.push_back({"caller-open", "decision core, key checked",
+                  Took * 1e3 / Callers, "us"});
+}
+
+} // namespace
+
+std::vector<BenchRow> benchCore() {
+  std::vector<BenchRow> Rows;
+  measureRules(Rows);
+  measureCallers(Rows);
+  return Rows;
+}
+
+} // namespace bergamotstage::bench
--- a/bench/Registry.cpp
+++ b/bench/Registry.cpp
@@ -6,6 +6,7 @@
 const std::vector<BenchCase> &benchCases() {
   static const std::vector<BenchCase> Cases = {
       {"step", "time that the decision core takes for one read", benchStep},
+      {"core", "time and memory of rules and of idle callers", benchCore},
   };
   return Cases;
 }
