--- a/bench/BenchCore.cpp
+++ b/bench/BenchCore.cpp
@@ -75,8 +75,8 @@
   }
   double Took = elapsedMilliseconds(Started);
   double Held = heapBytes() - HeapBefore;
-  Rows.push_back({"caller-memory", "decision core, idle", Held / Callers,
-                  "bytes"});
+  Rows.push_back(
+      {"caller-memory", "decision core, idle", Held / Callers, "bytes"});
   Rows.push_back({"caller-open", "decision core, key checked",
                   Took * 1e3 / Callers, "us"});
 }
