Replace lost primaries by vote, fence and promotion

No primary was replaced so far: writes to a lost one ended as unknown until an operator acted. Watchers now send heartbeats in turn, vote over new connections, fence a majority at a new term and promote the highest fenced target; writes are held within a bound or refused as not run.

--- /dev/null
+++ b/include/bergamotstage/target/FailoverMessage.h
@@ -0,0 +1,36 @@
+#ifndef BERGAMOTSTAGE_TARGET_FAILOVERMESSAGE_H
+#define BERGAMOTSTAGE_TARGET_FAILOVERMESSAGE_H
+
+#include "bergamotstage/core/Ids.h"
+
+#include <optional>
+#include <string>
+
+namespace bergamotstage {
+
+/// @brief What VMs tell each other about the primary of a database.
+struct FailoverMessage {
+  enum class Kind : std::uint8_t {
+    Probe,   ///< Asks the receiver to try to reach the target.
+    Reached, ///< Answers a probe: the target answered.
+    Missed,  ///< Answers a probe: the target did not answer.
+    Ordered, ///< The sender has begun to replace the primary.
+    Promoted ///< The target is the primary of the term.
+  };
+  Kind What = Kind::Probe;
+  DatabaseId Database;
+  TargetId Target;
+  Term AtTerm;
+  std::uint64_t Round = 0; ///< Of the vote, at the VM that asked for it.
+};
+
+/// @brief Payload of a message between VMs.
+std::string encodeFailoverMessage(const FailoverMessage &Message);
+
+/// @brief The message in a payload; nothing if it is malformed.
+std::optional<FailoverMessage>
+decodeFailoverMessage(const std::string &Payload);
+
+} // namespace bergamotstage
+
+#endif // BERGAMOTSTAGE_TARGET_FAILOVERMESSAGE_H
--- /dev/null
+++ b/include/bergamotstage/target/FailoverOrder.h
@@ -0,0 +1,88 @@
+#ifndef BERGAMOTSTAGE_TARGET_FAILOVERORDER_H
+#define BERGAMOTSTAGE_TARGET_FAILOVERORDER_H
+
+#include "bergamotstage/node/NodeContext.h"
+#include "bergamotstage/target/GroupState.h"
+#include "bergamotstage/target/MonitorLinks.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace bergamotstage {
+
+/// @brief How one attempt to replace a primary ended.
+struct OrderEnd {
+  enum class Kind : std::uint8_t {
+    Promoted,  ///< The candidate is the primary of the new term.
+    Conflict,  ///< Another order, or a later term, came first.
+    TooFew,    ///< Fewer than a majority of the targets could be fenced.
+    NoPlatform ///< The platform did not decide the promotion in time.
+  };
+  Kind What = Kind::Conflict;
+  TargetId Primary;
+  Term NewTerm;    ///< Of the order, or the later one that was met.
+  Duration Took{}; ///< From the start of the order.
+  Duration Fenced{}; ///< Part of it until a majority was fenced.
+};
+
+/// @brief One attempt to replace the primary of one database.
+///
+/// Steps: write the group's row under the condition that nobody else did;
+/// fence a majority of the targets at the new term; promote the fenced target
+/// with the highest history point. A target accepts one order per term, so that
+/// two orders never both fence a majority in a term: the row only spares
+/// needless conflicts, and the order goes on without it while the store is
+/// down or slow.
+class FailoverOrder : public std::enable_shared_from_this<FailoverOrder> {
+public:
+  using EndCallback = std::function<void(const OrderEnd &)>;
+
+  /// @brief Starts an order; it keeps itself alive until its end.
+  /// @param OrderId unique over all VMs and their starts
+  static void start(NodeContext &Context, MonitorLinks &Links,
+                    const GroupState &Group, Term NewTerm, std::string OrderId,
+                    EndCallback End);
+
+private:
+  FailoverOrder(NodeContext &Context, MonitorLinks &Links,
+                const GroupState &Group, Term NewTerm, std::string OrderId,
+                EndCallback End);
+
+  void readRow();
+  void writeRow(const PlatformAnswer &Answer);
+  void fence();
+  void fenced(const TargetId &Target, const LinkResult &Result);
+  void choose();
+  void promote();
+  void promoted(const PlatformAnswer &Answer);
+  void end(OrderEnd::Kind What, Term At);
+  bool isSuspected(const TargetId &Target) const;
+
+  NodeContext &m_Context;
+  MonitorLinks &m_Links;
+  GroupState m_Group;
+  Term m_NewTerm;
+  std::string m_OrderId;
+  EndCallback m_End;
+  Instant m_Start;
+  Instant m_FencedAt{};
+  bool m_Fencing = false;
+  bool m_Promoting = false;
+  bool m_Ended = false;
+  bool m_MetLaterTerm = false;
+  std::map<TargetId, HistoryPoint> m_Fenced;
+  std::set<TargetId> m_Open; ///< Targets that have not answered the fence.
+  TargetId m_Candidate;
+  unsigned m_Attempts = 0;
+};
+
+/// @brief Key of the row that names the latest order of a database.
+std::string groupRowKey(const DatabaseId &Database);
+
+} // namespace bergamotstage
+
+#endif // BERGAMOTSTAGE_TARGET_FAILOVERORDER_H
--- /dev/null
+++ b/include/bergamotstage/target/PrimaryWatch.h
@@ -0,0 +1,81 @@
+#ifndef BERGAMOTSTAGE_TARGET_PRIMARYWATCH_H
+#define BERGAMOTSTAGE_TARGET_PRIMARYWATCH_H
+
+#include "bergamotstage/node/NodeContext.h"
+#include "bergamotstage/target/FailoverMessage.h"
+#include "bergamotstage/target/GroupState.h"
+#include "bergamotstage/target/MonitorLinks.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace bergamotstage {
+
+/// @brief Decides whether the primary of a database is lost.
+///
+/// Watchers send heartbeats in turn, and a silent link or an overdue statement
+/// brings the next heartbeat forward. A missed heartbeat starts a vote: this
+/// VM tries a new connection and asks the other watchers to do the same. The
+/// primary is lost when it answered less than half of those who reported.
+/// A VM whose fellow watchers do not report needs several rounds.
+class PrimaryWatch {
+public:
+  using GroupHook = std::function<const GroupState *(const DatabaseId &)>;
+  using LostHook =
+      std::function<void(const DatabaseId &, const std::string &Reason)>;
+  /// @brief Told that the primary refused its term, as fenced targets do.
+  using FencedHook = std::function<void(const DatabaseId &, Term)>;
+
+  PrimaryWatch(NodeContext &Context, MonitorLinks &Links, GroupHook Groups)
+      : m_Context(Context), m_Links(Links), m_Groups(std::move(Groups)) {}
+
+  void onLost(LostHook Hook) { m_LostHook = std::move(Hook); }
+  void onFenced(FencedHook Hook) { m_FencedHook = std::move(Hook); }
+
+  /// @brief Starts heartbeats to the primary of a database, once.
+  void follow(const DatabaseId &Database);
+
+  /// @brief Sends a heartbeat now, because an answer is overdue.
+  void check(const DatabaseId &Database);
+
+  /// @brief Starts a vote, because a link to the primary failed.
+  void suspect(const DatabaseId &Database);
+
+  /// @brief Takes a probe, or an answer to one.
+  void received(const VmId &From, const FailoverMessage &Message);
+
+private:
+  struct Vote {
+    std::uint64_t Round = 0; ///< 0 while no vote runs.
+    TargetId Primary;
+    Term AtTerm;
+    std::size_t Asked = 0;
+    std::size_t Reached = 0;
+    std::size_t Missed = 0;
+    bool OwnDone = false;
+    unsigned Lonely = 0; ///< Rounds in a row that no other VM reported in.
+    bool Checking = false;
+    Instant NotBefore{}; ///< No further vote before, after a needless one.
+  };
+
+  void heartbeat(const DatabaseId &Database);
+  void probe(const TargetId &Target, Term AtTerm,
+             std::function<void(bool)> Done);
+  void report(const DatabaseId &Database, std::uint64_t Round, bool Reached,
+              bool Own);
+  void decide(const DatabaseId &Database, std::uint64_t Round);
+  std::vector<VmId> otherWatchers(const DatabaseId &Database) const;
+
+  NodeContext &m_Context;
+  MonitorLinks &m_Links;
+  GroupHook m_Groups;
+  LostHook m_LostHook;
+  FencedHook m_FencedHook;
+  std::map<DatabaseId, Vote> m_Votes;
+  std::uint64_t m_LastRound = 0;
+};
+
+} // namespace bergamotstage
+
+#endif // BERGAMOTSTAGE_TARGET_PRIMARYWATCH_H
--- a/include/bergamotstage/target/TargetDuty.h
+++ b/include/bergamotstage/target/TargetDuty.h
@@ -3,10 +3,12 @@
 
 #include "bergamotstage/node/NodeContext.h"
 #include "bergamotstage/target/Confirmation.h"
+#include "bergamotstage/target/Failover.h"
 #include "bergamotstage/target/GroupState.h"
 #include "bergamotstage/target/LinkPool.h"
 #include "bergamotstage/target/MonitorLinks.h"
 #include "bergamotstage/target/PrimaryCheck.h"
+#include "bergamotstage/target/WriteHold.h"
 
 #include <map>
 
@@ -39,6 +41,12 @@
   /// False within a second where that cannot be told.
   void verifyPrimary(const DatabaseId &Database, PrimaryCheck::Callback Done);
 
+  /// @brief Lends a link to the primary, now or once the next one is known.
+  ///
+  /// The wait is bounded; the refusal is truly "not run".
+  void acquirePrimary(const DatabaseId &Database, const AccountId &Account,
+                      Instant Deadline, LinkPool::LendCallback Callback);
+
   LinkPool &links() { return m_Links; }
   Confirmation &confirmation() { return m_Confirmation; }
 
@@ -48,6 +56,11 @@
 private:
   void readGroups();
   void takeGroups(const GroupsRead &Read);
+  void followLinks();
+  void followFailover();
+  void adopt(GroupState &Group, Term NewTerm, const TargetId &Primary);
+  void clearSuspicion(const GroupState &Group, TargetState &Target);
+  bool isHome(const DatabaseId &Database) const;
   void chooseQueue();
   void configureLinks();
   void takeReport(const TargetId &Target, const LinkAnswered &Answer);
@@ -60,6 +73,8 @@
   MonitorLinks m_Monitors;
   Confirmation m_Confirmation;
   PrimaryCheck m_PrimaryCheck;
+  Failover m_Failover;
+  WriteHold m_Hold;
   std::map<DatabaseId, GroupState> m_Groups;
   std::map<TargetId, DatabaseId> m_DatabaseOf;
 };
--- a/include/bergamotstage/target/TargetShare.h
+++ b/include/bergamotstage/target/TargetShare.h
@@ -15,10 +15,11 @@
 
 /// @brief Part of a target's slots and connections that this VM may use.
 ///
-/// Splits them evenly over the live VMs, each of which gets at least one slot
-/// and one connection of each sort.
-/// Complexity: linear in the members.
-TargetShare shareOfTarget(const TargetRule &Rule, const MemberMap &Members);
+/// The database's home has all slots, and all connections but one for each
+/// other watcher of the primary. Any other VM has one of each sort, which it
+/// uses while homes move.
+TargetShare shareOfTarget(const TargetRule &Rule, const MemberMap &Members,
+                          bool IsHome);
 
 } // namespace bergamotstage
 
--- a/src/request/StatementDuty.cpp
+++ b/src/request/StatementDuty.cpp
@@ -214,12 +214,15 @@
                  {"kind", statementKindName(Work.Kind)},
                  {"target", Choice.Target.value()},
                  {"reason", Choice.Reason}});
-  m_Targets.links().acquire(Choice.Target, Caller.Account, Work.Deadline,
-                            [this, Work](const LinkPool::Lent &Lent) {
-                              if (!Lent)
-                                return refuse(Work, Lent.error());
-                              runOn(Work, *Lent);
-                            });
+  auto Lend = [this, Work](const LinkPool::Lent &Lent) {
+    if (!Lent)
+      return refuse(Work, Lent.error());
+    runOn(Work, *Lent);
+  };
+  if (Choice.Target == Group->Primary)
+    return m_Targets.acquirePrimary(Group->Database, Caller.Account,
+                                    Work.Deadline, Lend);
+  m_Targets.links().acquire(Choice.Target, Caller.Account, Work.Deadline, Lend);
 }
 
 void StatementDuty::runOn(const Running &Work, LinkId Link) {
--- /dev/null
+++ b/src/target/PrimaryWatch.cpp
@@ -0,0 +1,168 @@
+#include "bergamotstage/target/PrimaryWatch.h"
+
+#include "bergamotstage/target/Confirmation.h"
+#include "bergamotstage/target/Watchers.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bergamotstage {
+namespace {
+
+/// @brief Time between heartbeats of all watchers of a primary together.
+constexpr Duration HeartbeatInterval = milliseconds(250);
+constexpr Duration HeartbeatTimeout = milliseconds(150);
+/// @brief Covers a new connection and one answer.
+constexpr Duration ProbeTimeout = milliseconds(150);
+/// @brief Time for the answers of other watchers beyond their own probe.
+constexpr Duration VoteMargin = milliseconds(50);
+/// @brief Rounds without any other VM's report before this VM acts alone.
+constexpr unsigned LonelyRounds = 4;
+constexpr Duration VoteBackOff = seconds(1);
+
+} // namespace
+
+void PrimaryWatch::follow(const DatabaseId &Database) {
+  if (!m_Votes.try_emplace(Database).second)
+    return;
+  std::uniform_int_distribution<Duration::rep> Phase(
+      0, HeartbeatInterval.count());
+  m_Context.timers().schedule(
+      m_Context.now() + Duration(Phase(m_Context.random())),
+      [this, Database] { heartbeat(Database); });
+}
+
+std::vector<VmId>
+PrimaryWatch::otherWatchers(const DatabaseId &Database) const {
+  std::vector<VmId> Others = watchersOf(Database, m_Context.members());
+  Others.erase(
+      std::remove(Others.begin(), Others.end(), m_Context.settings().Vm),
+      Others.end());
+  return Others;
+}
+
+void PrimaryWatch::heartbeat(const DatabaseId &Database) {
+  std::vector<VmId> All = watchersOf(Database, m_Context.members());
+  bool Watches = std::find(All.begin(), All.end(), m_Context.settings().Vm) !=
+                 All.end();
+  if (Watches)
+    check(Database);
+  std::size_t Turns = std::max<std::size_t>(1, All.size());
+  m_Context.timers().schedule(
+      m_Context.now() + HeartbeatInterval * static_cast<int>(Turns),
+      [this, Database] { heartbeat(Database); });
+}
+
+void PrimaryWatch::check(const DatabaseId &Database) {
+  const GroupState *Group = m_Groups(Database);
+  Vote &At = m_Votes[Database];
+  if (Group == nullptr || Group->Primary.value().empty() || At.Checking)
+    return;
+  At.Checking = true;
+  Term AtTerm = Group->CurrentTerm;
+  m_Links.run(Group->Primary, confirmText({AtTerm, LogPosition(0)}),
+              HeartbeatTimeout, MonitorLinks::Choice::Prompt,
+              [this, Database, AtTerm](const LinkResult &Result) {
+                m_Votes[Database].Checking = false;
+                if (!Result)
+                  return suspect(Database);
+                if (Result->ErrorSqlState == LaterTermSeen && m_FencedHook)
+                  m_FencedHook(Database, AtTerm);
+              });
+}
+
+void PrimaryWatch::suspect(const DatabaseId &Database) {
+  const GroupState *Group = m_Groups(Database);
+  Vote &At = m_Votes[Database];
+  bool Busy = At.Round != 0 || m_Context.now() < At.NotBefore;
+  if (Group == nullptr || Group->Primary.value().empty() || Busy)
+    return;
+  std::uint64_t Round = ++m_LastRound;
+  std::vector<VmId> Others = otherWatchers(Database);
+  At.Round = Round;
+  At.Primary = Group->Primary;
+  At.AtTerm = Group->CurrentTerm;
+  At.Asked = Others.size() + 1;
+  At.Reached = 0;
+  At.Missed = 0;
+  At.OwnDone = false;
+  std::string Payload = encodeFailoverMessage(
+      {FailoverMessage::Kind::Probe, Database, At.Primary, At.AtTerm, Round});
+  for (const VmId &Other : Others)
+    m_Context.sendPeer(Other, PeerDuty::Failover, Payload);
+  m_Context.timers().schedule(
+      m_Context.now() + ProbeTimeout + VoteMargin,
+      [this, Database, Round] { decide(Database, Round); });
+  probe(At.Primary, At.AtTerm, [this, Database, Round](bool Reached) {
+    report(Database, Round, Reached, true);
+  });
+}
+
+void PrimaryWatch::probe(const TargetId &Target, Term AtTerm,
+                         std::function<void(bool)> Done) {
+  m_Links.run(Target, confirmText({AtTerm, LogPosition(0)}), ProbeTimeout,
+              MonitorLinks::Choice::Fresh,
+              [Done = std::move(Done)](const LinkResult &Result) {
+                Done(Result.has_value());
+              });
+}
+
+void PrimaryWatch::received(const VmId &From, const FailoverMessage &Message) {
+  using Kind = FailoverMessage::Kind;
+  if (Message.What == Kind::Reached || Message.What == Kind::Missed)
+    return report(Message.Database, Message.Round,
+                  Message.What == Kind::Reached, false);
+  const GroupState *Group = m_Groups(Message.Database);
+  if (Message.What != Kind::Probe || Group == nullptr ||
+      Group->find(Message.Target) == nullptr)
+    return;
+  FailoverMessage Answer = Message;
+  probe(Message.Target, Message.AtTerm, [this, From, Answer](bool Reached) {
+    FailoverMessage Told = Answer;
+    Told.What = Reached ? Kind::Reached : Kind::Missed;
+    m_Context.sendPeer(From, PeerDuty::Failover, encodeFailoverMessage(Told));
+  });
+}
+
+void PrimaryWatch::report(const DatabaseId &Database, std::uint64_t Round,
+                          bool Reached, bool Own) {
+  Vote &At = m_Votes[Database];
+  if (At.Round != Round)
+    return;
+  ++(Reached ? At.Reached : At.Missed);
+  At.OwnDone = At.OwnDone || Own;
+  std::size_t Reports = At.Reached + At.Missed;
+  bool Enough = 2 * At.Missed > At.Asked || 2 * At.Reached >= At.Asked;
+  if (Reports == At.Asked || (At.OwnDone && Enough))
+    decide(Database, Round);
+}
+
+void PrimaryWatch::decide(const DatabaseId &Database, std::uint64_t Round) {
+  Vote &At = m_Votes[Database];
+  if (At.Round != Round)
+    return;
+  At.Round = 0;
+  std::size_t Reports = At.Reached + At.Missed;
+  bool Alone = At.Asked > 1 && Reports < 2;
+  At.Lonely = Alone ? At.Lonely + 1 : 0;
+  const GroupState *Group = m_Groups(Database);
+  bool Stale = Group == nullptr || Group->CurrentTerm != At.AtTerm;
+  if (Stale)
+    return;
+  if (Alone && At.Missed > 0 && At.Lonely < LonelyRounds)
+    return suspect(Database);
+  At.Lonely = 0;
+  std::string Tally = std::to_string(At.Missed) + " of " +
+                      std::to_string(Reports) + " watchers missed it";
+  if (At.Missed > At.Reached)
+    return m_LostHook(Database, Tally);
+  At.NotBefore = m_Context.now() + VoteBackOff;
+  m_Context.timers().schedule(At.NotBefore,
+                              [this, Database] { check(Database); });
+  m_Context.log(WriteLog::Level::Info, "primary_kept",
+                {{"database", Database.value()},
+                 {"primary", At.Primary.value()},
+                 {"vote", Tally}});
+}
+
+} // namespace bergamotstage
--- a/src/target/TargetDuty.cpp
+++ b/src/target/TargetDuty.cpp
@@ -1,5 +1,6 @@
 #include "bergamotstage/target/TargetDuty.h"
 
+#include "bergamotstage/forward/HomeMap.h"
 #include "bergamotstage/rules/PolicyChoice.h"
 
 #include <variant>
@@ -7,7 +8,15 @@
 namespace bergamotstage {
 TargetDuty::TargetDuty(NodeContext &Context)
     : m_Context(Context), m_Links(Context), m_Monitors(Context),
-      m_Confirmation(Context, m_Monitors), m_PrimaryCheck(Context, m_Monitors) {
+      m_Confirmation(Context, m_Monitors), m_PrimaryCheck(Context, m_Monitors),
+      m_Failover(Context, m_Monitors,
+                 [this](const DatabaseId &Database) { return group(Database); }),
+      m_Hold(Context) {
+  followLinks();
+  followFailover();
+}
+
+void TargetDuty::followLinks() {
   m_Links.onReport([this](const TargetId &Target, const LinkAnswered &Answer) {
     takeReport(Target, Answer);
   });
@@ -25,6 +34,28 @@
         else
           takeOutcome(Target, false);
       });
+  m_Links.onOverdue([this](const TargetId &Target) {
+    if (const GroupState *Group = groupOf(Target))
+      m_Failover.targetOverdue(Group->Database, Target);
+  });
+}
+
+void TargetDuty::followFailover() {
+  m_Confirmation.onFenced([this](const DatabaseId &Database, Term Old) {
+    m_Failover.fencedSeen(Database, Old);
+  });
+  m_Failover.onRefresh([this] { readGroups(); });
+  m_Failover.onPromoted([this](const DatabaseId &Database, Term NewTerm,
+                               const TargetId &Primary) {
+    if (GroupState *Group = group(Database))
+      adopt(*Group, NewTerm, Primary);
+  });
+  m_Failover.onState([this](const DatabaseId &Database, Failover::State Now) {
+    if (Now == Failover::State::Steady)
+      m_Hold.release(Database);
+    if (Now == Failover::State::Waiting)
+      m_Hold.refuse(Database, "no primary can be made at present");
+  });
 }
 
 void TargetDuty::start() {
@@ -71,9 +102,20 @@
   m_Links.setQueuePolicy(Policy);
 }
 
+bool TargetDuty::isHome(const DatabaseId &Database) const {
+  DataCentreId Near;
+  auto Found = m_Groups.find(Database);
+  if (Found != m_Groups.end())
+    if (const TargetState *Primary = Found->second.find(Found->second.Primary))
+      Near = Primary->DataCentre;
+  return homeOf(Database, Near, m_Context.members()) ==
+         m_Context.settings().Vm;
+}
+
 void TargetDuty::configureLinks() {
   for (const auto &[Id, Rule] : m_Context.rules().Targets) {
-    TargetShare Share = shareOfTarget(Rule, m_Context.members());
+    TargetShare Share =
+        shareOfTarget(Rule, m_Context.members(), isHome(Rule.Database));
     m_Links.configure(Id, Rule.Address, Rule.Database.value(), Share);
     m_Monitors.configure(Id, Rule.Address, Rule.Database.value(),
                          Share.MonitorLinks);
@@ -116,7 +158,64 @@
   return Found == m_Groups.end() ? nullptr : &Found->second;
 }
 
-void TargetDuty::peerReceived(const PeerReceived &) {}
+void TargetDuty::peerReceived(const PeerReceived &Event) {
+  m_Failover.peerReceived(Event);
+}
+
+void TargetDuty::adopt(GroupState &Group, Term NewTerm,
+                       const TargetId &Primary) {
+  TargetId Old = Group.Primary;
+  Group.CurrentTerm = NewTerm;
+  Group.Primary = Primary;
+  m_Context.log(WriteLog::Level::Info, "primary_known",
+                {{"database", Group.Database.value()},
+                 {"term", std::to_string(NewTerm.value())},
+                 {"primary", Primary.value()}});
+  DatabaseId Database = Group.Database;
+  const TargetState *Left = Group.find(Old);
+  if (Left != nullptr && Old != Primary) {
+    if (Left->Suspected)
+      m_Links.abandon(Old, "the primary was replaced");
+    else
+      m_Links.refuseWaiting(Old, "the primary was replaced");
+  }
+  m_Failover.termKnown(Database);
+}
+
+void TargetDuty::acquirePrimary(const DatabaseId &Database,
+                                const AccountId &Account, Instant Deadline,
+                                LinkPool::LendCallback Callback) {
+  const GroupState *Group = group(Database);
+  if (Group == nullptr)
+    return Callback(tl::make_unexpected(
+        WriteHold::noPrimary("the database has no targets")));
+  Failover::State Now = m_Failover.state(Database);
+  if (Now == Failover::State::Waiting)
+    return Callback(tl::make_unexpected(
+        WriteHold::noPrimary("no primary can be made at present")));
+  const TargetState *Primary = Group->find(Group->Primary);
+  bool Hold = Now == Failover::State::Replacing || Primary == nullptr ||
+              Primary->Suspected;
+  if (Hold) {
+    auto Again = [this, Database, Account, Deadline,
+                  Callback](const tl::expected<void, Refusal> &Result) {
+      if (!Result)
+        return Callback(tl::make_unexpected(Result.error()));
+      acquirePrimary(Database, Account, Deadline, Callback);
+    };
+    return m_Hold.add(Database, Deadline, Again);
+  }
+  TargetId Asked = Group->Primary;
+  m_Links.acquire(Asked, Account, Deadline,
+                  [this, Asked, Database, Account, Deadline,
+                   Callback](const LinkPool::Lent &Lent) {
+                    const GroupState *Later = group(Database);
+                    bool Moved = Later != nullptr && Later->Primary != Asked;
+                    if (Lent || !Moved || m_Context.now() >= Deadline)
+                      return Callback(Lent);
+                    acquirePrimary(Database, Account, Deadline, Callback);
+                  });
+}
 
 void TargetDuty::readGroups() {
   m_Context.callPlatform(ReadGroups{}, [this](const PlatformAnswer &Answer) {
@@ -130,8 +229,10 @@
     GroupState *Group = group(Listed.Database);
     if (Group == nullptr || Listed.CurrentTerm < Group->CurrentTerm)
       continue;
-    Group->CurrentTerm = Listed.CurrentTerm;
-    Group->Primary = Listed.Primary;
+    if (Group->CurrentTerm < Listed.CurrentTerm ||
+        Group->Primary.value().empty())
+      adopt(*Group, Listed.CurrentTerm, Listed.Primary);
+    m_Failover.follow(Listed.Database);
     for (const ListedTarget &Entry : Listed.Targets) {
       TargetState *Target = Group->find(Entry.Target);
       if (Target == nullptr)
@@ -149,16 +250,33 @@
   if (Target == nullptr)
     return;
   Target->ReportedAt = m_Context.now();
-  Target->Suspected = false;
+  clearSuspicion(*Group, *Target);
   if (Target->Replayed < Answer.Reported)
     Target->Replayed = Answer.Reported;
-  m_Confirmation.observed(Group->Database, Id, Answer.Reported);
+  if (Group->CurrentTerm < Answer.Reported.AtTerm)
+    readGroups();
+  DatabaseId Database = Group->Database;
+  m_Confirmation.observed(Database, Id, Answer.Reported);
+}
+
+void TargetDuty::clearSuspicion(const GroupState &Group, TargetState &Target) {
+  if (!Target.Suspected)
+    return;
+  Target.Suspected = false;
+  bool Steady = m_Failover.state(Group.Database) == Failover::State::Steady;
+  if (Group.Primary == Target.Id && Steady)
+    m_Hold.release(Group.Database);
 }
 
 void TargetDuty::takeOutcome(const TargetId &Id, bool Answered) {
   GroupState *Group = groupOf(Id);
-  if (TargetState *Target = Group == nullptr ? nullptr : Group->find(Id))
-    Target->Suspected = !Answered;
+  TargetState *Target = Group == nullptr ? nullptr : Group->find(Id);
+  if (Target == nullptr)
+    return;
+  if (Answered)
+    return clearSuspicion(*Group, *Target);
+  Target->Suspected = true;
+  m_Failover.targetFailed(Group->Database, Id);
 }
 
 void TargetDuty::takeLoad(const TargetId &Id, unsigned Running,
--- a/src/target/TargetShare.cpp
+++ b/src/target/TargetShare.cpp
@@ -1,5 +1,7 @@
 #include "bergamotstage/target/TargetShare.h"
 
+#include "bergamotstage/target/Watchers.h"
+
 #include <algorithm>
 
 namespace bergamotstage {
@@ -10,21 +12,19 @@
 /// @brief One each for confirmations, heartbeats and fencing.
 constexpr unsigned MaxMonitorLinks = 3;
 
-unsigned liveVms(const MemberMap &Members) {
-  unsigned Live = 0;
-  for (const auto &[Id, Member] : Members)
-    if (Member.Reachable && !Member.Leaving)
-      ++Live;
-  return std::max(1U, Live);
-}
-
 } // namespace
 
-TargetShare shareOfTarget(const TargetRule &Rule, const MemberMap &Members) {
-  unsigned Vms = liveVms(Members);
-  unsigned Connections = std::max(2U, Rule.Connections / Vms);
+TargetShare shareOfTarget(const TargetRule &Rule, const MemberMap &Members,
+                          bool IsHome) {
+  if (!IsHome)
+    return {};
+  auto Watchers = static_cast<unsigned>(
+      watchersOf(Rule.Database, Members).size());
+  unsigned Reserved = Watchers;
+  unsigned Connections =
+      Rule.Connections > Reserved + 2 ? Rule.Connections - Reserved : 2U;
   TargetShare Share;
-  Share.Slots = std::max(1U, Rule.Slots / Vms);
+  Share.Slots = Rule.Slots;
   Share.MonitorLinks =
       std::clamp(Connections / LinksPerMonitor, 1U, MaxMonitorLinks);
   Share.WorkLinks = Connections - Share.MonitorLinks;
