--- a/src/cli/DemoClient.cpp
+++ b/src/cli/DemoClient.cpp
@@ -12,6 +12,15 @@
   return Value == nullptr ? "" : Value;
 }
 
+void keepNotice(void *Notices, const PGresult *Result) {
+  auto &All = *static_cast<std::string *>(Notices);
+  const char *Text = PQresultErrorField(Result, PG_DIAG_MESSAGE_PRIMARY);
+  if (Text == nullptr)
+    return;
+  All += All.empty() ? "" : " ";
+  All += Text;
+}
+
 std::string optionsText(const std::map<std::string, std::string> &Settings) {
   std::string Text;
   for (const auto &[Name, Value] : Settings)
@@ -51,11 +60,14 @@
   PGconn *Connection = raw(Made.m_Connection.get());
   if (PQstatus(Connection) != CONNECTION_OK)
     return tl::make_unexpected(std::string(PQerrorMessage(Connection)));
+  Made.m_Notices = std::make_unique<std::string>();
+  PQsetNoticeReceiver(Connection, keepNotice, Made.m_Notices.get());
   return Made;
 }
 
 ClientAnswer DemoClient::run(const std::string &Text) {
   ClientAnswer Answer;
+  m_Notices->clear();
   PGresult *Result = PQexec(raw(m_Connection.get()), Text.c_str());
   ExecStatusType Status = PQresultStatus(Result);
   if (Status != PGRES_TUPLES_OK && Status != PGRES_COMMAND_OK) {
@@ -63,8 +75,10 @@
     Answer.Message = field(Result, PG_DIAG_MESSAGE_PRIMARY);
     Answer.Hint = field(Result, PG_DIAG_MESSAGE_HINT);
     Answer.Detail = field(Result, PG_DIAG_MESSAGE_DETAIL);
-    if (Answer.SqlState.empty())
+    if (Answer.SqlState.empty()) {
       Answer.SqlState = "08006";
+      Answer.Message = PQerrorMessage(raw(m_Connection.get()));
+    }
   }
   for (int Row = 0; Row < PQntuples(Result); ++Row) {
     Answer.Rows.emplace_back();
--- a/src/cli/DemoClient.h
+++ b/src/cli/DemoClient.h
@@ -38,6 +38,9 @@
   /// @brief Runs one statement and waits for its answer.
   ClientAnswer run(const std::string &Text);
 
+  /// @brief Notices that came with the last answer, joined by spaces.
+  std::string notices() const { return *m_Notices; }
+
   /// @brief The session's token as the proxy last reported it.
   std::string token() const;
 
@@ -45,6 +48,7 @@
   struct Deleter {
     void operator()(void *Connection) const;
   };
+  std::unique_ptr<std::string> m_Notices; ///< Outlives the connection.
   std::unique_ptr<void, Deleter> m_Connection;
 };
 
--- a/src/standin/Group.cpp
+++ b/src/standin/Group.cpp
@@ -23,10 +23,10 @@
 
 void Group::tick(Instant Now) {
   Member *Primary = find(m_Primary);
-  if (Primary->Cut || !Primary->State.leads())
+  if (Primary->isolated() || !Primary->State.leads())
     return;
   for (Member &Entry : m_Members)
-    if (&Entry != Primary && !Entry.Cut)
+    if (&Entry != Primary && !Entry.isolated())
       Entry.State.replicateFrom(Primary->State, Now - Entry.Lag);
 }
 
@@ -34,7 +34,7 @@
   if (Order.OrderId == m_LastOrder)
     return {true, m_Term, "repeated"};
   Member *Candidate = find(Order.Candidate);
-  if (Candidate == nullptr || Candidate->Cut)
+  if (Candidate == nullptr || Candidate->isolated())
     return {false, m_Term, "the candidate does not answer"};
   if (Order.NewTerm <= m_Term)
     return {false, m_Term, "the term is not new"};
@@ -53,7 +53,7 @@
   Listed.CurrentTerm = m_Term;
   Listed.Primary = m_Primary;
   for (Member &Entry : m_Members) {
-    if (!Entry.Cut)
+    if (!Entry.isolated())
       m_LastKnown[Entry.Id] = Entry.State.replayed();
     Listed.Targets.push_back({Entry.Id, m_LastKnown[Entry.Id], Entry.Leaving});
   }
--- a/src/standin/Group.h
+++ b/src/standin/Group.h
@@ -19,9 +19,12 @@
   struct Member {
     TargetId Id;
     Instance State;
-    Duration Lag{};   ///< Age at which log entries arrive.
-    bool Cut = false; ///< Neither replicates nor hears the platform.
+    Duration Lag{};      ///< Age at which log entries arrive.
+    bool Cut = false;    ///< Neither replicates nor hears the platform.
+    bool Frozen = false; ///< Cut, and silent on all connections.
     bool Leaving = false;
+
+    bool isolated() const { return Cut || Frozen; }
   };
 
   /// @param Names targets; the first one leads term 1
--- a/src/standin/PlatformService.cpp
+++ b/src/standin/PlatformService.cpp
@@ -199,6 +199,8 @@
       continue;
     if (Request.kind() == "cut-target")
       Member->Cut = Request.on();
+    else if (Request.kind() == "freeze-target")
+      Member->Frozen = Request.on();
     else if (Request.kind() == "lag-target")
       Member->Lag = milliseconds(Request.on() ? Request.milliseconds() : 0);
     else if (Request.kind() == "leave-target")
--- a/src/standin/TargetSession.cpp
+++ b/src/standin/TargetSession.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr Duration RetryInterval = milliseconds(1);
+constexpr Duration FrozenInterval = milliseconds(5);
 
 wire::ErrorFields errorFields(std::string SqlState, std::string Message) {
   wire::ErrorFields Fields;
@@ -46,7 +47,26 @@
       });
 }
 
+bool TargetSession::frozen() {
+  std::lock_guard<std::mutex> Guard(m_Shared->Lock);
+  return m_Shared->State.find(m_Target)->Frozen;
+}
+
+void TargetSession::thawLater(std::function<void()> Then) {
+  m_Blocked = true;
+  m_Timer.expires_after(FrozenInterval);
+  m_Timer.async_wait([Self = shared_from_this(),
+                      Then = std::move(Then)](std::error_code Fault) {
+    if (Fault || Self->m_Closed)
+      return;
+    Self->m_Blocked = false;
+    Then();
+  });
+}
+
 void TargetSession::process() {
+  if (!m_Blocked && frozen())
+    return thawLater([this] { process(); });
   while (!m_Blocked && !m_Closed) {
     auto Message = m_Reader.next();
     if (!Message) {
@@ -145,16 +165,23 @@
                       Result](std::error_code Fault) {
     if (Fault || Self->m_Closed)
       return;
-    Self->m_Blocked = false;
-    if (Result)
-      Self->finish(*Result, Describe, Simple);
-    else
-      Self->attempt(Statement, Describe, Simple);
-    if (!Self->m_Blocked)
-      Self->process();
+    Self->resume(Statement, Describe, Simple, Result);
   });
 }
 
+void TargetSession::resume(const Sql &Statement, bool Describe, bool Simple,
+                           const std::optional<SqlResult> &Result) {
+  if (frozen())
+    return thawLater([=] { resume(Statement, Describe, Simple, Result); });
+  m_Blocked = false;
+  if (Result)
+    finish(*Result, Describe, Simple);
+  else
+    attempt(Statement, Describe, Simple);
+  if (!m_Blocked)
+    process();
+}
+
 void TargetSession::finish(const SqlResult &Result, bool Describe,
                            bool Simple) {
   writeResult(Result, Describe, Simple);
--- a/src/standin/TargetSession.h
+++ b/src/standin/TargetSession.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,6 +36,10 @@
 
   void read();
   void process();
+  bool frozen();
+  void thawLater(std::function<void()> Then);
+  void resume(const Sql &Statement, bool Describe, bool Simple,
+              const std::optional<SqlResult> &Result);
   void handle(const wire::FrontendMessage &Message);
   void welcome();
   void runText(const std::string &Text,
