--- /dev/null
+++ b/include/bergamotstage/fleet/Currency.h
@@ -0,0 +1,39 @@
+#ifndef BERGAMOTSTAGE_FLEET_CURRENCY_H
+#define BERGAMOTSTAGE_FLEET_CURRENCY_H
+
+#include "bergamotstage/core/Time.h"
+
+#include <cstddef>
+
+namespace bergamotstage {
+
+/// @brief How long a VM serves keyed routes after the last time at which it
+/// knew its revision of the rules to be current.
+constexpr Duration CurrencyLimit = seconds(6);
+
+/// @brief Added to CurrencyLimit before an edit counts as in force at a VM
+/// that did not confirm it: statements that had passed the check may still be
+/// on their way to a target.
+constexpr Duration CurrencyMargin = seconds(1);
+
+/// @brief A time before all others, for what was never known.
+constexpr Instant NeverKnown{-std::chrono::hours(24 * 365)};
+
+/// @brief VMs that must vouch for a revision before a VM without the store
+/// goes on serving under it: two thirds, rounded up.
+constexpr std::size_t serveQuorum(std::size_t Members) {
+  return (2 * Members + 2) / 3;
+}
+
+/// @brief VMs that must hold a revision before it counts as accepted: more
+/// than half.
+///
+/// Any two sets of these sizes share a VM, also if the views of the fleet that
+/// they were taken from differ by a sixth of its members.
+constexpr std::size_t acceptQuorum(std::size_t Members) {
+  return Members / 2 + 1;
+}
+
+} // namespace bergamotstage
+
+#endif // BERGAMOTSTAGE_FLEET_CURRENCY_H
--- /dev/null
+++ b/include/bergamotstage/fleet/GossipMessage.h
@@ -0,0 +1,91 @@
+#ifndef BERGAMOTSTAGE_FLEET_GOSSIPMESSAGE_H
+#define BERGAMOTSTAGE_FLEET_GOSSIPMESSAGE_H
+
+#include "bergamotstage/core/Ids.h"
+#include "bergamotstage/core/Time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace bergamotstage {
+
+/// @brief What a VM tells of itself; others pass it on unchanged.
+struct MemberRecord {
+  VmId Vm;
+  DataCentreId DataCentre;
+  std::string PeerAddress;
+  Incarnation Start; ///< 0: known from the platform's list alone.
+  bool Leaving = false;
+};
+
+/// @brief Time since a VM was last heard of, in steps of 100 ms, rounded up.
+///
+/// The high bit tells that the VM vouched at that time: it held a revision of
+/// the rules that it knew to be current, and none newer than the sender's.
+struct HeardAge {
+  static constexpr Duration Step = milliseconds(100);
+  static constexpr std::uint8_t Oldest = 127; ///< This old or older.
+  static constexpr std::uint8_t VouchBit = 128;
+  std::uint8_t Bits = Oldest;
+
+  static HeardAge of(Duration Age, bool Vouched);
+  std::uint8_t steps() const { return Bits & Oldest; }
+  bool known() const { return steps() != Oldest; }
+  bool vouched() const { return (Bits & VouchBit) != 0; }
+  Duration span() const { return Step * steps(); }
+};
+
+/// @brief Age of a member that is named by the hash of its record.
+struct HashedAge {
+  std::uint32_t Hash = 0;
+  HeardAge Age;
+};
+
+/// @brief A member's record with the age at which it was heard.
+struct AgedRecord {
+  MemberRecord Record;
+  HeardAge Age;
+};
+
+/// @brief Asks a VM for an ack; the time of sending stays with the sender.
+struct GossipProbe {
+  std::uint64_t Number = 0;
+  std::uint32_t TableHash = 0; ///< Of all records that the sender knows.
+  MemberRecord Sender;
+};
+
+/// @brief Answer to a probe: what the VM knows, as ages at the time of sending.
+struct GossipAck {
+  std::uint64_t Number = 0; ///< Of the probe.
+  MemberRecord Sender;
+  Revision Held;      ///< 0 before the first.
+  std::string Object; ///< That holds the text of that revision.
+  HeardAge StoreAge;  ///< Since the store was known to hold none newer.
+  bool Vouches = false;
+  std::vector<HeardAge> Ages;      ///< In order of names, for equal tables.
+  std::vector<HashedAge> Hashed;   ///< Otherwise.
+  std::vector<AgedRecord> Records; ///< A part of the table, for unequal ones.
+};
+
+/// @brief Tells that the sender leaves and takes no new work.
+struct GossipLeave {
+  MemberRecord Sender;
+};
+
+using GossipMessage = std::variant<GossipProbe, GossipAck, GossipLeave>;
+
+/// @brief Bytes of a message. Complexity: linear in its size.
+std::string encodeGossip(const GossipMessage &Message);
+
+/// @brief Message of bytes, or nothing if they are malformed.
+std::optional<GossipMessage> decodeGossip(std::string_view Bytes);
+
+/// @brief Hash of a member's record, equal on all VMs.
+std::uint32_t recordHash(const MemberRecord &Record);
+
+} // namespace bergamotstage
+
+#endif // BERGAMOTSTAGE_FLEET_GOSSIPMESSAGE_H
--- a/include/bergamotstage/node/NodeContext.h
+++ b/include/bergamotstage/node/NodeContext.h
@@ -2,6 +2,7 @@
 #define BERGAMOTSTAGE_NODE_NODECONTEXT_H
 
 #include "bergamotstage/core/TimerQueue.h"
+#include "bergamotstage/fleet/Currency.h"
 #include "bergamotstage/fleet/MemberState.h"
 #include "bergamotstage/node/Action.h"
 #include "bergamotstage/node/Event.h"
@@ -49,6 +50,15 @@
     m_Rules = std::move(Rules);
   }
 
+  /// @brief Last time at which this VM knew that no revision newer than its
+  /// own was accepted; kept by the fleet's duty.
+  Instant lastKnownCurrent() const { return m_LastKnownCurrent; }
+  void setLastKnownCurrent(Instant Time) { m_LastKnownCurrent = Time; }
+  /// @brief Whether keyed routes may be served under the rules in force.
+  bool rulesAreCurrent() const {
+    return m_Now - m_LastKnownCurrent < CurrencyLimit;
+  }
+
   /// @brief All known VMs, this one included; kept by the fleet's duty.
   const MemberMap &members() const { return m_Members; }
   MemberMap &changeMembers() { return m_Members; }
@@ -107,6 +117,7 @@
   TimerQueue m_Timers;
   std::mt19937_64 m_Random;
   std::shared_ptr<const RuleBook> m_Rules;
+  Instant m_LastKnownCurrent = NeverKnown;
   MemberMap m_Members;
   std::unordered_map<CallId, PlatformCallback> m_Calls;
   std::uint64_t m_LastLink = 0;
--- a/src/fleet/FleetDuty.cpp
+++ b/src/fleet/FleetDuty.cpp
@@ -1,74 +1,57 @@
 #include "bergamotstage/fleet/FleetDuty.h"
 
-#include "bergamotstage/core/Parse.h"
-
-#include <memory>
 #include <utility>
 #include <variant>
 
 namespace bergamotstage {
-namespace {
-
-std::string argument(const OperatorAsked &Event, const std::string &Name) {
-  auto Found = Event.Arguments.find(Name);
-  return Found == Event.Arguments.end() ? std::string() : Found->second;
-}
-
-} // namespace
-
-std::string rulesObjectName(Revision Number) {
-  return "rules/" + std::to_string(Number.value());
-}
 
-void FleetDuty::start() { readHead(); }
+FleetDuty::FleetDuty(NodeContext &Context, RulesHook RulesChanged)
+    : m_Context(Context),
+      m_Follower(Context, {[this] { return m_Membership.vouchedByQuorum(); },
+                           std::move(RulesChanged)}),
+      m_Editor(Context,
+               {[this]() -> const RulesHead & { return m_Follower.head(); },
+                [this]() -> const std::string & { return m_Follower.text(); },
+                [this](const RulesHead &Head, const std::string &Text,
+                       Instant Written) {
+                  m_Follower.accepted(Head, Text, Written);
+                }}),
+      m_Membership(Context, {[this] { return m_Follower.held(); },
+                             [this](const VmId &From, const GossipAck &Ack,
+                                    Instant Sent) {
+                               m_Follower.acked(From, Ack, Sent);
+                             }}) {}
 
-void FleetDuty::readHead() {
-  m_Context.callPlatform(
-      ReadRows{RulesHeadKey}, [this](const PlatformAnswer &Answer) {
-        if (const auto *Read = std::get_if<RowsRead>(&Answer))
-          takeHead(*Read);
-        m_Context.timers().schedule(m_Context.now() +
-                                        m_Context.settings().RulesPollInterval,
-                                    [this] { readHead(); });
-      });
+void FleetDuty::start() {
+  m_Follower.start();
+  m_Membership.start();
 }
 
-void FleetDuty::takeHead(const RowsRead &Read) {
-  if (Read.Rows.empty())
-    return;
-  m_HeadVersion = Read.Rows.front().Version;
-  Revision Number(parseCount(Read.Rows.front().Value).value_or(0));
-  if (Number <= m_Context.rules().Number)
-    return;
-  m_Context.callPlatform(GetObject{rulesObjectName(Number)},
-                         [this, Number](const PlatformAnswer &Answer) {
-                           if (const auto *Body =
-                                   std::get_if<ObjectRead>(&Answer))
-                             takeRules(Number, *Body);
-                         });
+void FleetDuty::peerReceived(const PeerReceived &Event) {
+  if (Event.Message.Duty == PeerDuty::Rules)
+    rulesMessage(Event);
+  else
+    m_Membership.received(Event);
 }
 
-void FleetDuty::takeRules(Revision Number, const ObjectRead &Read) {
-  if (!Read.Found || Number <= m_Context.rules().Number)
+void FleetDuty::rulesMessage(const PeerReceived &Event) {
+  std::optional<RulesMessage> Message =
+      decodeRulesMessage(Event.Message.Payload);
+  if (!Message)
     return;
-  auto Rules = parseRules(Number, Read.Body);
-  if (!Rules) {
-    m_Context.log(WriteLog::Level::Error, "rules_rejected",
-                  {{"revision", std::to_string(Number.value())},
-                   {"reason", Rules.error().front().Reason}});
-    return;
-  }
-  m_Context.setRules(std::make_shared<RuleBook>(std::move(*Rules)));
-  m_Context.log(WriteLog::Level::Info, "rules_in_force",
-                {{"revision", std::to_string(Number.value())}});
-  m_RulesChanged();
+  if (const auto *Confirm = std::get_if<RulesConfirm>(&*Message))
+    m_Editor.confirmed(Event, Confirm->Number);
+  else
+    m_Follower.received(Event.From, *Message);
 }
 
-void FleetDuty::peerReceived(const PeerReceived &) {}
-
 void FleetDuty::operatorAsked(const OperatorAsked &Event) {
   if (Event.Verb == "apply")
-    return applyRules(Event);
+    return m_Editor.apply(Event);
+  if (Event.Verb == "rules-show")
+    return showRules(Event.Call);
+  if (Event.Verb == "rules-history")
+    return showHistory(Event.Call);
   if (Event.Verb == "revision") {
     m_Context.act(AnswerOperator{
         Event.Call, true, std::to_string(m_Context.rules().Number.value())});
@@ -77,53 +60,24 @@
   m_Context.act(AnswerOperator{Event.Call, false, "unknown verb"});
 }
 
-void FleetDuty::applyRules(const OperatorAsked &Event) {
-  Revision Expected(parseCount(argument(Event, "expect")).value_or(0));
-  std::string Text = argument(Event, "text");
-  Revision Next(Expected.value() + 1);
-  OperatorCallId Call = Event.Call;
-  auto Rules = parseRules(Next, Text);
-  if (!Rules) {
-    std::string Body;
-    for (const RuleFault &Fault : Rules.error())
-      Body += "line " + std::to_string(Fault.Line) + ": " + Fault.Reason + "\n";
-    m_Context.act(AnswerOperator{Call, false, Body});
-    return;
-  }
-  if (Expected != m_Context.rules().Number) {
-    m_Context.act(AnswerOperator{
-        Call, false,
-        "conflict: revision " +
-            std::to_string(m_Context.rules().Number.value()) + " is in force"});
-    return;
-  }
-  std::string EditId = argument(Event, "edit-id");
-  std::uint64_t Version = m_HeadVersion;
-  m_Context.callPlatform(
-      PutObject{rulesObjectName(Next), Text},
-      [this, Call, Expected, Version, EditId](const PlatformAnswer &Answer) {
-        if (std::holds_alternative<ObjectStored>(Answer))
-          return moveHead(Call, Expected, Version, EditId);
-        m_Context.act(
-            AnswerOperator{Call, false, "the platform's store did not answer"});
-      });
+void FleetDuty::showRules(OperatorCallId Call) {
+  std::string Number = std::to_string(m_Follower.head().Number.value());
+  m_Context.act(AnswerOperator{Call, true, Number + "\n" + m_Follower.text()});
 }
 
-void FleetDuty::moveHead(OperatorCallId Call, Revision Expected,
-                         std::uint64_t Version, const std::string &EditId) {
-  Revision Next(Expected.value() + 1);
-  ConditionalWrite Write;
-  Write.WriteId = EditId;
-  Write.Conditions.push_back({RulesHeadKey, Version});
-  Write.Changes.push_back({RulesHeadKey, std::to_string(Next.value())});
+void FleetDuty::showHistory(OperatorCallId Call) {
   m_Context.callPlatform(
-      std::move(Write), [this, Call, Next](const PlatformAnswer &Answer) {
-        const auto *Decided = std::get_if<WriteDecided>(&Answer);
-        bool Applied = Decided != nullptr && Decided->Applied;
-        m_Context.act(
-            AnswerOperator{Call, Applied,
-                           Applied ? "revision " + std::to_string(Next.value())
-                                   : "the edit was not accepted"});
+      ReadRows{RulesHistoryPrefix}, [this, Call](const PlatformAnswer &Answer) {
+        const auto *Read = std::get_if<RowsRead>(&Answer);
+        if (Read == nullptr) {
+          m_Context.act(AnswerOperator{
+              Call, false, "unavailable: the platform's store did not answer"});
+          return;
+        }
+        std::string Body;
+        for (const TableRow &Row : Read->Rows)
+          Body += Row.Value + "\n";
+        m_Context.act(AnswerOperator{Call, true, Body});
       });
 }
 
--- /dev/null
+++ b/src/fleet/RulesMessage.cpp
@@ -0,0 +1,83 @@
+#include "bergamotstage/fleet/RulesMessage.h"
+
+#include "bergamotstage/fleet/detail/ByteCodec.h"
+
+#include <cstdint>
+
+namespace bergamotstage {
+namespace {
+
+using detail::ByteReader;
+using detail::ByteWriter;
+
+enum class Kind : std::uint8_t { Announce = 1, Confirm, TextAsk, Text };
+
+void kind(ByteWriter &Out, Kind Value) {
+  Out.byte(static_cast<std::uint8_t>(Value));
+}
+
+void write(ByteWriter &Out, const RulesAnnounce &Message) {
+  kind(Out, Kind::Announce);
+  Out.number(Message.Number.value());
+  Out.text(Message.Object);
+}
+
+void write(ByteWriter &Out, const RulesConfirm &Message) {
+  kind(Out, Kind::Confirm);
+  Out.number(Message.Number.value());
+}
+
+void write(ByteWriter &Out, const RulesTextAsk &Message) {
+  kind(Out, Kind::TextAsk);
+  Out.text(Message.Object);
+}
+
+void write(ByteWriter &Out, const RulesText &Message) {
+  kind(Out, Kind::Text);
+  Out.text(Message.Object);
+  Out.text(Message.Body);
+}
+
+RulesMessage readAnnounce(ByteReader &In) {
+  RulesAnnounce Message;
+  Message.Number = Revision(In.number());
+  Message.Object = In.text();
+  return Message;
+}
+
+RulesMessage readText(ByteReader &In) {
+  RulesText Message;
+  Message.Object = In.text();
+  Message.Body = In.text();
+  return Message;
+}
+
+std::optional<RulesMessage> readMessage(ByteReader &In) {
+  switch (static_cast<Kind>(In.byte())) {
+  case Kind::Announce:
+    return readAnnounce(In);
+  case Kind::Confirm:
+    return RulesConfirm{Revision(In.number())};
+  case Kind::TextAsk:
+    return RulesTextAsk{In.text()};
+  case Kind::Text:
+    return readText(In);
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+std::string encodeRulesMessage(const RulesMessage &Message) {
+  ByteWriter Out;
+  std::visit([&Out](const auto &Known) { write(Out, Known); }, Message);
+  return Out.take();
+}
+
+std::optional<RulesMessage> decodeRulesMessage(std::string_view Bytes) {
+  ByteReader In(Bytes);
+  std::optional<RulesMessage> Message = readMessage(In);
+  return In.complete() ? Message : std::nullopt;
+}
+
+} // namespace bergamotstage
--- a/src/standin/LoopbackFleet.cpp
+++ b/src/standin/LoopbackFleet.cpp
@@ -1,7 +1,7 @@
 #include "standin/LoopbackFleet.h"
 
 #include "bergamotstage/core/Invariant.h"
-#include "bergamotstage/fleet/FleetDuty.h"
+#include "bergamotstage/fleet/RulesHead.h"
 #include "bergamotstage/request/Statement.h"
 
 #include <utility>
@@ -39,11 +39,9 @@
 }
 
 void LoopbackFleet::storeRules(const std::string &Text) {
-  m_Store.put({rulesObjectName(Revision(1)), Text});
-  ConditionalWrite Head;
-  Head.WriteId = "first-rules";
-  Head.Changes.push_back({RulesHeadKey, "1"});
-  m_Store.write(Head);
+  FirstRules First = firstRules(Text);
+  m_Store.put(First.Object);
+  m_Store.write(First.Head);
 }
 
 bool LoopbackFleet::blocked(const std::string &From,
--- a/src/standin/StandIn.cpp
+++ b/src/standin/StandIn.cpp
@@ -1,6 +1,6 @@
 #include "standin/StandIn.h"
 
-#include "bergamotstage/fleet/FleetDuty.h"
+#include "bergamotstage/fleet/RulesHead.h"
 #include "standin/PlatformService.h"
 
 #include <grpcpp/grpcpp.h>
@@ -29,11 +29,9 @@
 void storeFirstRules(Store &Kept, const std::string &Text) {
   if (Text.empty())
     return;
-  Kept.put({rulesObjectName(Revision(1)), Text});
-  ConditionalWrite Head;
-  Head.WriteId = "first-rules";
-  Head.Changes.push_back({RulesHeadKey, "1"});
-  Kept.write(Head);
+  FirstRules First = firstRules(Text);
+  Kept.put(First.Object);
+  Kept.write(First.Head);
 }
 
 void addGroups(const StandInSettings &Settings, SharedPlatform &Shared,
