--- a/bench/Cases.h
+++ b/bench/Cases.h
@@ -8,6 +8,9 @@
 /// @brief Each runs one measurement and returns its rows.
 std::vector<BenchRow> benchStep();
 std::vector<BenchRow> benchCore();
+std::vector<BenchRow> benchFailover();
+std::vector<BenchRow> benchFairness();
+std::vector<BenchRow> benchDurable();
 
 } // namespace bergamotstage::bench
 
--- a/bench/Registry.cpp
+++ b/bench/Registry.cpp
@@ -7,6 +7,10 @@
   static const std::vector<BenchCase> Cases = {
       {"step", "time that the decision core takes for one read", benchStep},
       {"core", "time and memory of rules and of idle callers", benchCore},
+      {"failover", "time without writes when a primary is lost", benchFailover},
+      {"fairness", "worst client account beside one at 5 times its rate",
+       benchFairness},
+      {"durable", "cost and use of confirmed acknowledgement", benchDurable},
   };
   return Cases;
 }
--- a/include/bergamotstage/target/Failover.h
+++ b/include/bergamotstage/target/Failover.h
@@ -19,9 +19,9 @@
 public:
   /// @brief State of the primary of one database, as this VM sees it.
   enum class State : std::uint8_t {
-    Steady,   ///< Statements go to the known primary.
+    Steady,    ///< Statements go to the known primary.
     Replacing, ///< A promotion is under way; writes are worth holding.
-    Waiting   ///< It cannot go on for now; writes are refused at once.
+    Waiting    ///< It cannot go on for now; writes are refused at once.
   };
   using GroupHook = std::function<GroupState *(const DatabaseId &)>;
   using PromotedHook =
@@ -57,10 +57,10 @@
 private:
   struct Group {
     State Now = State::Steady;
-    bool Ordering = false;  ///< An order of this VM runs.
+    bool Ordering = false;    ///< An order of this VM runs.
     bool FencedCheck = false; ///< A check after fencedSeen() is pending.
-    Instant OtherUntil{};   ///< Another VM's order is given until then.
-    Instant LostAt{};
+    Instant OtherUntil{};     ///< Another VM's order is given until then.
+    Instant StuckUntil{};     ///< Another VM said that it cannot go on.
     Term HighestTried;
     unsigned Failures = 0;
   };
--- a/include/bergamotstage/target/FailoverMessage.h
+++ b/include/bergamotstage/target/FailoverMessage.h
@@ -15,6 +15,7 @@
     Reached, ///< Answers a probe: the target answered.
     Missed,  ///< Answers a probe: the target did not answer.
     Ordered, ///< The sender has begun to replace the primary.
+    Stuck,   ///< The sender cannot replace the primary for now.
     Promoted ///< The target is the primary of the term.
   };
   Kind What = Kind::Probe;
--- a/include/bergamotstage/target/FailoverOrder.h
+++ b/include/bergamotstage/target/FailoverOrder.h
@@ -24,8 +24,8 @@
   };
   Kind What = Kind::Conflict;
   TargetId Primary;
-  Term NewTerm;    ///< Of the order, or the later one that was met.
-  Duration Took{}; ///< From the start of the order.
+  Term NewTerm;      ///< Of the order, or the later one that was met.
+  Duration Took{};   ///< From the start of the order.
   Duration Fenced{}; ///< Part of it until a majority was fenced.
 };
 
--- a/include/bergamotstage/target/MonitorLinks.h
+++ b/include/bergamotstage/target/MonitorLinks.h
@@ -29,8 +29,7 @@
     Fresh   ///< A new one: tells a dead target from a dead link.
   };
   /// @brief Told of each statement whose result says whether the target lives.
-  using OutcomeHook =
-      std::function<void(const TargetId &, const LinkResult &)>;
+  using OutcomeHook = std::function<void(const TargetId &, const LinkResult &)>;
 
   explicit MonitorLinks(NodeContext &Context) : m_Context(Context) {}
 
--- a/include/bergamotstage/target/PrimaryWatch.h
+++ b/include/bergamotstage/target/PrimaryWatch.h
@@ -19,6 +19,9 @@
 /// VM tries a new connection and asks the other watchers to do the same. The
 /// primary is lost when it answered less than half of those who reported.
 /// A VM whose fellow watchers do not report needs several rounds.
+///
+/// The policy `failover fixed timeout=DURATION` does without votes: a primary
+/// is lost when this VM had no answer of it for that long.
 class PrimaryWatch {
 public:
   using GroupHook = std::function<const GroupState *(const DatabaseId &)>;
@@ -56,7 +59,8 @@
     bool OwnDone = false;
     unsigned Lonely = 0; ///< Rounds in a row that no other VM reported in.
     bool Checking = false;
-    Instant NotBefore{}; ///< No further vote before, after a needless one.
+    Instant AnsweredAt{}; ///< When a heartbeat was last answered.
+    Instant NotBefore{};  ///< No further vote before, after a needless one.
   };
 
   void heartbeat(const DatabaseId &Database);
@@ -64,6 +68,7 @@
              std::function<void(bool)> Done);
   void report(const DatabaseId &Database, std::uint64_t Round, bool Reached,
               bool Own);
+  void waitFixed(const DatabaseId &Database, Duration Timeout);
   void decide(const DatabaseId &Database, std::uint64_t Round);
   std::vector<VmId> otherWatchers(const DatabaseId &Database) const;
 
--- a/include/bergamotstage/target/WaitQueue.h
+++ b/include/bergamotstage/target/WaitQueue.h
@@ -25,9 +25,8 @@
 /// @param Account the account whose work it is, before the work is counted
 /// @param VirtualTime start tag of the work served last
 /// @param Arrival number of the work, in order of arrival
-using QueuePolicy = std::function<double(const AccountService &Account,
-                                         double VirtualTime,
-                                         std::uint64_t Arrival)>;
+using QueuePolicy = std::function<double(
+    const AccountService &Account, double VirtualTime, std::uint64_t Arrival)>;
 
 /// @brief Policy of the given name, `fair` or `fifo`; empty if unknown.
 ///
--- a/src/standin/Deployments.cpp
+++ b/src/standin/Deployments.cpp
@@ -114,6 +114,21 @@
   Fleet.runUntil(Fleet.now() + StartTime);
 }
 
+void introduceAll(LoopbackFleet &Fleet) {
+  for (const ListedVm &To : Fleet.listedVms()) {
+    if (!Fleet.alive(To.Vm))
+      continue;
+    for (const ListedVm &Known : Fleet.listedVms()) {
+      MemberState Member;
+      Member.Vm = Known.Vm;
+      Member.DataCentre = Known.DataCentre;
+      Member.PeerAddress = Known.PeerAddress;
+      if (Known.Vm != To.Vm && Fleet.alive(Known.Vm))
+        Fleet.node(To.Vm).introduce(Member);
+    }
+  }
+}
+
 CallerOpened openingOf(const std::string &Account, const std::string &Route) {
   CallerOpened Opening;
   Opening.Account = AccountId(Account);
--- a/src/standin/Deployments.h
+++ b/src/standin/Deployments.h
@@ -37,6 +37,9 @@
 void startDeployment(LoopbackFleet &Fleet, const Deployment &Site, Duration Lag,
                      const std::string &ExtraRules = "");
 
+/// @brief Tells every VM that runs of every other one.
+void introduceAll(LoopbackFleet &Fleet);
+
 /// @brief What a caller of an account opens a connection with.
 CallerOpened openingOf(const std::string &Account, const std::string &Route);
 
--- a/src/standin/SmallSite.cpp
+++ b/src/standin/SmallSite.cpp
@@ -50,12 +50,13 @@
   return Opening;
 }
 
-VmId startSmallSite(LoopbackFleet &Fleet, Duration Lag) {
+VmId startSmallSite(LoopbackFleet &Fleet, Duration Lag,
+                    const std::string &ExtraRules) {
   Fleet.addGroup(DatabaseId("waitlist-a"),
                  {TargetId("waitlist-a-1"), TargetId("waitlist-a-2"),
                   TargetId("waitlist-a-3")},
                  3, Lag);
-  Fleet.storeRules(smallSiteRules());
+  Fleet.storeRules(smallSiteRules() + ExtraRules);
   NodeSettings Settings = smallSiteVm("vm-a", "hoan-kiem");
   Fleet.startVm(Settings);
   Fleet.runUntil(Fleet.now() + StartTime);
--- a/src/standin/SmallSite.h
+++ b/src/standin/SmallSite.h
@@ -19,7 +19,9 @@
 CallerOpened clerkOpening();
 
 /// @brief Starts that site with one VM and runs until it serves.
-VmId startSmallSite(LoopbackFleet &Fleet, Duration Lag = milliseconds(20));
+/// @param ExtraRules lines to add to the rules of the site
+VmId startSmallSite(LoopbackFleet &Fleet, Duration Lag = milliseconds(20),
+                    const std::string &ExtraRules = "");
 
 /// @brief Connects a clerk and runs until it is admitted.
 LoopbackCaller &connectClerk(LoopbackFleet &Fleet, const VmId &Vm);
--- a/src/target/Failover.cpp
+++ b/src/target/Failover.cpp
@@ -10,6 +10,8 @@
 constexpr Duration OtherOrderTime = milliseconds(1500);
 /// @brief Time for an orderer to promote after its fence was seen.
 constexpr Duration FencedGrace = milliseconds(1000);
+/// @brief Time for which a VM's word that it is stuck is believed.
+constexpr Duration StuckTime = milliseconds(2500);
 constexpr Duration FirstBackOff = milliseconds(100);
 constexpr Duration MaxBackOff = seconds(2);
 constexpr unsigned MaxDoublings = 5;
@@ -44,7 +46,11 @@
 
 Failover::State Failover::state(const DatabaseId &Database) const {
   auto Found = m_Groups.find(Database);
-  return Found == m_Groups.end() ? State::Steady : Found->second.Now;
+  if (Found == m_Groups.end())
+    return State::Steady;
+  const Group &At = Found->second;
+  bool Stuck = !At.Ordering && m_Context.now() < At.StuckUntil;
+  return Stuck ? State::Waiting : At.Now;
 }
 
 void Failover::setState(const DatabaseId &Database, State Next) {
@@ -88,11 +94,10 @@
 
 void Failover::lost(const DatabaseId &Database, const std::string &Reason) {
   Group &At = m_Groups[Database];
-  if (At.Ordering)
+  if (At.Now != State::Steady)
     return;
   m_Context.log(WriteLog::Level::Warning, "primary_lost",
                 {{"database", Database.value()}, {"reason", Reason}});
-  At.LostAt = m_Context.now();
   setState(Database, State::Replacing);
   const GroupState *Known = m_Find(Database);
   if (Known == nullptr)
@@ -113,8 +118,8 @@
   std::string OrderId = m_Context.settings().Vm.value() + "-" +
                         std::to_string(m_Context.settings().Start.value()) +
                         "-" + std::to_string(++m_LastOrder);
-  tellAll({FailoverMessage::Kind::Ordered, Database, Known->Primary, NewTerm,
-           0});
+  tellAll(
+      {FailoverMessage::Kind::Ordered, Database, Known->Primary, NewTerm, 0});
   FailoverOrder::start(
       m_Context, m_Links, *Known, NewTerm, OrderId,
       [this, Database](const OrderEnd &End) { ended(Database, End); });
@@ -140,11 +145,16 @@
   ++At.Failures;
   bool Stuck = End.What == OrderEnd::Kind::TooFew ||
                End.What == OrderEnd::Kind::NoPlatform;
-  if (Stuck)
+  const GroupState *Known = m_Find(Database);
+  if (Known == nullptr)
+    return;
+  if (Stuck) {
     setState(Database, State::Waiting);
+    tellAll({FailoverMessage::Kind::Stuck, Database, Known->Primary,
+             Known->CurrentTerm, 0});
+  }
   m_RefreshHook();
-  if (const GroupState *Known = m_Find(Database))
-    retry(Database, Known->CurrentTerm);
+  retry(Database, Known->CurrentTerm);
 }
 
 Duration Failover::backOff(unsigned Failures) {
@@ -157,8 +167,8 @@
 
 void Failover::retry(const DatabaseId &Database, Term Since) {
   Group &At = m_Groups[Database];
-  Instant Next = std::max(m_Context.now(), At.OtherUntil) +
-                 backOff(At.Failures);
+  Instant Next =
+      std::max(m_Context.now(), At.OtherUntil) + backOff(At.Failures);
   m_Context.timers().schedule(Next, [this, Database, Since] {
     const GroupState *Known = m_Find(Database);
     bool Wanted = Known != nullptr && Known->CurrentTerm == Since &&
@@ -184,6 +194,7 @@
   Group &At = m_Groups[Database];
   At.Failures = 0;
   At.OtherUntil = Instant();
+  At.StuckUntil = Instant();
   setState(Database, State::Steady);
 }
 
@@ -207,6 +218,11 @@
       m_Watch.check(Message->Database);
     }
     return;
+  case FailoverMessage::Kind::Stuck:
+    At.StuckUntil = m_Context.now() + StuckTime;
+    if (!At.Ordering && m_StateHook)
+      m_StateHook(Message->Database, State::Waiting);
+    return;
   case FailoverMessage::Kind::Promoted:
     return promoted(Message->Database, Message->AtTerm, Message->Target);
   default:
--- a/src/target/FailoverMessage.cpp
+++ b/src/target/FailoverMessage.cpp
@@ -11,9 +11,9 @@
 } // namespace
 
 std::string encodeFailoverMessage(const FailoverMessage &Message) {
-  nlohmann::json Fields = {
-      static_cast<unsigned>(Message.What), Message.Database.value(),
-      Message.Target.value(), Message.AtTerm.value(), Message.Round};
+  nlohmann::json Fields = {static_cast<unsigned>(Message.What),
+                           Message.Database.value(), Message.Target.value(),
+                           Message.AtTerm.value(), Message.Round};
   return Fields.dump();
 }
 
--- a/src/target/FailoverOrder.cpp
+++ b/src/target/FailoverOrder.cpp
@@ -45,9 +45,8 @@
 void FailoverOrder::start(NodeContext &Context, MonitorLinks &Links,
                           const GroupState &Group, Term NewTerm,
                           std::string OrderId, EndCallback End) {
-  std::shared_ptr<FailoverOrder> New(
-      new FailoverOrder(Context, Links, Group, NewTerm, std::move(OrderId),
-                        std::move(End)));
+  std::shared_ptr<FailoverOrder> New(new FailoverOrder(
+      Context, Links, Group, NewTerm, std::move(OrderId), std::move(End)));
   New->readRow();
 }
 
@@ -66,9 +65,15 @@
     return fence();
   std::string Key = groupRowKey(m_Group.Database);
   std::uint64_t Version = 0;
-  for (const TableRow &Row : Read->Rows)
-    if (Row.Key == Key)
-      Version = Row.Version;
+  for (const TableRow &Row : Read->Rows) {
+    if (Row.Key != Key)
+      continue;
+    Version = Row.Version;
+    Term Ordered(
+        parseCount(Row.Value.substr(0, Row.Value.find(' '))).value_or(0));
+    if (Ordered >= m_NewTerm)
+      return end(OrderEnd::Kind::Conflict, Ordered);
+  }
   ConditionalWrite Write;
   Write.WriteId = m_OrderId;
   Write.Conditions.push_back({Key, Version});
--- a/src/target/PrimaryCheck.cpp
+++ b/src/target/PrimaryCheck.cpp
@@ -32,12 +32,11 @@
   for (const TargetState &Target : At.Group.Targets)
     Targets.push_back(Target.Id);
   for (const TargetId &Target : Targets)
-    m_Links.run(Target, confirmText(Start), CheckTimeout,
-                MonitorLinks::Choice::Any,
-                [this, Database, Number](const LinkResult &Result) {
-                  answered(Database, Number,
-                           Result && Result->ErrorSqlState.empty());
-                });
+    m_Links.run(
+        Target, confirmText(Start), CheckTimeout, MonitorLinks::Choice::Any,
+        [this, Database, Number](const LinkResult &Result) {
+          answered(Database, Number, Result && Result->ErrorSqlState.empty());
+        });
 }
 
 void PrimaryCheck::answered(const DatabaseId &Database, std::uint64_t Number,
--- a/src/target/PrimaryWatch.cpp
+++ b/src/target/PrimaryWatch.cpp
@@ -1,5 +1,7 @@
 #include "bergamotstage/target/PrimaryWatch.h"
 
+#include "bergamotstage/core/Parse.h"
+#include "bergamotstage/rules/PolicyChoice.h"
 #include "bergamotstage/target/Confirmation.h"
 #include "bergamotstage/target/Watchers.h"
 
@@ -18,18 +20,32 @@
 constexpr Duration VoteMargin = milliseconds(50);
 /// @brief Rounds without any other VM's report before this VM acts alone.
 constexpr unsigned LonelyRounds = 4;
+/// @brief Time that the vote of another VM is given before this VM votes.
+constexpr Duration OtherVoteTime = milliseconds(500);
 constexpr Duration VoteBackOff = seconds(1);
+constexpr Duration DefaultFixedTimeout = seconds(3);
+
+/// @brief Timeout of the policy `fixed`; nothing where votes decide.
+std::optional<Duration> fixedTimeout(const RuleBook &Rules) {
+  PolicyChoice Choice = choosePolicy(Rules, "failover", "vote", 0);
+  if (Choice.Choice != "fixed")
+    return std::nullopt;
+  auto Given = Choice.Parameters.find("timeout");
+  if (Given == Choice.Parameters.end())
+    return DefaultFixedTimeout;
+  return parseDuration(Given->second).value_or(DefaultFixedTimeout);
+}
 
 } // namespace
 
 void PrimaryWatch::follow(const DatabaseId &Database) {
   if (!m_Votes.try_emplace(Database).second)
     return;
-  std::uniform_int_distribution<Duration::rep> Phase(
-      0, HeartbeatInterval.count());
-  m_Context.timers().schedule(
-      m_Context.now() + Duration(Phase(m_Context.random())),
-      [this, Database] { heartbeat(Database); });
+  std::uniform_int_distribution<Duration::rep> Phase(0,
+                                                     HeartbeatInterval.count());
+  m_Context.timers().schedule(m_Context.now() +
+                                  Duration(Phase(m_Context.random())),
+                              [this, Database] { heartbeat(Database); });
 }
 
 std::vector<VmId>
@@ -43,14 +59,14 @@
 
 void PrimaryWatch::heartbeat(const DatabaseId &Database) {
   std::vector<VmId> All = watchersOf(Database, m_Context.members());
-  bool Watches = std::find(All.begin(), All.end(), m_Context.settings().Vm) !=
-                 All.end();
+  bool Watches =
+      std::find(All.begin(), All.end(), m_Context.settings().Vm) != All.end();
   if (Watches)
     check(Database);
   std::size_t Turns = std::max<std::size_t>(1, All.size());
-  m_Context.timers().schedule(
-      m_Context.now() + HeartbeatInterval * static_cast<int>(Turns),
-      [this, Database] { heartbeat(Database); });
+  m_Context.timers().schedule(m_Context.now() +
+                                  HeartbeatInterval * static_cast<int>(Turns),
+                              [this, Database] { heartbeat(Database); });
 }
 
 void PrimaryWatch::check(const DatabaseId &Database) {
@@ -66,6 +82,7 @@
                 m_Votes[Database].Checking = false;
                 if (!Result)
                   return suspect(Database);
+                m_Votes[Database].AnsweredAt = m_Context.now();
                 if (Result->ErrorSqlState == LaterTermSeen && m_FencedHook)
                   m_FencedHook(Database, AtTerm);
               });
@@ -77,6 +94,8 @@
   bool Busy = At.Round != 0 || m_Context.now() < At.NotBefore;
   if (Group == nullptr || Group->Primary.value().empty() || Busy)
     return;
+  if (auto Timeout = fixedTimeout(m_Context.rules()))
+    return waitFixed(Database, *Timeout);
   std::uint64_t Round = ++m_LastRound;
   std::vector<VmId> Others = otherWatchers(Database);
   At.Round = Round;
@@ -98,6 +117,13 @@
   });
 }
 
+void PrimaryWatch::waitFixed(const DatabaseId &Database, Duration Timeout) {
+  if (m_Context.now() - m_Votes[Database].AnsweredAt >= Timeout)
+    return m_LostHook(Database, "no answer within the fixed timeout");
+  m_Context.timers().schedule(m_Context.now() + HeartbeatInterval,
+                              [this, Database] { check(Database); });
+}
+
 void PrimaryWatch::probe(const TargetId &Target, Term AtTerm,
                          std::function<void(bool)> Done) {
   m_Links.run(Target, confirmText({AtTerm, LogPosition(0)}), ProbeTimeout,
@@ -116,6 +142,8 @@
   if (Message.What != Kind::Probe || Group == nullptr ||
       Group->find(Message.Target) == nullptr)
     return;
+  Vote &At = m_Votes[Message.Database];
+  At.NotBefore = std::max(At.NotBefore, m_Context.now() + OtherVoteTime);
   FailoverMessage Answer = Message;
   probe(Message.Target, Message.AtTerm, [this, From, Answer](bool Reached) {
     FailoverMessage Told = Answer;
--- a/src/target/TargetDuty.cpp
+++ b/src/target/TargetDuty.cpp
@@ -9,8 +9,9 @@
 TargetDuty::TargetDuty(NodeContext &Context)
     : m_Context(Context), m_Links(Context), m_Monitors(Context),
       m_Confirmation(Context, m_Monitors), m_PrimaryCheck(Context, m_Monitors),
-      m_Failover(Context, m_Monitors,
-                 [this](const DatabaseId &Database) { return group(Database); }),
+      m_Failover(
+          Context, m_Monitors,
+          [this](const DatabaseId &Database) { return group(Database); }),
       m_Hold(Context) {
   followLinks();
   followFailover();
@@ -108,8 +109,7 @@
   if (Found != m_Groups.end())
     if (const TargetState *Primary = Found->second.find(Found->second.Primary))
       Near = Primary->DataCentre;
-  return homeOf(Database, Near, m_Context.members()) ==
-         m_Context.settings().Vm;
+  return homeOf(Database, Near, m_Context.members()) == m_Context.settings().Vm;
 }
 
 void TargetDuty::configureLinks() {
--- a/src/target/TargetShare.cpp
+++ b/src/target/TargetShare.cpp
@@ -18,8 +18,8 @@
                           bool IsHome) {
   if (!IsHome)
     return {};
-  auto Watchers = static_cast<unsigned>(
-      watchersOf(Rule.Database, Members).size());
+  auto Watchers =
+      static_cast<unsigned>(watchersOf(Rule.Database, Members).size());
   unsigned Reserved = Watchers;
   unsigned Connections =
       Rule.Connections > Reserved + 2 ? Rule.Connections - Reserved : 2U;
--- /dev/null
+++ b/test/unit-durable.cpp
@@ -0,0 +1,102 @@
+#include "bergamotstage/target/Confirmation.h"
+#include "standin/SmallSite.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bergamotstage;
+using namespace bergamotstage::standin;
+
+namespace {
+
+const DatabaseId Waitlist("waitlist-a");
+
+HistoryPoint point(std::uint64_t AtTerm, std::uint64_t Position) {
+  return {Term(AtTerm), LogPosition(Position)};
+}
+
+/// @brief A confirmation alone, without any target behind it.
+struct Alone {
+  NodeContext Context{NodeSettings(), 1};
+  MonitorLinks Links{Context};
+  Confirmation Confirming{Context, Links};
+  Actions Out;
+  std::vector<Confirmed> Told;
+  GroupState Group;
+
+  Alone() {
+    Context.begin(Instant(), Out);
+    Group.Database = Waitlist;
+    for (const char *Name : {"a", "b", "c"}) {
+      TargetState Target;
+      Target.Id = TargetId(Name);
+      Group.Targets.push_back(Target);
+      Links.configure(Target.Id, "127.0.0.1:1", "waitlist-a", 1);
+    }
+    Group.CurrentTerm = Term(1);
+    Group.Primary = TargetId("a");
+  }
+
+  void wait(const HistoryPoint &Commit, const char *RanAt = "a") {
+    Confirming.wait(Group, TargetId(RanAt), Commit,
+                    [this](Confirmed Result) { Told.push_back(Result); });
+  }
+  void observed(const char *Target, const HistoryPoint &Point) {
+    Confirming.observed(Waitlist, TargetId(Target), Point);
+  }
+};
+
+std::shared_ptr<RuleBook> immediateRules() {
+  auto Rules = std::make_shared<RuleBook>();
+  Rules->Policies["acknowledge"] = {"acknowledge", "immediate", {}, {}};
+  return Rules;
+}
+
+} // namespace
+
+TEST_GROUP(Durable){};
+
+TEST(Durable, ReportOfAReplicaConfirmsAllThatItCovers) {
+  Alone Set;
+  Set.wait(point(1, 5));
+  Set.wait(point(1, 6));
+  Set.wait(point(1, 7));
+  Set.observed("b", point(1, 6));
+  CHECK_EQUAL(2U, Set.Told.size());
+  CHECK_EQUAL(1U, Set.Confirming.waiting());
+}
+
+TEST(Durable, TargetThatRanTheCommitDoesNotConfirmIt) {
+  Alone Set;
+  Set.wait(point(1, 5));
+  Set.observed("a", point(1, 9));
+  CHECK(Set.Told.empty());
+}
+
+TEST(Durable, PositionOfALaterTermConfirmsNothing) {
+  Alone Set;
+  Set.wait(point(1, 5));
+  Set.observed("b", point(2, 9));
+  CHECK(Set.Told.empty());
+}
+
+TEST(Durable, CommitOfATargetNoLongerKnownIsNotAcknowledged) {
+  Alone Set;
+  Set.wait(point(1, 5), "");
+  CHECK(Set.Told.at(0) == Confirmed::TimedOut);
+}
+
+TEST(Durable, ImmediatePolicyClaimsNoConfirmation) {
+  Alone Set;
+  Set.Context.setRules(immediateRules());
+  Set.wait(point(1, 5));
+  CHECK(Set.Told.at(0) == Confirmed::Unchecked);
+}
+
+TEST(Durable, UnconfirmedCommitTimesOutAndIsForgotten) {
+  Alone Set;
+  Set.wait(point(1, 5));
+  Set.Context.begin(Instant() + seconds(10), Set.Out);
+  Set.Context.timers().runDue(Instant() + seconds(10));
+  CHECK(Set.Told.at(0) == Confirmed::TimedOut);
+  CHECK_EQUAL(0U, Set.Confirming.waiting());
+}
--- a/test/unit-failover.cpp
+++ b/test/unit-failover.cpp
@@ -1,5 +1,7 @@
 #include "standin/Deployments.h"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace bergamotstage;
@@ -27,6 +29,7 @@
       }
     };
     startDeployment(Fleet, bengal(), Lag);
+    introduceAll(Fleet);
     Fleet.runUntil(Fleet.now() + seconds(2));
     Desk = &Fleet.connect(VmId("vm-2"), openingOf("desk", "sail-1"));
     Fleet.runUntil(Fleet.now() + milliseconds(50));
@@ -69,7 +72,8 @@
   Duration writeUntilAcknowledged() {
     Instant Start = Fleet.now();
     for (int Try = 0; Try < 200; ++Try) {
-      if (write("crew-" + std::to_string(Fleet.now().time_since_epoch().count())))
+      if (write("crew-" +
+                std::to_string(Fleet.now().time_since_epoch().count())))
         return Fleet.now() - Start;
       rest(milliseconds(50));
     }
@@ -179,29 +183,46 @@
   Board.writeUntilAcknowledged();
 }
 
-TEST(Failover, OrdererThatDiesMidwayIsFollowedByAnother) {
-  Site Board;
+namespace {
+
+/// @brief Cuts the primary off, and ends the first orderer's process a while
+/// after it sent its first fence.
+void endOrderer(Site &Board, Duration After) {
   TargetId Old = Board.primary();
   VmId Orderer;
   auto Counting = Board.Fleet.OnAction;
   Board.Fleet.OnAction = [&](const VmId &Vm, const Action &Wanted) {
     Counting(Vm, Wanted);
     const auto *Run = std::get_if<RunInternal>(&Wanted);
-    if (Run != nullptr && Run->Text.rfind("FENCE", 0) == 0 &&
-        Orderer.value().empty()) {
-      Orderer = Vm;
-      Board.Fleet.at(Board.Fleet.now() + milliseconds(3),
-                     [&Board, Vm] { Board.Fleet.killVm(Vm); });
-    }
+    bool Fences = Run != nullptr && Run->Text.rfind("FENCE", 0) == 0;
+    if (!Fences || !Orderer.value().empty())
+      return;
+    Orderer = Vm;
+    Board.Fleet.at(Board.Fleet.now() + After,
+                   [&Board, Vm] { Board.Fleet.killVm(Vm); });
   };
   Board.cut(Old);
   Board.rest(seconds(8));
+  Board.Fleet.OnAction = Counting;
   CHECK(!Orderer.value().empty());
   CHECK(!Board.Fleet.alive(Orderer));
   CHECK(Board.primary() != Old);
+}
+
+} // namespace
+
+TEST(Failover, OrdererThatDiesWhileItFencesIsFollowedByAnother) {
+  Site Board;
+  endOrderer(Board, milliseconds(1));
   CHECK_EQUAL(1U, Board.Promoted);
 }
 
+TEST(Failover, OrdererThatDiesAfterThePromotionLeavesAPrimaryToAll) {
+  Site Board;
+  endOrderer(Board, milliseconds(3));
+  CHECK(Board.term() == Term(2));
+}
+
 TEST(Failover, PausedOrdererWakesLateAndChangesNothing) {
   Site Board;
   TargetId Old = Board.primary();
--- /dev/null
+++ b/test/unit-wait-queue.cpp
@@ -0,0 +1,70 @@
+#include "bergamotstage/target/WaitQueue.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bergamotstage;
+
+namespace {
+
+const AccountId Greedy("greedy");
+const AccountId Modest("modest");
+
+/// @brief Takes out a number of tickets and counts those below a limit.
+unsigned servedBelow(WaitQueue &Queue, unsigned Taken, std::uint64_t Limit) {
+  unsigned Count = 0;
+  for (unsigned Step = 0; Step < Taken; ++Step)
+    Count += *Queue.pop() < Limit ? 1 : 0;
+  return Count;
+}
+
+/// @brief A queue in which one account has 100 tickets before the other's 10.
+WaitQueue crowded(const char *Policy, double Weight = 1) {
+  WaitQueue Queue;
+  Queue.setPolicy(queuePolicy(Policy));
+  for (std::uint64_t Ticket = 0; Ticket < 100; ++Ticket)
+    Queue.push(Ticket, Greedy, Weight);
+  for (std::uint64_t Ticket = 100; Ticket < 110; ++Ticket)
+    Queue.push(Ticket, Modest, 1);
+  return Queue;
+}
+
+} // namespace
+
+TEST_GROUP(WaitQueue){};
+
+TEST(WaitQueue, FairServesBothAccountsAlike) {
+  WaitQueue Queue = crowded("fair");
+  CHECK_EQUAL(10U, servedBelow(Queue, 20, 100));
+}
+
+TEST(WaitQueue, FairFollowsWeights) {
+  WaitQueue Queue = crowded("fair", 3);
+  unsigned First = servedBelow(Queue, 12, 100);
+  CHECK(First >= 8 && First <= 10);
+}
+
+TEST(WaitQueue, FifoServesByArrival) {
+  WaitQueue Queue = crowded("fifo");
+  CHECK_EQUAL(20U, servedBelow(Queue, 20, 100));
+}
+
+TEST(WaitQueue, OneAccountsQueueIsBounded) {
+  WaitQueue Queue;
+  for (std::uint64_t Ticket = 0; Ticket < WaitQueue::MaxWaitingPerAccount;
+       ++Ticket)
+    CHECK(Queue.push(Ticket, Greedy, 1));
+  CHECK(!Queue.push(9999, Greedy, 1));
+  CHECK(Queue.push(10000, Modest, 1));
+}
+
+TEST(WaitQueue, ErasedWorkIsNotServed) {
+  WaitQueue Queue = crowded("fair");
+  for (std::uint64_t Ticket = 0; Ticket < 100; ++Ticket)
+    Queue.erase(Ticket);
+  CHECK_EQUAL(100U, *Queue.pop());
+}
+
+TEST(WaitQueue, WaitOfAnAccountGrowsWithItsOwnWork) {
+  WaitQueue Queue = crowded("fair");
+  CHECK(Queue.expectedWait(Modest, 1, 2) < Queue.expectedWait(Greedy, 1, 2));
+}
