Carry forwarded statements, TLS, limits and backpressure in the runtime

Cause: the home VM of a database needs statements of other VMs, and the callers' side lacked TLS, cancel requests, statement descriptions, bounds on connections and output, and any limit on a slow reader's rows. Callers get TLS by setting, cancel secrets, Describe, bounded prepared statements, login, idle and write limits, a refusal above the connection limit, and their last error before a shutdown closes them.

--- a/include/bergamotstage/request/Statement.h
+++ b/include/bergamotstage/request/Statement.h
@@ -1,6 +1,8 @@
 #ifndef BERGAMOTSTAGE_REQUEST_STATEMENT_H
 #define BERGAMOTSTAGE_REQUEST_STATEMENT_H
 
+#include "bergamotstage/request/StatementBody.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -32,6 +34,10 @@
 /// Complexity: linear in the text.
 StatementKind classifyStatement(std::string_view Text);
 
+/// @brief Kind of a caller's statement; one that is only described is a read,
+/// whatever running it would do. Complexity: linear in the text.
+StatementKind kindOf(const StatementBody &Body);
+
 /// @brief A `SET name = value` of a caller.
 struct SettingChange {
   std::string Name;
--- a/include/bergamotstage/request/StatementBody.h
+++ b/include/bergamotstage/request/StatementBody.h
@@ -17,6 +17,8 @@
   std::vector<std::int16_t> ParameterFormats;
   std::vector<std::optional<std::string>> Values;
   std::int16_t ResultFormat = 0; ///< 0 text, 1 binary, for all columns.
+  bool WantColumns = true;       ///< Rows come after a description of columns.
+  bool DescribeOnly = false; ///< Describe parameters and columns; run nothing.
 };
 
 /// @brief A body that is read by several threads and changed by none.
--- a/src/request/Statement.cpp
+++ b/src/request/Statement.cpp
@@ -189,6 +189,10 @@
   return StatementKind::Write;
 }
 
+StatementKind kindOf(const StatementBody &Body) {
+  return Body.DescribeOnly ? StatementKind::Read : classifyStatement(Body.Text);
+}
+
 SettingChange parseSetting(std::string_view Text) {
   std::size_t Start = Text.find("bergamotstage.");
   if (Start == std::string_view::npos)
--- a/src/request/StatementDuty.cpp
+++ b/src/request/StatementDuty.cpp
@@ -145,9 +145,9 @@
   CallerState *Caller = caller(Event.Caller);
   if (Caller == nullptr || Caller->Running)
     return;
-  Running Work{
-      Event.Caller, Event.Statement, classifyStatement(Event.Body->Text),
-      m_Context.now() + m_Context.settings().StatementTimeout, Event.Body};
+  Running Work{Event.Caller, Event.Statement, kindOf(*Event.Body),
+               m_Context.now() + m_Context.settings().StatementTimeout,
+               Event.Body};
   Caller->Running = Event.Statement;
   if (Caller->Key && !keyStands(m_Context.rules(), *Caller->Key))
     return refuse(
--- a/src/request/StatementForwarding.cpp
+++ b/src/request/StatementForwarding.cpp
@@ -152,8 +152,7 @@
   if (Caller.Running)
     return;
   Caller.Running = Event.Statement;
-  Running Work{Event.Caller, Event.Statement,
-               classifyStatement(Event.Body->Text),
+  Running Work{Event.Caller, Event.Statement, kindOf(*Event.Body),
                m_Context.now() + Event.TimeLeft, Event.Body};
   auto Route = m_Context.rules().Routes.find(Event.Session.Route);
   bool Known = Route != m_Context.rules().Routes.end();
--- a/src/runtime/CallerSession.cpp
+++ b/src/runtime/CallerSession.cpp
@@ -1,12 +1,16 @@
 #include "runtime/CallerSession.h"
 
+#include "runtime/Doorbell.h"
+
 #include <utility>
 
 namespace bergamotstage::runtime {
 namespace {
 
-constexpr std::size_t MaxPreparedStatements = 200;
-const char *const SettingPrefix = "bergamotstage.";
+/// @brief Bytes waiting for a caller from which no further message is taken.
+constexpr std::size_t MaxOutputBytes = std::size_t{512} << 10U;
+const char *const IdleSessionTimeout = "57P05";
+const char *const IdleInTransactionTimeout = "25P03";
 
 std::string hintOf(const Refusal &Reason) {
   std::string Hint = runStateName(Reason.State);
@@ -19,35 +23,20 @@
   return Hint;
 }
 
-/// @brief Settings from the start-up packet and from its `options` string.
-std::map<std::string, std::string> ownSettings(const wire::Startup &Message) {
-  std::map<std::string, std::string> Settings;
-  for (const auto &[Name, Value] : Message.Parameters)
-    if (Name.rfind(SettingPrefix, 0) == 0)
-      Settings[Name] = Value;
-  auto Options = Message.Parameters.find("options");
-  if (Options == Message.Parameters.end())
-    return Settings;
-  std::string_view Rest = Options->second;
-  while (!Rest.empty()) {
-    std::size_t End = Rest.find(' ');
-    std::string_view Word = Rest.substr(0, End);
-    Rest = End == std::string_view::npos ? "" : Rest.substr(End + 1);
-    if (Word.substr(0, 2) == "-c")
-      Word.remove_prefix(2);
-    std::size_t Equals = Word.find('=');
-    if (Word.rfind(SettingPrefix, 0) == 0 && Equals != std::string_view::npos)
-      Settings[std::string(Word.substr(0, Equals))] =
-          std::string(Word.substr(Equals + 1));
-  }
-  return Settings;
+Refusal refusalOf(const char *SqlState, std::string Message) {
+  Refusal Reason;
+  Reason.SqlState = SqlState;
+  Reason.Message = std::move(Message);
+  return Reason;
 }
 
 } // namespace
 
 CallerSession::CallerSession(asio::ip::tcp::socket Socket, CallerId Id,
+                             std::uint32_t Secret, Instant Now,
                              SessionHooks Hooks)
-    : m_Socket(std::move(Socket)), m_Id(Id), m_Hooks(std::move(Hooks)) {}
+    : m_Stream(std::move(Socket)), m_Id(Id), m_Secret(Secret),
+      m_Hooks(std::move(Hooks)), m_LastProgress(Now) {}
 
 void CallerSession::start() { read(); }
 
@@ -55,19 +44,22 @@
   if (m_Reading || m_Ended)
     return;
   m_Reading = true;
-  m_Socket.async_read_some(
+  m_Stream.readSome(
       asio::buffer(m_Input),
       [Self = shared_from_this()](std::error_code Fault, std::size_t Count) {
         Self->m_Reading = false;
-        if (Fault)
+        if (Fault || Self->m_Ended)
           return Self->end();
+        if (Self->m_Admitted)
+          Self->m_LastProgress = readClock();
         Self->m_Reader.feed({Self->m_Input.data(), Count});
         Self->process();
       });
 }
 
 void CallerSession::process() {
-  while (!m_Waiting && !m_Ended && !m_CloseAfterWrite) {
+  while (!m_Waiting && !m_Ended && !m_CloseAfterWrite &&
+         m_Out.size() < MaxOutputBytes) {
     auto Message = m_Reader.next();
     if (!Message) {
       protocolError(sqlstate::ProtocolViolation, Message.error().Reason);
@@ -82,90 +74,6 @@
   flush();
 }
 
-void CallerSession::handle(wire::FrontendMessage &&Message) {
-  bool IsSync = std::holds_alternative<wire::Sync>(Message);
-  if (m_SkipToSync && !IsSync)
-    return;
-  bool BeforeAdmission = std::holds_alternative<wire::Startup>(Message) ||
-                         std::holds_alternative<wire::SslRequest>(Message) ||
-                         std::holds_alternative<wire::GssRequest>(Message) ||
-                         std::holds_alternative<wire::CancelRequest>(Message) ||
-                         std::holds_alternative<wire::Password>(Message) ||
-                         std::holds_alternative<wire::Terminate>(Message);
-  if (!m_Admitted && !BeforeAdmission)
-    return protocolError(sqlstate::ProtocolViolation,
-                         "a message came before the connection was ready");
-  struct Visitor {
-    CallerSession &Self;
-    void operator()(wire::Startup &M) { Self.startup(M); }
-    void operator()(wire::SslRequest &) { Self.m_Out += 'N'; }
-    void operator()(wire::GssRequest &) { Self.m_Out += 'N'; }
-    void operator()(wire::CancelRequest &) { Self.end(); }
-    void operator()(wire::Password &M) {
-      if (!Self.m_AwaitingKey)
-        return Self.protocolError(sqlstate::ProtocolViolation,
-                                  "no password was asked for");
-      Self.m_AwaitingKey = false;
-      Self.openWith(std::move(M.Text));
-    }
-    void operator()(wire::Query &M) {
-      auto Body = std::make_shared<StatementBody>();
-      Body->Text = std::move(M.Text);
-      Self.m_Extended = false;
-      Self.submit(Body);
-    }
-    void operator()(wire::Parse &M) {
-      if (Self.m_Prepared.size() >= MaxPreparedStatements &&
-          Self.m_Prepared.count(M.Name) == 0)
-        return Self.batchError(sqlstate::ProgramLimitExceeded,
-                               "too many prepared statements");
-      Self.m_Prepared[M.Name] = {std::move(M.Text),
-                                 std::move(M.ParameterTypes)};
-      Self.writer().parseComplete();
-    }
-    void operator()(wire::Bind &M) { Self.bind(std::move(M)); }
-    void operator()(wire::Describe &M) {
-      if (M.Kind == 'S')
-        Self.batchError(sqlstate::FeatureNotSupported,
-                        "describing a statement is not carried");
-    }
-    void operator()(wire::Execute &M) { Self.execute(M); }
-    void operator()(wire::Close &M) {
-      if (M.Kind == 'S')
-        Self.m_Prepared.erase(M.Name);
-      else
-        Self.m_Portals.erase(M.Name);
-      Self.writer().closeComplete();
-    }
-    void operator()(wire::Sync &) {
-      Self.m_SkipToSync = false;
-      Self.m_Portals.clear();
-      Self.writer().readyForQuery(Self.status());
-    }
-    void operator()(wire::Flush &) {}
-    void operator()(wire::Terminate &) { Self.end(); }
-    void operator()(wire::Unsupported &) {
-      Self.protocolError(sqlstate::ProtocolViolation, "unknown message type");
-    }
-  };
-  std::visit(Visitor{*this}, Message);
-}
-
-void CallerSession::startup(const wire::Startup &Message) {
-  auto Parameter = [&](const char *Name) {
-    auto Found = Message.Parameters.find(Name);
-    return Found == Message.Parameters.end() ? std::string() : Found->second;
-  };
-  CallerOpened Opening;
-  Opening.Caller = m_Id;
-  Opening.Account = AccountId(Parameter("user"));
-  std::string Database = Parameter("database");
-  Opening.Route = RouteId(Database.empty() ? Parameter("user") : Database);
-  Opening.Settings = ownSettings(Message);
-  m_Opening = std::move(Opening);
-  openWith(std::nullopt);
-}
-
 void CallerSession::openWith(std::optional<std::string> Key) {
   CallerOpened Opening = *m_Opening;
   Opening.Key = std::move(Key);
@@ -184,42 +92,29 @@
 void CallerSession::admit() {
   m_Waiting = false;
   m_Admitted = true;
+  m_LastProgress = readClock();
   m_Opening.reset();
   writer().authenticationOk();
   writer().parameterStatus("server_version", "15.0");
+  writer().parameterStatus("server_encoding", "UTF8");
   writer().parameterStatus("client_encoding", "UTF8");
+  writer().parameterStatus("DateStyle", "ISO, MDY");
+  writer().parameterStatus("integer_datetimes", "on");
   writer().parameterStatus("standard_conforming_strings", "on");
   writer().parameterStatus("bergamotstage.session", "");
-  writer().backendKeyData(static_cast<std::uint32_t>(m_Id.value()), 0);
+  writer().backendKeyData(static_cast<std::uint32_t>(m_Id.value()), m_Secret);
   writer().readyForQuery(wire::TransactionStatus::Idle);
   process();
 }
 
-void CallerSession::bind(wire::Bind &&Message) {
-  auto Known = m_Prepared.find(Message.Statement);
-  if (Known == m_Prepared.end())
-    return batchError("26000", "no such prepared statement");
-  auto Body = std::make_shared<StatementBody>();
-  Body->Text = Known->second.Text;
-  Body->Extended = true;
-  Body->ParameterTypes = Known->second.Types;
-  Body->ParameterFormats = std::move(Message.ParameterFormats);
-  Body->Values = std::move(Message.Values);
-  if (!Message.ResultFormats.empty())
-    Body->ResultFormat = Message.ResultFormats.front();
-  m_Portals[Message.Portal] = std::move(Body);
-  writer().bindComplete();
-}
-
-void CallerSession::execute(const wire::Execute &Message) {
-  auto Known = m_Portals.find(Message.Portal);
-  if (Known == m_Portals.end())
-    return batchError("34000", "no such portal");
-  m_Extended = true;
-  submit(Known->second);
+void CallerSession::cancel(std::uint32_t Secret) {
+  if (Secret == m_Secret && m_Statement)
+    m_Hooks.Events(CancelArrived{m_Id});
 }
 
-void CallerSession::submit(SharedBody Body) {
+void CallerSession::submit(SharedBody Body, Work Kind) {
+  m_Body = Body;
+  m_Work = Kind;
   StatementArrived Arrived;
   Arrived.Caller = m_Id;
   Arrived.Statement = m_Hooks.NewStatement();
@@ -227,25 +122,35 @@
   m_Statement = Arrived.Statement;
   m_ChunksTaken = 0;
   m_Waiting = true;
-  if (m_Hooks.Events(std::move(Arrived)))
-    return;
+  if (!m_Hooks.Events(std::move(Arrived)))
+    return refuseOverloaded();
+  // A caller that leaves is noticed while its statement waits.
+  read();
+}
+
+void CallerSession::refuseOverloaded() {
   AnswerStatement Answer;
   Answer.Statement = *m_Statement;
   Answer.InTransaction = m_InTransaction;
   Answer.TransactionFailed = m_TransactionFailed;
-  Refusal Reason;
-  Reason.SqlState = sqlstate::TooManyConnections;
-  Reason.State = RunState::NotRun;
-  Reason.Message = "the proxy is overloaded";
-  Answer.Error = Reason;
+  Answer.Error =
+      refusalOf(sqlstate::TooManyConnections, "the proxy is overloaded");
   answer(std::move(Answer));
 }
 
 void CallerSession::rows(RowChunk &&Chunk) {
-  if (m_Statement != Chunk.Statement)
+  if (m_Ended || m_Statement != Chunk.Statement) {
+    if (Chunk.Taken)
+      (*Chunk.Taken)(Chunk.Bytes.size());
     return;
+  }
   ++m_ChunksTaken;
-  m_Out += Chunk.Bytes;
+  if (Chunk.Taken)
+    m_OwedOut.push_back({std::move(Chunk.Taken), Chunk.Bytes.size()});
+  if (m_Work == Work::Describe)
+    takeDescription(std::move(Chunk.Bytes));
+  else
+    m_Out += Chunk.Bytes;
   if (m_Answer)
     finishAnswer();
   flush();
@@ -265,41 +170,47 @@
   m_Answer.reset();
   m_Statement.reset();
   m_Waiting = false;
+  m_LastProgress = readClock();
   m_InTransaction = Done.InTransaction;
   m_TransactionFailed = Done.TransactionFailed;
   if (Done.Error && Done.Error->CloseConnection)
     return close(*Done.Error);
   if (Done.Error)
     writeError(*Done.Error, "ERROR");
-  else if (Done.Tag.empty())
-    writer().emptyQueryResponse();
   else
-    writer().commandComplete(Done.Tag);
-  if (!m_Extended)
+    succeed(Done);
+  m_Body.reset();
+  if (m_Work == Work::SimpleQuery)
     writer().readyForQuery(status());
   else
     m_SkipToSync = Done.Error.has_value();
+  if (m_SyncAfterAnswer)
+    sync();
   process();
 }
 
+void CallerSession::noteNotice(const std::string &Text) {
+  if (Text.empty())
+    return;
+  wire::ErrorFields Fields;
+  Fields.Severity = "NOTICE";
+  Fields.SqlState = "00000";
+  Fields.Message = Text;
+  writer().notice(Fields);
+}
+
 void CallerSession::report(const ReportParameter &Parameter) {
   writer().parameterStatus(Parameter.Name, Parameter.Value);
 }
 
 void CallerSession::protocolError(const char *SqlState,
                                   const std::string &Message) {
-  Refusal Reason;
-  Reason.SqlState = SqlState;
-  Reason.Message = Message;
-  close(Reason);
+  close(refusalOf(SqlState, Message));
 }
 
 void CallerSession::batchError(const char *SqlState,
                                const std::string &Message) {
-  Refusal Reason;
-  Reason.SqlState = SqlState;
-  Reason.Message = Message;
-  writeError(Reason, "ERROR");
+  writeError(refusalOf(SqlState, Message), "ERROR");
   m_SkipToSync = true;
 }
 
@@ -323,6 +234,27 @@
   flush();
 }
 
+void CallerSession::checkLimits(Instant Now) {
+  Duration Quiet = Now - m_LastProgress;
+  const CallerLimits &Limits = m_Hooks.Limits;
+  if (writing()) {
+    if (Quiet > Limits.WriteStall)
+      end();
+    return;
+  }
+  // The decision thread answers before its own deadline once admitted.
+  if (m_Admitted && m_Waiting)
+    return;
+  if (!m_Admitted && Quiet > Limits.Login)
+    return protocolError(sqlstate::InvalidAuthorization,
+                         "the connection was not ready in time");
+  if (m_Admitted && m_InTransaction && Quiet > Limits.IdleInTransaction)
+    return protocolError(IdleInTransactionTimeout,
+                         "idle for too long inside a transaction");
+  if (m_Admitted && Quiet > Limits.Idle)
+    protocolError(IdleSessionTimeout, "idle for too long");
+}
+
 void CallerSession::flush() {
   if (m_Ended || !m_Writing.empty())
     return;
@@ -331,24 +263,48 @@
       end();
     return;
   }
+  if (m_Admitted)
+    m_LastProgress = readClock();
   std::swap(m_Writing, m_Out);
-  asio::async_write(
-      m_Socket, asio::buffer(m_Writing),
-      [Self = shared_from_this()](std::error_code Fault, std::size_t) {
-        Self->m_Writing.clear();
-        if (Fault)
+  std::swap(m_OwedWriting, m_OwedOut);
+  m_WriteOffset = 0;
+  writeMore();
+}
+
+void CallerSession::writeMore() {
+  m_Stream.writeSome(
+      asio::buffer(m_Writing) + m_WriteOffset,
+      [Self = shared_from_this()](std::error_code Fault, std::size_t Count) {
+        if (Fault || Self->m_Ended)
           return Self->end();
-        Self->flush();
+        Self->written(Count);
       });
 }
 
+void CallerSession::written(std::size_t Count) {
+  m_WriteOffset += Count;
+  if (m_Admitted)
+    m_LastProgress = readClock();
+  if (m_WriteOffset < m_Writing.size())
+    return writeMore();
+  m_Writing.clear();
+  for (const Owed &Entry : m_OwedWriting)
+    (*Entry.Taken)(Entry.Bytes);
+  m_OwedWriting.clear();
+  process();
+}
+
 void CallerSession::end() {
   if (m_Ended)
     return;
   m_Ended = true;
-  std::error_code Ignored;
-  m_Socket.shutdown(asio::ip::tcp::socket::shutdown_both, Ignored);
-  m_Socket.close(Ignored);
+  m_Stream.close();
+  // A statement under way goes on to its end; its rows are dropped.
+  for (auto *List : {&m_OwedWriting, &m_OwedOut}) {
+    for (const Owed &Entry : *List)
+      (*Entry.Taken)(Entry.Bytes);
+    List->clear();
+  }
   m_Hooks.Ended(m_Id);
 }
 
--- /dev/null
+++ b/src/runtime/CallerStream.cpp
@@ -0,0 +1,60 @@
+#include "runtime/CallerStream.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace bergamotstage::runtime {
+namespace {
+
+constexpr int KeepaliveIdleSeconds = 30;
+constexpr int KeepaliveIntervalSeconds = 5;
+constexpr int KeepaliveProbes = 3;
+constexpr int UserTimeoutMilliseconds = 45000;
+
+void setTcpOption(asio::ip::tcp::socket &Socket, int Name, int Value) {
+  // A platform without the option only detects the loss later.
+  static_cast<void>(::setsockopt(Socket.native_handle(), IPPROTO_TCP, Name,
+                                 &Value, sizeof(Value)));
+}
+
+} // namespace
+
+CallerStream::CallerStream(asio::ip::tcp::socket Socket)
+    : m_Socket(std::move(Socket)) {
+  std::error_code Ignored;
+  m_Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  m_Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
+  setTcpOption(m_Socket, TCP_KEEPIDLE, KeepaliveIdleSeconds);
+  setTcpOption(m_Socket, TCP_KEEPINTVL, KeepaliveIntervalSeconds);
+  setTcpOption(m_Socket, TCP_KEEPCNT, KeepaliveProbes);
+  setTcpOption(m_Socket, TCP_USER_TIMEOUT, UserTimeoutMilliseconds);
+}
+
+void CallerStream::readSome(asio::mutable_buffer Into, TransferHandler Done) {
+  if (m_Tls)
+    m_Tls->async_read_some(Into, std::move(Done));
+  else
+    m_Socket.async_read_some(Into, std::move(Done));
+}
+
+void CallerStream::writeSome(asio::const_buffer From, TransferHandler Done) {
+  if (m_Tls)
+    m_Tls->async_write_some(From, std::move(Done));
+  else
+    m_Socket.async_write_some(From, std::move(Done));
+}
+
+void CallerStream::startTls(asio::ssl::context &Context, Handler Done) {
+  m_Tls.emplace(m_Socket, Context);
+  m_Tls->async_handshake(asio::ssl::stream_base::server, std::move(Done));
+}
+
+void CallerStream::close() {
+  std::error_code Ignored;
+  m_Socket.shutdown(asio::ip::tcp::socket::shutdown_both, Ignored);
+  m_Socket.close(Ignored);
+}
+
+} // namespace bergamotstage::runtime
--- a/src/runtime/CallerThread.cpp
+++ b/src/runtime/CallerThread.cpp
@@ -1,23 +1,35 @@
 #include "runtime/CallerThread.h"
 
 #include "runtime/Address.h"
+#include "runtime/Doorbell.h"
 
 #include <utility>
+#include <vector>
 
 namespace bergamotstage::runtime {
 namespace {
 
 constexpr std::size_t InboxCapacity = 8192;
 constexpr std::size_t ChunkCapacity = 4096;
+constexpr auto AcceptRetryInterval = std::chrono::milliseconds(100);
+constexpr auto SweepInterval = std::chrono::milliseconds(500);
+constexpr auto FinishInterval = std::chrono::milliseconds(5);
+constexpr Duration FinishTimeout = seconds(2);
 
 } // namespace
 
-CallerThread::CallerThread(EventSink Events)
-    : m_Acceptor(m_Io), m_Events(std::move(Events)), m_Ended(m_Io, m_Events),
+CallerThread::CallerThread(EventSink Events, CallerLimits Limits,
+                           std::shared_ptr<asio::ssl::context> Tls,
+                           TlsMode Mode)
+    : m_Acceptor(m_Io), m_AcceptTimer(m_Io), m_SweepTimer(m_Io),
+      m_Events(std::move(Events)), m_Limits(Limits), m_Tls(std::move(Tls)),
+      m_Mode(Mode), m_Ended(m_Io, m_Events),
       m_Inbox(m_Io, InboxCapacity,
               [this](CallerCommand &&Command) { take(std::move(Command)); }),
       m_Chunks(m_Io, ChunkCapacity,
-               [this](RowChunk &&Chunk) { takeRows(std::move(Chunk)); }) {}
+               [this](RowChunk &&Chunk) { takeRows(std::move(Chunk)); }),
+      m_Forwarded(m_Io, ChunkCapacity,
+                  [this](RowChunk &&Chunk) { takeRows(std::move(Chunk)); }) {}
 
 CallerThread::~CallerThread() { stop(); }
 
@@ -36,41 +48,113 @@
     return tl::make_unexpected("cannot listen on " + Address + ": " +
                                Fault.message());
   accept();
+  sweep();
   m_Thread = std::thread([this] { m_Io.run(); });
   return {};
 }
 
 void CallerThread::stop() {
-  m_Io.stop();
-  if (m_Thread.joinable())
-    m_Thread.join();
+  if (!m_Thread.joinable())
+    return;
+  asio::post(m_Io, [this] {
+    std::error_code Ignored;
+    m_Acceptor.close(Ignored);
+    m_AcceptTimer.cancel();
+    finishWriting(readClock() + FinishTimeout);
+  });
+  m_Thread.join();
+}
+
+void CallerThread::finishWriting(Instant Deadline) {
+  m_Inbox.drainAll();
+  bool Writing = false;
+  for (const auto &[Id, Session] : m_Sessions)
+    Writing = Writing || Session->writing();
+  if (!Writing || readClock() >= Deadline)
+    return m_Io.stop();
+  m_SweepTimer.expires_after(FinishInterval);
+  m_SweepTimer.async_wait([this, Deadline](std::error_code Fault) {
+    if (!Fault)
+      finishWriting(Deadline);
+  });
+}
+
+void CallerThread::sweep() {
+  Instant Now = readClock();
+  // A session that ends removes itself from the map.
+  std::vector<std::shared_ptr<CallerSession>> Sessions;
+  Sessions.reserve(m_Sessions.size());
+  for (const auto &[Id, Session] : m_Sessions)
+    Sessions.push_back(Session);
+  for (const auto &Session : Sessions)
+    Session->checkLimits(Now);
+  m_SweepTimer.expires_after(SweepInterval);
+  m_SweepTimer.async_wait([this](std::error_code Fault) {
+    if (!Fault)
+      sweep();
+  });
 }
 
 void CallerThread::accept() {
   m_Acceptor.async_accept(
       [this](std::error_code Fault, asio::ip::tcp::socket Socket) {
-        if (Fault == asio::error::operation_aborted)
+        if (!m_Acceptor.is_open())
           return;
-        if (!Fault)
+        if (Fault)
+          return acceptLater();
+        if (m_Sessions.size() < m_Limits.MaxConnections)
           add(std::move(Socket));
+        else
+          refuse(std::move(Socket));
         accept();
       });
 }
 
-void CallerThread::add(asio::ip::tcp::socket Socket) {
+void CallerThread::acceptLater() {
+  // Out of descriptors, say: the condition lasts, so a loop would spin.
+  m_AcceptTimer.expires_after(AcceptRetryInterval);
+  m_AcceptTimer.async_wait([this](std::error_code Fault) {
+    if (!Fault)
+      accept();
+  });
+}
+
+void CallerThread::refuse(asio::ip::tcp::socket Socket) {
+  std::string Bytes;
+  wire::ErrorFields Fields;
+  Fields.Severity = "FATAL";
+  Fields.SqlState = sqlstate::TooManyConnections;
+  Fields.Message = "too many connections";
+  Fields.Hint = runStateName(RunState::NotRun);
+  wire::BackendWriter(Bytes).error(Fields);
   std::error_code Ignored;
-  Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  Socket.non_blocking(true, Ignored);
+  Socket.write_some(asio::buffer(Bytes), Ignored);
+  Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
+}
+
+void CallerThread::add(asio::ip::tcp::socket Socket) {
   CallerId Id(++m_LastCaller);
   SessionHooks Hooks;
   Hooks.Events = m_Events;
   Hooks.NewStatement = [this] { return StatementId(++m_LastStatement); };
   Hooks.Ended = [this](CallerId Caller) { ended(Caller); };
-  auto Session =
-      std::make_shared<CallerSession>(std::move(Socket), Id, std::move(Hooks));
+  Hooks.Cancel = [this](const wire::CancelRequest &R) { cancel(R); };
+  Hooks.Tls = m_Tls.get();
+  Hooks.Mode = m_Mode;
+  Hooks.Limits = m_Limits;
+  auto Session = std::make_shared<CallerSession>(
+      std::move(Socket), Id, m_Random(), readClock(), std::move(Hooks));
   m_Sessions[Id] = Session;
   Session->start();
 }
 
+void CallerThread::cancel(const wire::CancelRequest &Request) {
+  auto Found = m_Sessions.find(CallerId(Request.ProcessId));
+  if (Found != m_Sessions.end())
+    Found->second->cancel(Request.Secret);
+}
+
 void CallerThread::ended(CallerId Caller) {
   m_Sessions.erase(Caller);
   m_Ended.push(CallerClosed{Caller});
@@ -96,8 +180,11 @@
 
 void CallerThread::takeRows(RowChunk &&Chunk) {
   auto Found = m_Sessions.find(Chunk.Caller);
-  if (Found == m_Sessions.end())
+  if (Found == m_Sessions.end()) {
+    if (Chunk.Taken)
+      (*Chunk.Taken)(Chunk.Bytes.size());
     return;
+  }
   std::shared_ptr<CallerSession> Session = Found->second;
   Session->rows(std::move(Chunk));
 }
--- a/src/runtime/CallerThread.h
+++ b/src/runtime/CallerThread.h
@@ -8,6 +8,8 @@
 #include <tl/expected.hpp>
 
 #include <cstdint>
+#include <memory>
+#include <random>
 #include <string>
 #include <thread>
 #include <unordered_map>
@@ -17,7 +19,9 @@
 /// @brief The thread that owns the listener and all callers' connections.
 class CallerThread {
 public:
-  explicit CallerThread(EventSink Events);
+  /// @param Tls context of the server's side; null without TLS
+  CallerThread(EventSink Events, CallerLimits Limits,
+               std::shared_ptr<asio::ssl::context> Tls, TlsMode Mode);
   ~CallerThread();
   CallerThread(const CallerThread &) = delete;
   CallerThread &operator=(const CallerThread &) = delete;
@@ -25,15 +29,31 @@
   /// @brief Listens and starts the thread.
   /// @return the reason if the address cannot be listened on
   tl::expected<void, std::string> start(const std::string &Address);
+
+  /// @brief Stops accepting, writes what waits for callers within a short
+  /// time, and ends the thread.
   void stop();
 
+  /// @brief The port that is listened on; valid after start.
+  std::uint16_t port() const { return m_Acceptor.local_endpoint().port(); }
+
   bool push(CallerCommand &&Command) {
     return m_Inbox.push(std::move(Command));
   }
+  /// @brief Rows of this VM's targets; from their thread only.
   bool pushRows(RowChunk &&Chunk) { return m_Chunks.push(std::move(Chunk)); }
+  /// @brief Rows that came through a home VM; from any thread.
+  bool pushForwardedRows(RowChunk &&Chunk) {
+    return m_Forwarded.push(std::move(Chunk));
+  }
 
 private:
   void accept();
+  void acceptLater();
+  void refuse(asio::ip::tcp::socket Socket);
+  void cancel(const wire::CancelRequest &Request);
+  void sweep();
+  void finishWriting(Instant Deadline);
   void add(asio::ip::tcp::socket Socket);
   void take(CallerCommand &&Command);
   void takeRows(RowChunk &&Chunk);
@@ -41,10 +61,17 @@
 
   asio::io_context m_Io;
   asio::ip::tcp::acceptor m_Acceptor;
+  asio::steady_timer m_AcceptTimer;
+  asio::steady_timer m_SweepTimer;
   EventSink m_Events;
+  CallerLimits m_Limits;
+  std::shared_ptr<asio::ssl::context> m_Tls;
+  TlsMode m_Mode;
+  std::random_device m_Random; ///< For the secrets of cancel requests.
   Outbox m_Ended;
   Inbox<CallerCommand> m_Inbox;
   Inbox<RowChunk> m_Chunks;
+  Inbox<RowChunk, SharedRing> m_Forwarded;
   std::unordered_map<CallerId, std::shared_ptr<CallerSession>> m_Sessions;
   std::uint64_t m_LastCaller = 0;
   std::uint64_t m_LastStatement = 0;
--- a/src/runtime/Commands.h
+++ b/src/runtime/Commands.h
@@ -3,6 +3,7 @@
 
 #include "bergamotstage/node/Action.h"
 #include "bergamotstage/node/Event.h"
+#include "runtime/RowCredit.h"
 
 #include <functional>
 #include <string>
@@ -14,7 +15,8 @@
 struct RowChunk {
   CallerId Caller;
   StatementId Statement;
-  std::string Bytes; ///< Whole messages of the PostgreSQL protocol.
+  std::string Bytes;     ///< Whole messages of the PostgreSQL protocol.
+  SharedRowsTaken Taken; ///< Called once the caller has taken the bytes.
 };
 
 /// @brief What the decision thread tells the callers' thread.
--- a/src/runtime/Inbox.h
+++ b/src/runtime/Inbox.h
@@ -14,7 +14,7 @@
 /// @brief A ring into a thread that runs an Asio context.
 ///
 /// The consumer is called on the context's thread, once for each item.
-template <class Item> class Inbox {
+template <class Item, template <class> class Queue = Ring> class Inbox {
 public:
   using Consumer = std::function<void(Item &&)>;
 
@@ -25,21 +25,39 @@
   bool push(Item &&Added) {
     if (!m_Ring.push(std::move(Added)))
       return false;
-    if (!m_Scheduled.exchange(true))
-      asio::post(m_Io, [this] { drain(); });
+    schedule();
     return true;
   }
 
+  /// @brief Takes all items at once; on the context's thread only.
+  void drainAll() {
+    Item Next;
+    while (m_Ring.pop(Next))
+      m_Consume(std::move(Next));
+  }
+
 private:
+  /// @brief Items taken before the context's other work gets its turn.
+  static constexpr unsigned MaxBatch = 128;
+
   void drain() {
     m_Scheduled.store(false);
     Item Next;
-    while (m_Ring.pop(Next))
+    for (unsigned Taken = 0; Taken < MaxBatch; ++Taken) {
+      if (!m_Ring.pop(Next))
+        return;
       m_Consume(std::move(Next));
+    }
+    schedule();
+  }
+
+  void schedule() {
+    if (!m_Scheduled.exchange(true))
+      asio::post(m_Io, [this] { drain(); });
   }
 
   asio::io_context &m_Io;
-  Ring<Item> m_Ring;
+  Queue<Item> m_Ring;
   Consumer m_Consume;
   std::atomic<bool> m_Scheduled{false};
 };
--- /dev/null
+++ b/src/runtime/OriginStream.cpp
@@ -0,0 +1,97 @@
+#include "runtime/OriginStream.h"
+
+#include <utility>
+
+namespace bergamotstage::runtime {
+
+OriginStream::OriginStream(const std::shared_ptr<grpc::Channel> &Channel,
+                           Hooks Wanted)
+    : m_Hooks(std::move(Wanted)),
+      m_Stub(wire::peer::Forwarding::NewStub(Channel)) {}
+
+void OriginStream::start(ForwardFrame Hello) {
+  m_Self = shared_from_this();
+  m_Stub->async()->Carry(&m_Context, this);
+  // Writes start outside reactions, which needs a hold until close().
+  AddHold();
+  std::lock_guard<std::mutex> Guard(m_Lock);
+  m_Queue.push(std::move(Hello));
+  StartCall();
+  StartRead(&m_Input);
+  StartWrite(m_Queue.next());
+}
+
+OriginStream::SendResult OriginStream::send(ForwardFrame &&Frame) {
+  std::lock_guard<std::mutex> Guard(m_Lock);
+  if (m_Closed)
+    return SendResult::Closed;
+  std::uint64_t Id = Frame.id();
+  bool IsStatement = Frame.has_statement();
+  if (!m_Queue.push(std::move(Frame)))
+    return SendResult::Full;
+  if (IsStatement)
+    m_UnderWay.emplace(Id, false);
+  writeNext();
+  return SendResult::Accepted;
+}
+
+void OriginStream::writeNext() {
+  if (!m_Ready || m_Closed)
+    return;
+  const ForwardFrame *Next = m_Queue.next();
+  if (Next == nullptr)
+    return;
+  auto Sent = m_UnderWay.find(Next->id());
+  if (Next->has_statement() && Sent != m_UnderWay.end())
+    Sent->second = true;
+  StartWrite(Next);
+}
+
+void OriginStream::OnWriteDone(bool Succeeded) {
+  std::lock_guard<std::mutex> Guard(m_Lock);
+  m_Queue.written();
+  if (Succeeded)
+    writeNext();
+  else
+    close();
+}
+
+void OriginStream::OnReadDone(bool Succeeded) {
+  {
+    std::lock_guard<std::mutex> Guard(m_Lock);
+    if (!Succeeded)
+      return close();
+    if (!m_Ready) {
+      m_Ready = true;
+      writeNext();
+    }
+    if (m_Input.has_answer())
+      m_UnderWay.erase(m_Input.id());
+  }
+  if (!m_Input.has_hello())
+    m_Hooks.Answered(std::move(m_Input));
+  m_Input.Clear();
+  StartRead(&m_Input);
+}
+
+void OriginStream::close() {
+  if (m_Closed)
+    return;
+  m_Closed = true;
+  m_Context.TryCancel();
+  RemoveHold();
+}
+
+void OriginStream::OnDone(const grpc::Status &) {
+  std::unordered_map<std::uint64_t, bool> Left;
+  {
+    std::lock_guard<std::mutex> Guard(m_Lock);
+    Left.swap(m_UnderWay);
+  }
+  for (const auto &[Id, Written] : Left)
+    m_Hooks.Lost(Id, !Written);
+  std::shared_ptr<OriginStream> Self = std::move(m_Self);
+  m_Hooks.Ended(this);
+}
+
+} // namespace bergamotstage::runtime
--- a/src/runtime/PeerThread.cpp
+++ b/src/runtime/PeerThread.cpp
@@ -21,8 +21,10 @@
   std::unique_ptr<grpc::ClientAsyncResponseReader<wire::peer::Received>> Reader;
 };
 
-PeerThread::PeerThread(VmId Self, Incarnation Start)
-    : m_Self(std::move(Self)), m_Start(Start), m_Ring(RingCapacity) {}
+PeerThread::PeerThread(VmId Self, Incarnation Start,
+                       std::shared_ptr<grpc::ChannelCredentials> Credentials)
+    : m_Self(std::move(Self)), m_Start(Start),
+      m_Credentials(std::move(Credentials)), m_Ring(RingCapacity) {}
 
 PeerThread::~PeerThread() { stop(); }
 
@@ -78,8 +80,8 @@
 void PeerThread::begin(const SendPeer &Message) {
   auto &Stub = m_Stubs[Message.Address];
   if (!Stub)
-    Stub = wire::peer::Peer::NewStub(grpc::CreateChannel(
-        Message.Address, grpc::InsecureChannelCredentials()));
+    Stub = wire::peer::Peer::NewStub(
+        grpc::CreateChannel(Message.Address, m_Credentials));
   wire::peer::Envelope Envelope;
   Envelope.set_from(m_Self.value());
   Envelope.set_incarnation(m_Start.value());
--- a/src/runtime/PeerThread.h
+++ b/src/runtime/PeerThread.h
@@ -22,7 +22,8 @@
 /// send again where it matters.
 class PeerThread {
 public:
-  PeerThread(VmId Self, Incarnation Start);
+  PeerThread(VmId Self, Incarnation Start,
+             std::shared_ptr<grpc::ChannelCredentials> Credentials);
   ~PeerThread();
   PeerThread(const PeerThread &) = delete;
   PeerThread &operator=(const PeerThread &) = delete;
@@ -42,6 +43,7 @@
 
   VmId m_Self;
   Incarnation m_Start;
+  std::shared_ptr<grpc::ChannelCredentials> m_Credentials;
   Ring<SendPeer> m_Ring;
   std::map<std::string, std::unique_ptr<wire::peer::Peer::Stub>> m_Stubs;
   grpc::CompletionQueue m_Queue;
--- a/src/runtime/PlatformThread.cpp
+++ b/src/runtime/PlatformThread.cpp
@@ -12,9 +12,11 @@
 
 } // namespace
 
-PlatformThread::PlatformThread(const std::string &Address, EventSink Events)
-    : m_Channel(
-          grpc::CreateChannel(Address, grpc::InsecureChannelCredentials())),
+PlatformThread::PlatformThread(
+    const std::string &Address,
+    const std::shared_ptr<grpc::ChannelCredentials> &Credentials,
+    EventSink Events)
+    : m_Channel(grpc::CreateChannel(Address, Credentials)),
       m_Stub(wire::platform::Platform::NewStub(m_Channel)),
       m_Events(std::move(Events)), m_Ring(RingCapacity) {}
 
--- a/src/runtime/PlatformThread.h
+++ b/src/runtime/PlatformThread.h
@@ -21,7 +21,9 @@
 /// timeout.
 class PlatformThread {
 public:
-  PlatformThread(const std::string &Address, EventSink Events);
+  PlatformThread(const std::string &Address,
+                 const std::shared_ptr<grpc::ChannelCredentials> &Credentials,
+                 EventSink Events);
   ~PlatformThread();
   PlatformThread(const PlatformThread &) = delete;
   PlatformThread &operator=(const PlatformThread &) = delete;
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -139,6 +139,33 @@
                    seconds(60));
 }
 
+void readLimits(MemberReader &Members, CallerLimits &Out) {
+  constexpr unsigned MostConnections = 1000000;
+  Members.count("connections", Out.MaxConnections, 1, MostConnections);
+  Members.duration("login", Out.Login, milliseconds(100), seconds(600));
+  Members.duration("idle", Out.Idle, seconds(1), seconds(604800));
+  Members.duration("idle_in_transaction", Out.IdleInTransaction,
+                   milliseconds(100), seconds(3600));
+  Members.duration("write_stall", Out.WriteStall, milliseconds(100),
+                   seconds(600));
+}
+
+void readCallerTls(MemberReader &Members, Settings &Out) {
+  std::string Mode = "required";
+  Members.choice("mode", Mode, {"allowed", "required"});
+  Out.CallerTls = Mode == "allowed" ? TlsMode::Allowed : TlsMode::Required;
+  Members.text("certificate", Out.CallerFiles.Certificate, true);
+  Members.text("key", Out.CallerFiles.Key, true);
+}
+
+void readMutualTls(MemberReader &Members, std::optional<TlsFiles> &Out) {
+  TlsFiles Files;
+  Members.text("certificate", Files.Certificate, true);
+  Members.text("key", Files.Key, true);
+  Members.text("authority", Files.Authority, true);
+  Out = std::move(Files);
+}
+
 } // namespace
 
 tl::expected<Settings, std::vector<SettingsFault>>
@@ -166,6 +193,16 @@
   Members.count("max_callers", Out.Node.MaxCallers, 1, 1000000);
   Members.object("timeouts", false,
                  [&](MemberReader &Inner) { readTimeouts(Inner, Out.Node); });
+  Members.object("limits", false,
+                 [&](MemberReader &Inner) { readLimits(Inner, Out.Limits); });
+  Members.object("caller_tls", false,
+                 [&](MemberReader &Inner) { readCallerTls(Inner, Out); });
+  Members.object("peer_tls", false, [&](MemberReader &Inner) {
+    readMutualTls(Inner, Out.PeerTls);
+  });
+  Members.object("platform_tls", false, [&](MemberReader &Inner) {
+    readMutualTls(Inner, Out.PlatformTls);
+  });
   Members.object("intervals", false,
                  [&](MemberReader &Inner) { readIntervals(Inner, Out.Node); });
   Members.finish();
--- a/src/runtime/Settings.h
+++ b/src/runtime/Settings.h
@@ -2,10 +2,12 @@
 #define BERGAMOTSTAGE_RUNTIME_SETTINGS_H
 
 #include "bergamotstage/node/NodeSettings.h"
+#include "runtime/CallerLimits.h"
 #include "runtime/TargetLink.h"
 
 #include <tl/expected.hpp>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +20,11 @@
   std::string PlatformAddress; ///< Of the platform's service.
   TargetCredentials Target;
   std::string LogLevel = "info";
+  CallerLimits Limits;
+  TlsMode CallerTls = TlsMode::Off;
+  TlsFiles CallerFiles;                ///< Used unless CallerTls is Off.
+  std::optional<TlsFiles> PeerTls;     ///< Mutual, with VMs and operators.
+  std::optional<TlsFiles> PlatformTls; ///< Mutual, with the platform.
 };
 
 /// @brief A member of the settings that cannot be taken.
--- /dev/null
+++ b/src/runtime/StartupOptions.cpp
@@ -0,0 +1,62 @@
+#include "runtime/StartupOptions.h"
+
+#include <string_view>
+
+namespace bergamotstage::runtime {
+namespace {
+
+constexpr std::string_view SettingPrefix = "bergamotstage.";
+
+bool isOwn(std::string_view Name) {
+  return Name.substr(0, SettingPrefix.size()) == SettingPrefix;
+}
+
+/// @brief Takes the next word of an `options` string; a backslash keeps the
+/// letter after it.
+std::string nextWord(std::string_view &Rest) {
+  std::string Word;
+  std::size_t At = Rest.find_first_not_of(' ');
+  Rest.remove_prefix(At == std::string_view::npos ? Rest.size() : At);
+  while (!Rest.empty() && Rest.front() != ' ') {
+    if (Rest.front() == '\\' && Rest.size() > 1)
+      Rest.remove_prefix(1);
+    Word += Rest.front();
+    Rest.remove_prefix(1);
+  }
+  return Word;
+}
+
+void readOptions(std::string_view Rest,
+                 std::map<std::string, std::string> &Settings) {
+  while (!Rest.empty()) {
+    std::string Word = nextWord(Rest);
+    if (Word.rfind("-c", 0) == 0)
+      Word.erase(0, 2);
+    else if (Word.rfind("--", 0) == 0)
+      Word.erase(0, 2);
+    std::size_t Equals = Word.find('=');
+    if (isOwn(Word) && Equals != std::string::npos)
+      Settings[Word.substr(0, Equals)] = Word.substr(Equals + 1);
+  }
+}
+
+} // namespace
+
+CallerOpened openingOf(CallerId Caller, const wire::Startup &Message) {
+  auto Parameter = [&](const char *Name) {
+    auto Found = Message.Parameters.find(Name);
+    return Found == Message.Parameters.end() ? std::string() : Found->second;
+  };
+  CallerOpened Opening;
+  Opening.Caller = Caller;
+  Opening.Account = AccountId(Parameter("user"));
+  std::string Database = Parameter("database");
+  Opening.Route = RouteId(Database.empty() ? Parameter("user") : Database);
+  readOptions(Parameter("options"), Opening.Settings);
+  for (const auto &[Name, Value] : Message.Parameters)
+    if (isOwn(Name))
+      Opening.Settings[Name] = Value;
+  return Opening;
+}
+
+} // namespace bergamotstage::runtime
--- a/src/runtime/TargetLink.cpp
+++ b/src/runtime/TargetLink.cpp
@@ -129,7 +129,16 @@
   m_Answer.Statement = Wanted.Statement;
   m_Caller = Wanted.Caller;
   m_Internal = false;
+  m_Body = Wanted.Body;
+  m_Described = !m_Body->WantColumns;
+  m_Describing = m_Body->DescribeOnly;
+  m_Prepared = false;
+  m_Credit = newCredit();
+  m_Taken = std::make_shared<const RowsTaken>(
+      [Credit = m_Credit](std::size_t Bytes) { Credit->give(Bytes); });
   const StatementBody &Body = *Wanted.Body;
+  if (m_Describing)
+    return sendDescribe(Body);
   if (!Body.Extended) {
     startQuery(PQsendQuery(m_Connection, Body.Text.c_str()) == 1);
     return;
@@ -155,25 +164,59 @@
                                Body.ResultFormat) == 1);
 }
 
+SharedCredit TargetLink::newCredit() {
+  return std::make_shared<RowCredit>([Io = &m_Io, Weak = weak_from_this()] {
+    asio::post(*Io, [Weak] {
+      if (auto Self = Weak.lock())
+        Self->resume();
+    });
+  });
+}
+
 void TargetLink::run(const RunInternal &Wanted) {
   m_Answer = LinkAnswered();
   m_Answer.Link = m_Id;
   m_Answer.Statement = Wanted.Statement;
   m_Internal = true;
+  m_Describing = false;
   startQuery(PQsendQuery(m_Connection, Wanted.Text.c_str()) == 1);
 }
 
 void TargetLink::startQuery(bool Sent) {
   m_Busy = true;
-  m_Described = false;
   m_Unpassed.clear();
   if (!Sent)
     return fail(trimmed(PQerrorMessage(m_Connection)));
-  if (!m_Internal)
+  if (!m_Internal && !m_Describing)
     PQsetSingleRowMode(m_Connection);
   flushOutput();
 }
 
+void TargetLink::sendDescribe(const StatementBody &Body) {
+  std::vector<Oid> Types(Body.ParameterTypes.begin(),
+                         Body.ParameterTypes.end());
+  startQuery(PQsendPrepare(m_Connection, "", Body.Text.c_str(),
+                           static_cast<int>(Types.size()), Types.data()) == 1);
+}
+
+void TargetLink::describePrepared() {
+  m_Prepared = true;
+  startQuery(PQsendDescribePrepared(m_Connection, "") == 1);
+}
+
+bool TargetLink::takeDescription(const PGresult *Result) {
+  std::string Bytes;
+  std::vector<std::uint32_t> Types;
+  for (int At = 0; At < PQnparams(Result); ++At)
+    Types.push_back(PQparamtype(Result, At));
+  wire::BackendWriter(Bytes).parameterDescription(Types);
+  if (PQnfields(Result) == 0)
+    wire::BackendWriter(Bytes).noData();
+  else
+    describeRows(Result, Bytes);
+  return passChunk(std::move(Bytes));
+}
+
 void TargetLink::flushOutput() {
   int Left = PQflush(m_Connection);
   if (Left < 0)
@@ -204,12 +247,12 @@
     PGresult *Result = PQgetResult(m_Connection);
     if (Result == nullptr) {
       finish();
-      break;
+      continue;
     }
     bool Passed = takeResult(Result);
     PQclear(Result);
     if (!Passed)
-      return retryLater();
+      return;
   }
   if (!m_Closed)
     waitReadable();
@@ -228,7 +271,7 @@
     return passRows(Result);
   case PGRES_COMMAND_OK:
     m_Answer.Tag = PQcmdStatus(Result);
-    return true;
+    return !m_Prepared || takeDescription(Result);
   case PGRES_EMPTY_QUERY:
     return true;
   default:
@@ -237,37 +280,47 @@
   }
 }
 
-bool TargetLink::passRows(PGresult *Result) {
+bool TargetLink::passRows(const PGresult *Result) {
   std::string Bytes;
   if (!m_Described)
     describeRows(Result, Bytes);
   m_Described = true;
   encodeRows(Result, Bytes);
-  if (Bytes.empty())
-    return true;
-  RowChunk Chunk{m_Caller, m_Answer.Statement, std::move(Bytes)};
-  ++m_Answer.Chunks;
-  if (m_Chunks(std::move(Chunk)))
+  return Bytes.empty() || passChunk(std::move(Bytes));
+}
+
+bool TargetLink::passChunk(std::string &&Bytes) {
+  std::size_t Count = Bytes.size();
+  if (!m_Credit->take(Count)) {
+    m_Unpassed = std::move(Bytes);
+    return false;
+  }
+  RowChunk Chunk{m_Caller, m_Answer.Statement, std::move(Bytes), m_Taken};
+  if (m_Chunks(std::move(Chunk))) {
+    ++m_Answer.Chunks;
     return true;
+  }
   // NOLINTNEXTLINE(bugprone-use-after-move): a full ring moves nothing.
   m_Unpassed = std::move(Chunk.Bytes);
+  m_Credit->give(Count);
+  retryLater();
   return false;
 }
 
+void TargetLink::resume() {
+  if (m_Closed || !m_Busy || m_Unpassed.empty())
+    return;
+  std::string Bytes = std::move(m_Unpassed);
+  m_Unpassed.clear();
+  if (passChunk(std::move(Bytes)))
+    readResults();
+}
+
 void TargetLink::retryLater() {
   m_Retry.expires_after(RetryInterval);
   m_Retry.async_wait([Self = shared_from_this()](std::error_code Fault) {
-    if (Fault || Self->m_Closed)
-      return;
-    RowChunk Chunk{Self->m_Caller, Self->m_Answer.Statement,
-                   std::move(Self->m_Unpassed)};
-    if (Self->m_Chunks(std::move(Chunk))) {
-      Self->m_Unpassed.clear();
-      return Self->readResults();
-    }
-    // NOLINTNEXTLINE(bugprone-use-after-move): a full ring moves nothing.
-    Self->m_Unpassed = std::move(Chunk.Bytes);
-    Self->retryLater();
+    if (!Fault)
+      Self->resume();
   });
 }
 
@@ -288,6 +341,8 @@
 void TargetLink::finish() {
   if (PQstatus(m_Connection) != CONNECTION_OK)
     return fail("the connection was lost");
+  if (m_Describing && !m_Prepared && m_Answer.ErrorSqlState.empty())
+    return describePrepared();
   m_Busy = false;
   m_Answer.Reported = {Term(reported(m_Connection, "group_term")),
                        LogPosition(reported(m_Connection, "group_position"))};
--- a/src/runtime/TargetLink.h
+++ b/src/runtime/TargetLink.h
@@ -44,7 +44,13 @@
   void waitReadable();
   void readResults();
   bool takeResult(PGresult *Result);
-  bool passRows(PGresult *Result);
+  bool passRows(const PGresult *Result);
+  bool passChunk(std::string &&Bytes);
+  void sendDescribe(const StatementBody &Body);
+  void describePrepared();
+  bool takeDescription(const PGresult *Result);
+  SharedCredit newCredit();
+  void resume();
   void keepCells(const PGresult *Result);
   void keepError(const PGresult *Result);
   void finish();
@@ -61,7 +67,12 @@
   bool m_Closed = false;
   bool m_Busy = false;
   bool m_Internal = false;
-  bool m_Described = false; ///< The row description has been passed on.
+  bool m_Described = false;  ///< The columns need not be passed on.
+  bool m_Describing = false; ///< The statement is described, not run.
+  bool m_Prepared = false;   ///< The first of a description's two steps.
+  SharedBody m_Body;
+  SharedCredit m_Credit;
+  SharedRowsTaken m_Taken;
   CallerId m_Caller;
   LinkAnswered m_Answer;
   std::string m_Unpassed; ///< A chunk that met a full ring.
--- /dev/null
+++ b/src/runtime/Tls.h
@@ -0,0 +1,42 @@
+#ifndef BERGAMOTSTAGE_RUNTIME_TLS_H
+#define BERGAMOTSTAGE_RUNTIME_TLS_H
+
+#include "runtime/CallerLimits.h"
+
+#include <tl/expected.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace asio::ssl {
+class context;
+} // namespace asio::ssl
+namespace grpc {
+class ChannelCredentials;
+class ServerCredentials;
+} // namespace grpc
+
+namespace bergamotstage::runtime {
+
+/// @brief Makes the server's side of TLS for callers, version 1.2 or later.
+/// @return the context, or which file cannot be used and why
+tl::expected<std::shared_ptr<asio::ssl::context>, std::string>
+makeCallerTls(const TlsFiles &Files);
+
+/// @brief Credentials of both sides of gRPC between VMs, operators and the
+/// platform.
+struct PeerCredentials {
+  std::shared_ptr<grpc::ChannelCredentials> Client;
+  std::shared_ptr<grpc::ServerCredentials> Server;
+};
+
+/// @brief Reads the files once; certificates are replaced by a restart.
+/// @param Files of mutual TLS, or nothing for connections in the clear
+/// @return the credentials, or which file cannot be read
+tl::expected<PeerCredentials, std::string>
+makePeerCredentials(const std::optional<TlsFiles> &Files);
+
+} // namespace bergamotstage::runtime
+
+#endif // BERGAMOTSTAGE_RUNTIME_TLS_H
