Name the rows of transactions that mix in the random run

The seeded run found a log entry with rows of two transactions; the check now names them.

The cause is looked for in forwarding after a lost answer.

--- a/test/unit-random-failover.cpp
+++ b/test/unit-random-failover.cpp
@@ -347,7 +347,10 @@
           CHECK(Change.Key.find('-') == std::string::npos);
         continue;
       }
-      CHECK_EQUAL(2U, Entry.Changes.size());
+      if (Entry.Changes.size() != 2)
+        FAIL(("transactions mixed: " + Entry.Changes[0].Key + " " +
+              Entry.Changes[1].Key + " " + Entry.Changes.back().Key)
+                 .c_str());
       std::string First = Entry.Changes[0].Key;
       std::string Second = Entry.Changes[1].Key;
       CHECK(First.substr(0, First.find('-')) ==
