--- a/include/bergamotstage/session/ReadPolicy.h
+++ b/include/bergamotstage/session/ReadPolicy.h
@@ -4,26 +4,42 @@
 #include "bergamotstage/core/HistoryPoint.h"
 #include "bergamotstage/core/Ids.h"
 #include "bergamotstage/core/Time.h"
+#include "bergamotstage/session/PositionHistory.h"
+#include "bergamotstage/session/ResponseTimes.h"
 #include "bergamotstage/target/GroupState.h"
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace bergamotstage {
 
-/// @brief What one read asks for.
+/// @brief What one read asks for, and what helps to choose its target.
 struct ReadRequest {
   DataCentreId From;              ///< Where the proxy runs.
   HistoryPoint MustCover;         ///< The session's token for the database.
   std::optional<Duration> MaxAge; ///< Accepted staleness, if the caller said.
-  bool TokenMissing = false;      ///< A named session came without its token.
+  std::set<TargetId> Avoid;       ///< Targets that have failed this read.
+  std::uint64_t Draw = 0;         ///< A random number.
+  const PositionHistory *Positions = nullptr; ///< For bounds of age.
+  const ResponseTimes *Times = nullptr;       ///< For estimates of finish.
+};
+
+/// @brief Why no replica serves a read.
+enum class ReadShortfall : std::uint8_t {
+  None,
+  Behind,    ///< None is known to cover the session's token.
+  AgeUnknown ///< Some cover it, but none is known to be fresh enough.
 };
 
 /// @brief Where a read goes.
 struct ReadChoice {
   TargetId Target;    ///< Empty: no target may serve it now.
   std::string Reason; ///< Short, for logs and explain.
+  ReadShortfall Shortfall = ReadShortfall::None;
 };
 
 /// @brief Chooses the target of a read; pure.
@@ -37,10 +53,21 @@
 /// promotion keeps those.
 bool covers(const HistoryPoint &Replayed, const HistoryPoint &Token);
 
+/// @brief Upper bound of the age of what a target would answer with.
+/// @return nothing where it is not known
+std::optional<Duration> ageBound(const TargetState &Target,
+                                 const ReadRequest &Request,
+                                 const GroupState &Group, Instant Now);
+
 /// @brief The policy of the given name.
-/// @param Name `primary-only` or `nearest-covered`
+/// @param Name `primary-only`, `nearest-covered`, `earliest-finish` or
+/// `random-replica`
+/// @param Parameters `primary-cost` of `earliest-finish`: time by which a
+/// replica may be slower and is still preferred to the primary
 /// @return the policy, or an empty function for an unknown name
-ReadPolicy readPolicy(const std::string &Name);
+ReadPolicy
+readPolicy(const std::string &Name,
+           const std::map<std::string, std::string> &Parameters = {});
 
 } // namespace bergamotstage
 
--- a/include/bergamotstage/session/SessionToken.h
+++ b/include/bergamotstage/session/SessionToken.h
@@ -4,19 +4,40 @@
 #include "bergamotstage/core/HistoryPoint.h"
 #include "bergamotstage/core/Ids.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
 namespace bergamotstage {
 
-/// @brief For each database, the last write that a session must see.
+/// @brief What a session must see, for each database that it has written to.
 struct SessionToken {
+  std::uint64_t SessionId = 0; ///< Stays the same when the session roams.
+  bool Complete = true; ///< False: databases not named here may have writes.
   std::map<DatabaseId, HistoryPoint> Seen;
+  std::set<DatabaseId> Unsettled; ///< A write there may have taken effect at a
+                                  ///< point that is not known.
+  std::map<DatabaseId, TargetId> Holders; ///< A replica that holds Seen.
 
   /// @brief Raises the point of one database; never lowers it.
   void raise(const DatabaseId &Database, const HistoryPoint &Point);
+
+  /// @brief Raises the point and names a replica that is known to hold it.
+  void raise(const DatabaseId &Database, const HistoryPoint &Point,
+             const TargetId &Holder);
+
+  /// @brief Notes the point of a read from a verified primary: the session's
+  /// earlier writes are covered by it, whatever became of them.
+  void settle(const DatabaseId &Database, const HistoryPoint &Point);
+
+  /// @brief Whether Seen bounds all writes of the session to a database.
+  bool settled(const DatabaseId &Database) const;
+
+  /// @brief The point that a read must cover; zero where there is none.
+  HistoryPoint mustCover(const DatabaseId &Database) const;
 };
 
 /// @brief Writes a token as text that is authenticated for one client account.
--- a/src/session/SessionToken.cpp
+++ b/src/session/SessionToken.cpp
@@ -9,7 +9,9 @@
 namespace {
 
 constexpr std::size_t TagBytes = 16;
-constexpr std::string_view Version = "t1";
+constexpr std::string_view Version = "t2";
+constexpr std::string_view UnsettledMark = "u";
+constexpr std::string_view PartialMark = "p";
 
 std::string authenticationTag(std::string_view Body, const AccountId &Account,
                               std::string_view Secret) {
@@ -29,38 +31,97 @@
   return Part;
 }
 
+/// @brief Reads `database:term:position:marks:holder`, names in hexadecimal.
 bool decodeEntry(std::string_view Entry, SessionToken &Token) {
   auto Name = takePart(Entry, ':');
   auto TermText = takePart(Entry, ':');
-  if (!Name || !TermText)
+  auto PositionText = takePart(Entry, ':');
+  auto Marks = takePart(Entry, ':');
+  if (!Name || !TermText || !PositionText || !Marks)
     return false;
   auto Database = fromHex(*Name);
   auto TermValue = parseCount(*TermText);
-  auto Position = parseCount(Entry);
-  if (!Database || !TermValue || !Position)
+  auto Position = parseCount(*PositionText);
+  auto Holder = fromHex(Entry);
+  if (!Database || !TermValue || !Position || !Holder)
     return false;
-  Token.raise(DatabaseId(*Database),
-              {Term(*TermValue), LogPosition(*Position)});
+  DatabaseId Id(*Database);
+  Token.raise(Id, {Term(*TermValue), LogPosition(*Position)});
+  if (*Marks == UnsettledMark)
+    Token.Unsettled.insert(Id);
+  if (!Holder->empty())
+    Token.Holders[Id] = TargetId(*Holder);
   return true;
 }
 
+/// @brief Reads `session-id:marks`.
+bool decodeHead(std::string_view Head, SessionToken &Token) {
+  auto Number = takePart(Head, ':');
+  auto SessionId = Number ? parseCount(*Number) : std::nullopt;
+  if (!SessionId)
+    return false;
+  Token.SessionId = *SessionId;
+  Token.Complete = Head != PartialMark;
+  return true;
+}
+
+std::string encodeEntry(const SessionToken &Token, const DatabaseId &Database,
+                        const HistoryPoint &Point) {
+  auto Holder = Token.Holders.find(Database);
+  std::string Entry = toHex(Database.value());
+  Entry += ':' + std::to_string(Point.AtTerm.value());
+  Entry += ':' + std::to_string(Point.Position.value()) + ':';
+  if (Token.Unsettled.count(Database) > 0)
+    Entry += UnsettledMark;
+  Entry += ':';
+  if (Holder != Token.Holders.end())
+    Entry += toHex(Holder->second.value());
+  return Entry;
+}
+
 } // namespace
 
 void SessionToken::raise(const DatabaseId &Database,
                          const HistoryPoint &Point) {
   HistoryPoint &Current = Seen[Database];
-  if (Current < Point)
-    Current = Point;
+  if (!(Current < Point))
+    return;
+  Current = Point;
+  Holders.erase(Database);
+}
+
+void SessionToken::raise(const DatabaseId &Database, const HistoryPoint &Point,
+                         const TargetId &Holder) {
+  raise(Database, Point);
+  bool Named = !Holder.value().empty();
+  if (Named && Seen[Database] == Point)
+    Holders[Database] = Holder;
+}
+
+void SessionToken::settle(const DatabaseId &Database,
+                          const HistoryPoint &Point) {
+  raise(Database, Point);
+  Unsettled.erase(Database);
+}
+
+bool SessionToken::settled(const DatabaseId &Database) const {
+  bool Named = Seen.count(Database) > 0;
+  return (Named || Complete) && Unsettled.count(Database) == 0;
+}
+
+HistoryPoint SessionToken::mustCover(const DatabaseId &Database) const {
+  auto Found = Seen.find(Database);
+  return Found == Seen.end() ? HistoryPoint() : Found->second;
 }
 
 std::string encodeToken(const SessionToken &Token, const AccountId &Account,
                         std::string_view Secret) {
   std::string Body(Version);
-  for (const auto &[Database, Point] : Token.Seen) {
-    Body += '.' + toHex(Database.value());
-    Body += ':' + std::to_string(Point.AtTerm.value());
-    Body += ':' + std::to_string(Point.Position.value());
-  }
+  Body += '.' + std::to_string(Token.SessionId) + ':';
+  if (!Token.Complete)
+    Body += PartialMark;
+  for (const auto &[Database, Point] : Token.Seen)
+    Body += '.' + encodeEntry(Token, Database, Point);
   return Body + "." + authenticationTag(Body, Account, Secret);
 }
 
@@ -78,13 +139,19 @@
     return std::nullopt;
   Body.remove_prefix(Version.size());
   SessionToken Token;
+  bool HeadRead = false;
   while (!Body.empty()) {
     Body.remove_prefix(1);
     std::string_view Entry = Body.substr(0, Body.find('.'));
     Body.remove_prefix(Entry.size());
-    if (!decodeEntry(Entry, Token))
+    bool Valid =
+        HeadRead ? decodeEntry(Entry, Token) : decodeHead(Entry, Token);
+    if (!Valid)
       return std::nullopt;
+    HeadRead = true;
   }
+  if (!HeadRead)
+    return std::nullopt;
   return Token;
 }
 
