Route reads by token, age and estimated finish; claim requests in their transaction

Reads followed a fixed choice, an unknown outcome left no trace in the token and a lost link was reported the same way for every kind of statement. Now a token carries unsettled databases and a replica that holds its point, named sessions without a token read from a primary whose term a majority confirmed after the statement arrived, ages are bounded by sampled positions, and writes with a request id run in one transaction with a claim row.

--- a/include/bergamotstage/request/StatementDuty.h
+++ b/include/bergamotstage/request/StatementDuty.h
@@ -3,14 +3,19 @@
 
 #include "bergamotstage/account/AccountDuty.h"
 #include "bergamotstage/node/NodeContext.h"
-#include "bergamotstage/request/CallerState.h"
+#include "bergamotstage/request/CallerTable.h"
+#include "bergamotstage/request/PrimaryRunner.h"
+#include "bergamotstage/request/ReadRunner.h"
 #include "bergamotstage/request/Statement.h"
+#include "bergamotstage/session/PositionHistory.h"
+#include "bergamotstage/session/TermCheck.h"
 #include "bergamotstage/target/TargetDuty.h"
 
 #include <functional>
 #include <optional>
-#include <unordered_map>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace bergamotstage {
 
@@ -29,6 +34,14 @@
   void arrived(const StatementArrived &Event);
   void closed(const CallerClosed &Event);
 
+  /// @brief Ends the running statement of a caller where that is harmless.
+  ///
+  /// A statement that waits ends as not run. A read, and a statement inside a
+  /// transaction other than its commit, is cut off: its link is closed. A write
+  /// that may take effect runs to its end, as cutting it off would only make
+  /// its outcome unknown.
+  void cancelled(const CancelArrived &Event);
+
   /// @brief At the home: runs a statement that another VM forwarded.
   void forwardArrived(const ForwardArrived &Event);
   /// @brief At the origin: takes the home's answer.
@@ -47,40 +60,30 @@
   void closeIdle(const Refusal &Reason);
 
 private:
-  struct Running {
-    CallerId Caller;
-    StatementId Statement;
-    StatementKind Kind = StatementKind::Empty;
-    Instant Deadline{};
-    SharedBody Body;
-  };
-
-  CallerState *caller(CallerId Id);
   void takeSetting(CallerState &Caller, const std::string &Name,
                    const std::string &Value);
-  void answerSetting(CallerState &Caller, const StatementArrived &Event);
-  void route(const Running &Work, CallerState &Caller);
-  void forward(const Running &Work, CallerState &Caller, const VmId &Home);
+  void takeToken(CallerState &Caller, const std::string &Text);
+  void learnHolders(const SessionToken &Token);
+  void answerSetting(const WorkId &Work, CallerState &Caller);
+  WorkId begin(CallerState &Caller, const StatementArrived &Event,
+               Instant Deadline);
+  bool answerOwn(const WorkId &Work, CallerState &Caller);
+  void route(const WorkId &Work, CallerState &Caller);
+  void forward(const WorkId &Work, CallerState &Caller, const VmId &Home);
   CallerState &forwardedCaller(const ForwardArrived &Event);
-  void runFree(const Running &Work, const CallerState &Caller);
-  void runOn(const Running &Work, LinkId Link);
-  void answered(const Running &Work, LinkId Link,
-                const LinkPool::Answer &Answer);
-  void settleTransaction(CallerState &Caller, LinkId Link,
-                         const LinkAnswered &Answer);
-  void confirm(const Running &Work, const LinkAnswered &Answer);
-  void acknowledge(const Running &Work, const LinkAnswered &Answer);
-  void lost(const Running &Work, const LinkLost &Lost);
-  void finish(const Running &Work, AnswerStatement Answer);
-  void refuse(const Running &Work, Refusal Reason, std::uint64_t Chunks = 0);
-  void dropCaller(CallerState &Caller);
+  void runHere(const WorkId &Work, const CallerState &Caller);
+  void timedOut(const WorkId &Work);
+  void dropAll(const std::vector<CallerId> &Callers, const Refusal &Reason);
 
   NodeContext &m_Context;
   AccountDuty &m_Accounts;
   TargetDuty &m_Targets;
   HomeHook m_HomeOf;
-  std::unordered_map<CallerId, CallerState> m_Callers;
-  std::unordered_map<StatementId, Running> m_Forwarded;
+  CallerTable m_Callers;
+  PositionHistory m_Positions;
+  TermCheck m_Check;
+  ReadRunner m_Reads;
+  PrimaryRunner m_Primary;
 };
 
 } // namespace bergamotstage
--- a/include/bergamotstage/session/ReadPolicy.h
+++ b/include/bergamotstage/session/ReadPolicy.h
@@ -49,8 +49,8 @@
 /// @brief Whether a target's data cover a session's token.
 ///
 /// Terms are compared first. A target of a later term covers a token of an
-/// earlier one, because only acknowledged writes raise tokens and every
-/// promotion keeps those.
+/// earlier one: every promotion keeps acknowledged writes, and a write of
+/// unknown outcome that it dropped will never be seen by anyone again.
 bool covers(const HistoryPoint &Replayed, const HistoryPoint &Token);
 
 /// @brief Upper bound of the age of what a target would answer with.
--- a/include/bergamotstage/session/SessionToken.h
+++ b/include/bergamotstage/session/SessionToken.h
@@ -29,6 +29,9 @@
   void raise(const DatabaseId &Database, const HistoryPoint &Point,
              const TargetId &Holder);
 
+  /// @brief Notes that a write whose outcome is unknown may have taken effect.
+  void unsettle(const DatabaseId &Database);
+
   /// @brief Notes the point of a read from a verified primary: the session's
   /// earlier writes are covered by it, whatever became of them.
   void settle(const DatabaseId &Database, const HistoryPoint &Point);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -62,7 +62,7 @@
     Node &Self;
     void operator()(const CallerOpened &E) { Self.m_Statements.opened(E); }
     void operator()(const StatementArrived &E) { Self.m_Statements.arrived(E); }
-    void operator()(const CancelArrived &) {}
+    void operator()(const CancelArrived &E) { Self.m_Statements.cancelled(E); }
     void operator()(const CallerClosed &E) { Self.m_Statements.closed(E); }
     void operator()(const LinkOpened &E) { Self.m_Targets.links().opened(E); }
     void operator()(const LinkFailed &E) { Self.m_Targets.links().failed(E); }
--- a/src/request/StatementDuty.cpp
+++ b/src/request/StatementDuty.cpp
@@ -2,10 +2,9 @@
 
 #include "bergamotstage/account/KeyCheck.h"
 #include "bergamotstage/core/Parse.h"
-#include "bergamotstage/session/ReadPolicy.h"
+#include "bergamotstage/request/Refusals.h"
 
 #include <utility>
-#include <vector>
 
 namespace bergamotstage {
 namespace {
@@ -14,35 +13,26 @@
 const char *const MaxAgeSetting = "bergamotstage.max_age";
 const char *const RequestIdSetting = "bergamotstage.request_id";
 const char *const IdempotentSetting = "bergamotstage.idempotent";
-
-Refusal refusal(const char *SqlState, RunState State, std::string Message) {
-  Refusal Reason;
-  Reason.SqlState = SqlState;
-  Reason.State = State;
-  Reason.Message = std::move(Message);
-  return Reason;
-}
-
-Refusal closing(const char *SqlState, std::string Message) {
-  Refusal Reason = refusal(SqlState, RunState::NotRun, std::move(Message));
-  Reason.CloseConnection = true;
-  return Reason;
-}
+/// @brief Longer than the home's own limit, so that its answer comes first.
+constexpr Duration ForwardGrace = milliseconds(500);
 
 bool endsTransaction(StatementKind Kind) {
   return Kind == StatementKind::Commit || Kind == StatementKind::Rollback;
 }
 
+bool isIdle(const CallerState &Caller) {
+  return !Caller.Running && !Caller.Pinned && !Caller.Home;
+}
+
 } // namespace
 
 StatementDuty::StatementDuty(NodeContext &Context, AccountDuty &Accounts,
                              TargetDuty &Targets)
-    : m_Context(Context), m_Accounts(Accounts), m_Targets(Targets) {}
-
-CallerState *StatementDuty::caller(CallerId Id) {
-  auto Found = m_Callers.find(Id);
-  return Found == m_Callers.end() ? nullptr : &Found->second;
-}
+    : m_Context(Context), m_Accounts(Accounts), m_Targets(Targets),
+      m_Callers(Context, Targets.links()),
+      m_Check(Context, Targets.links(), m_Positions),
+      m_Reads(Context, Targets, m_Callers, m_Check, m_Positions),
+      m_Primary(Context, Targets, m_Callers, m_Check, m_Positions) {}
 
 void StatementDuty::opened(const CallerOpened &Event) {
   const RuleBook &Rules = m_Context.rules();
@@ -61,6 +51,7 @@
   Caller.Account = Event.Account;
   Caller.Route = Route->second;
   Caller.MaxAge = Route->second.MaxAge;
+  Caller.Token.SessionId = m_Context.random()();
   if (!Route->second.Open) {
     if (!Event.Key) {
       m_Context.act(AskForKey{Event.Caller});
@@ -72,18 +63,14 @@
   }
   for (const auto &[Name, Value] : Event.Settings)
     takeSetting(Caller, Name, Value);
-  m_Callers.emplace(Event.Caller, std::move(Caller));
+  m_Callers.obtain(Event.Caller) = std::move(Caller);
   m_Context.act(AdmitCaller{Event.Caller});
 }
 
 void StatementDuty::takeSetting(CallerState &Caller, const std::string &Name,
                                 const std::string &Value) {
   if (Name == SessionSetting) {
-    auto Token =
-        decodeToken(Value, Caller.Account, m_Context.settings().TokenSecret);
-    Caller.NamedSession = !Value.empty();
-    Caller.TokenMissing = Caller.NamedSession && !Token;
-    Caller.Token = Token.value_or(SessionToken());
+    takeToken(Caller, Value);
   } else if (Name == MaxAgeSetting) {
     Caller.MaxAge = parseDuration(Value);
   } else if (Name == RequestIdSetting) {
@@ -93,255 +80,179 @@
   }
 }
 
+void StatementDuty::takeToken(CallerState &Caller, const std::string &Text) {
+  if (Text.empty())
+    return;
+  auto Token =
+      decodeToken(Text, Caller.Account, m_Context.settings().TokenSecret);
+  if (Token) {
+    Caller.Token = *Token;
+    return learnHolders(*Token);
+  }
+  Caller.Token = SessionToken();
+  Caller.Token.SessionId = m_Context.random()();
+  Caller.Token.Complete = false;
+}
+
+void StatementDuty::learnHolders(const SessionToken &Token) {
+  for (const auto &[Database, Holder] : Token.Holders) {
+    GroupState *Group = m_Targets.group(Database);
+    TargetState *Target = Group == nullptr ? nullptr : Group->find(Holder);
+    HistoryPoint Held = Token.mustCover(Database);
+    if (Target != nullptr && Target->Replayed < Held)
+      Target->Replayed = Held;
+  }
+}
+
 void StatementDuty::closed(const CallerClosed &Event) {
-  CallerState *Caller = caller(Event.Caller);
+  CallerState *Caller = m_Callers.find(Event.Caller);
   if (Caller == nullptr)
     return;
   Caller->Gone = true;
-  if (!Caller->Running)
-    dropCaller(*Caller);
+  bool MustEnd = Caller->Running && Caller->Running->MayTakeEffect;
+  if (!MustEnd)
+    m_Callers.drop(*Caller);
 }
 
-void StatementDuty::dropCaller(CallerState &Caller) {
-  if (Caller.Pinned)
-    m_Targets.links().release(*Caller.Pinned, false);
-  if (Caller.Home)
-    m_Context.act(CloseForward{*Caller.Home, Caller.Id});
-  m_Callers.erase(Caller.Id);
+void StatementDuty::cancelled(const CancelArrived &Event) {
+  CallerState *Caller = m_Callers.find(Event.Caller);
+  if (Caller == nullptr || !Caller->Running || Caller->Running->MayTakeEffect)
+    return;
+  WorkId Work{Event.Caller, Caller->Running->Statement};
+  Refusal Reason = m_Callers.cut(*Caller, "cancelled at the caller's request");
+  Reason.SqlState = sqlstate::QueryCanceled;
+  m_Callers.refuse(Work, std::move(Reason));
 }
 
-void StatementDuty::rulesChanged() {
-  std::vector<CallerId> Withdrawn;
-  for (const auto &[Id, Caller] : m_Callers)
-    if (Caller.Key && !keyStands(m_Context.rules(), *Caller.Key) &&
-        !Caller.Running)
-      Withdrawn.push_back(Id);
-  for (CallerId Id : Withdrawn) {
-    m_Context.act(CloseCaller{
-        Id, closing(sqlstate::InvalidAuthorization, "the key was withdrawn")});
-    dropCaller(m_Callers.at(Id));
+void StatementDuty::timedOut(const WorkId &Work) {
+  CallerState *Caller = m_Callers.running(Work);
+  if (Caller == nullptr)
+    return;
+  Execution &Run = *Caller->Running;
+  if (Run.Forwarded && m_Context.now() < Run.Deadline + ForwardGrace) {
+    Run.Timer = m_Context.timers().schedule(Run.Deadline + ForwardGrace,
+                                            [this, Work] { timedOut(Work); });
+    return;
   }
+  Refusal Reason =
+      m_Callers.cut(*Caller, "the statement was not answered in time");
+  if (Reason.State != RunState::Unknown)
+    Reason.SqlState = sqlstate::QueryCanceled;
+  m_Callers.refuse(Work, std::move(Reason));
+}
+
+void StatementDuty::dropAll(const std::vector<CallerId> &Callers,
+                            const Refusal &Reason) {
+  for (CallerId Id : Callers) {
+    m_Context.act(CloseCaller{Id, Reason});
+    m_Callers.drop(*m_Callers.find(Id));
+  }
+}
+
+void StatementDuty::rulesChanged() {
+  auto Withdrawn = [this](const CallerState &Caller) {
+    return Caller.Key && !keyStands(m_Context.rules(), *Caller.Key) &&
+           !Caller.Running;
+  };
+  dropAll(m_Callers.select(Withdrawn),
+          closing(sqlstate::InvalidAuthorization, "the key was withdrawn"));
 }
 
 bool StatementDuty::busy() const {
-  for (const auto &[Id, Caller] : m_Callers)
-    if (Caller.Running || Caller.Pinned || Caller.Home)
-      return true;
-  return false;
+  auto Busy = [](const CallerState &Caller) { return !isIdle(Caller); };
+  return !m_Callers.select(Busy).empty();
 }
 
 void StatementDuty::closeIdle(const Refusal &Reason) {
-  std::vector<CallerId> Idle;
-  for (const auto &[Id, Caller] : m_Callers)
-    if (!Caller.Running && !Caller.Pinned && !Caller.Home)
-      Idle.push_back(Id);
-  for (CallerId Id : Idle) {
-    m_Context.act(CloseCaller{Id, Reason});
-    dropCaller(m_Callers.at(Id));
-  }
+  dropAll(m_Callers.select(isIdle), Reason);
+}
+
+WorkId StatementDuty::begin(CallerState &Caller, const StatementArrived &Event,
+                            Instant Deadline) {
+  WorkId Work{Event.Caller, Event.Statement};
+  Execution Run;
+  Run.Statement = Event.Statement;
+  Run.Kind = classifyStatement(Event.Body->Text);
+  Run.Deadline = Deadline;
+  Run.Body = Event.Body;
+  Run.Timer =
+      m_Context.timers().schedule(Deadline, [this, Work] { timedOut(Work); });
+  Caller.Running = std::move(Run);
+  return Work;
 }
 
 void StatementDuty::arrived(const StatementArrived &Event) {
-  CallerState *Caller = caller(Event.Caller);
+  CallerState *Caller = m_Callers.find(Event.Caller);
   if (Caller == nullptr || Caller->Running)
     return;
-  Running Work{
-      Event.Caller, Event.Statement, classifyStatement(Event.Body->Text),
-      m_Context.now() + m_Context.settings().StatementTimeout, Event.Body};
-  Caller->Running = Event.Statement;
+  WorkId Work = begin(*Caller, Event,
+                      m_Context.now() + m_Context.settings().StatementTimeout);
   if (Caller->Key && !keyStands(m_Context.rules(), *Caller->Key))
-    return refuse(
+    return m_Callers.refuse(
         Work, closing(sqlstate::InvalidAuthorization, "the key was withdrawn"));
-  if (Work.Kind == StatementKind::Unsupported)
-    return refuse(Work, refusal(sqlstate::FeatureNotSupported, RunState::NotRun,
-                                "this statement is not carried"));
-  if (Work.Kind == StatementKind::Setting)
-    return answerSetting(*Caller, Event);
-  bool InTransaction = Caller->Pinned || Caller->Home;
-  bool OutsideEnd = endsTransaction(Work.Kind) && !InTransaction;
-  if (Work.Kind == StatementKind::Empty || OutsideEnd) {
-    AnswerStatement Answer;
-    Answer.Tag = Work.Kind == StatementKind::Commit     ? "COMMIT"
-                 : Work.Kind == StatementKind::Rollback ? "ROLLBACK"
-                                                        : "";
-    return finish(Work, Answer);
-  }
+  if (answerOwn(Work, *Caller))
+    return;
   if (Caller->Pinned)
-    return runOn(Work, *Caller->Pinned);
+    return m_Primary.startPinned(Work);
   if (Caller->Home)
     return forward(Work, *Caller, *Caller->Home);
   m_Accounts.admit(Caller->Account,
                    [this, Work](const AccountDuty::Admitted &Admitted) {
-                     CallerState *Known = caller(Work.Caller);
+                     CallerState *Known = m_Callers.running(Work);
                      if (Known == nullptr)
                        return;
                      if (!Admitted)
-                       return refuse(Work, Admitted.error());
+                       return m_Callers.refuse(Work, Admitted.error());
                      route(Work, *Known);
                    });
 }
 
-void StatementDuty::answerSetting(CallerState &Caller,
-                                  const StatementArrived &Event) {
-  SettingChange Change = parseSetting(Event.Body->Text);
-  takeSetting(Caller, Change.Name, Change.Value);
-  Running Work{Event.Caller, Event.Statement, StatementKind::Setting, {}, {}};
+bool StatementDuty::answerOwn(const WorkId &Work, CallerState &Caller) {
+  StatementKind Kind = Caller.Running->Kind;
+  bool Held = Caller.Pinned || Caller.Home;
+  bool Ends = endsTransaction(Kind);
   AnswerStatement Answer;
-  Answer.Tag = "SET";
-  finish(Work, Answer);
-}
-
-void StatementDuty::runFree(const Running &Work, const CallerState &Caller) {
-  GroupState *Group = m_Targets.group(Caller.Route.Database);
-  if (Group == nullptr)
-    return refuse(Work, refusal(sqlstate::CannotConnectNow, RunState::NotRun,
-                                "the database has no targets"));
-  ReadRequest Request;
-  Request.From = m_Context.settings().DataCentre;
-  auto Seen = Caller.Token.Seen.find(Group->Database);
-  if (Seen != Caller.Token.Seen.end())
-    Request.MustCover = Seen->second;
-  Request.MaxAge = Caller.MaxAge;
-  Request.TokenMissing = Caller.TokenMissing;
-  bool Read = Work.Kind == StatementKind::Read;
-  ReadPolicy Policy = readPolicy(Read ? "nearest-covered" : "primary-only");
-  ReadChoice Choice = Policy(Request, *Group, m_Context.now());
-  if (Choice.Target.value().empty())
-    return refuse(Work, refusal(sqlstate::CannotConnectNow, RunState::NotRun,
-                                Choice.Reason));
-  m_Context.log(WriteLog::Level::Debug, "routed",
-                {{"statement", std::to_string(Work.Statement.value())},
-                 {"kind", statementKindName(Work.Kind)},
-                 {"target", Choice.Target.value()},
-                 {"reason", Choice.Reason}});
-  m_Targets.links().acquire(Choice.Target, Caller.Account, Work.Deadline,
-                            [this, Work](const LinkPool::Lent &Lent) {
-                              if (!Lent)
-                                return refuse(Work, Lent.error());
-                              runOn(Work, *Lent);
-                            });
-}
-
-void StatementDuty::runOn(const Running &Work, LinkId Link) {
-  m_Targets.links().run(Link, Work.Caller, Work.Statement, Work.Body,
-                        [this, Work, Link](const LinkPool::Answer &Answer) {
-                          answered(Work, Link, Answer);
-                        });
-}
-
-void StatementDuty::answered(const Running &Work, LinkId Link,
-                             const LinkPool::Answer &Answer) {
-  if (!Answer)
-    return lost(Work, Answer.error());
-  if (CallerState *Caller = caller(Work.Caller))
-    settleTransaction(*Caller, Link, *Answer);
-  else
-    m_Targets.links().release(Link, !Answer->InTransaction);
-  if (!Answer->ErrorSqlState.empty()) {
-    refuse(Work,
-           refusal(Answer->ErrorSqlState.c_str(), RunState::Failed,
-                   Answer->ErrorMessage),
-           Answer->Chunks);
-    return;
+  if (Kind == StatementKind::Unsupported) {
+    m_Callers.refuse(Work,
+                     refusal(sqlstate::FeatureNotSupported, RunState::NotRun,
+                             "this statement is not carried"));
+    return true;
   }
-  bool Committed =
-      Work.Kind == StatementKind::Commit ||
-      (Work.Kind == StatementKind::Write && !Answer->InTransaction);
-  if (Committed)
-    return confirm(Work, *Answer);
-  AnswerStatement Done;
-  Done.Chunks = Answer->Chunks;
-  Done.Tag = Answer->Tag;
-  finish(Work, Done);
-}
-
-void StatementDuty::settleTransaction(CallerState &Caller, LinkId Link,
-                                      const LinkAnswered &Answer) {
-  Caller.Transaction = !Answer.InTransaction      ? TransactionState::None
-                       : Answer.TransactionFailed ? TransactionState::Failed
-                                                  : TransactionState::Open;
-  if (Answer.InTransaction) {
-    Caller.Pinned = Link;
-    return;
+  if (Kind == StatementKind::Setting) {
+    answerSetting(Work, Caller);
+    return true;
   }
-  Caller.Pinned.reset();
-  m_Targets.links().release(Link, true);
-}
-
-void StatementDuty::confirm(const Running &Work, const LinkAnswered &Answer) {
-  const CallerState *Caller = caller(Work.Caller);
-  const GroupState *Group =
-      Caller == nullptr ? nullptr : m_Targets.group(Caller->Route.Database);
-  if (Group == nullptr)
-    return;
-  m_Targets.confirmation().wait(
-      *Group, Answer.Reported, [this, Work, Answer](Confirmed Result) {
-        if (Result == Confirmed::Durable)
-          return acknowledge(Work, Answer);
-        refuse(Work,
-               refusal(sqlstate::TransactionUnknown, RunState::Unknown,
-                       Result == Confirmed::Superseded
-                           ? "the primary was superseded during the commit"
-                           : "the commit was not confirmed in time"),
-               Answer.Chunks);
-      });
-}
-
-void StatementDuty::acknowledge(const Running &Work,
-                                const LinkAnswered &Answer) {
-  if (CallerState *Caller = caller(Work.Caller)) {
-    Caller->Token.raise(Caller->Route.Database, Answer.Reported);
-    Caller->TokenMissing = false;
-    m_Context.act(
-        ReportParameter{Work.Caller, SessionSetting,
-                        encodeToken(Caller->Token, Caller->Account,
-                                    m_Context.settings().TokenSecret)});
+  bool Lost = Caller.Transaction == TransactionState::Failed && !Held;
+  if (Lost && !Ends && Kind != StatementKind::Empty) {
+    m_Callers.refuse(Work,
+                     refusal(sqlstate::InFailedTransaction, RunState::NotRun,
+                             "the transaction was lost; end it first"));
+    return true;
   }
-  AnswerStatement Done;
-  Done.Chunks = Answer.Chunks;
-  Done.Tag = Answer.Tag;
-  finish(Work, Done);
-}
-
-void StatementDuty::lost(const Running &Work, const LinkLost &Lost) {
-  if (CallerState *Caller = caller(Work.Caller)) {
-    Caller->Pinned.reset();
-    Caller->Transaction = TransactionState::None;
+  if (Held || (!Ends && Kind != StatementKind::Empty))
+    return false;
+  if (Ends) {
+    bool Rolled = Lost || Kind == StatementKind::Rollback;
+    Answer.Tag = Rolled ? "ROLLBACK" : "COMMIT";
+    Caller.Transaction = TransactionState::None;
   }
-  if (Lost.NeverSent)
-    return refuse(Work, refusal(sqlstate::ConnectionFailure, RunState::NotRun,
-                                "the connection to the target was lost"));
-  refuse(Work,
-         refusal(sqlstate::TransactionUnknown, RunState::Unknown,
-                 "the connection to the target was lost"),
-         Lost.Chunks);
+  m_Callers.finish(Work, std::move(Answer));
+  return true;
 }
 
-void StatementDuty::refuse(const Running &Work, Refusal Reason,
-                           std::uint64_t Chunks) {
+void StatementDuty::answerSetting(const WorkId &Work, CallerState &Caller) {
+  SettingChange Change = parseSetting(Caller.Running->Body->Text);
+  takeSetting(Caller, Change.Name, Change.Value);
   AnswerStatement Answer;
-  Answer.Chunks = Chunks;
-  Answer.Error = std::move(Reason);
-  finish(Work, std::move(Answer));
+  Answer.Tag = "SET";
+  m_Callers.finish(Work, std::move(Answer));
 }
 
-void StatementDuty::finish(const Running &Work, AnswerStatement Answer) {
-  CallerState *Caller = caller(Work.Caller);
-  if (Caller == nullptr)
-    return;
-  Caller->Running.reset();
-  if (Caller->Gone)
-    return dropCaller(*Caller);
-  Answer.Caller = Work.Caller;
-  Answer.Statement = Work.Statement;
-  Answer.InTransaction = Caller->Transaction != TransactionState::None;
-  Answer.TransactionFailed = Caller->Transaction == TransactionState::Failed;
-  bool Close = Answer.Error && Answer.Error->CloseConnection;
-  m_Context.act(std::move(Answer));
-  bool Finished =
-      Caller->Remote && Caller->Transaction == TransactionState::None;
-  if (Close || Finished)
-    dropCaller(*Caller);
+void StatementDuty::runHere(const WorkId &Work, const CallerState &Caller) {
+  if (Caller.Running->Kind == StatementKind::Read)
+    m_Reads.start(Work);
+  else
+    m_Primary.start(Work);
 }
 
 } // namespace bergamotstage
--- a/src/request/StatementForwarding.cpp
+++ b/src/request/StatementForwarding.cpp
@@ -1,4 +1,5 @@
 #include "bergamotstage/account/KeyCheck.h"
+#include "bergamotstage/request/Refusals.h"
 #include "bergamotstage/request/StatementDuty.h"
 #include "bergamotstage/session/SessionToken.h"
 
@@ -8,7 +9,7 @@
 namespace bergamotstage {
 namespace {
 
-const char *const SessionParameter = "bergamotstage.session";
+constexpr Duration RepeatDelay = milliseconds(20);
 
 /// @brief What goes with a statement to the home; never the key itself.
 ForwardedSession sessionOf(const CallerState &Caller,
@@ -20,64 +21,56 @@
     Session.KeyDigest = Caller.Key->Digest;
   }
   Session.Route = Caller.Route.Id;
-  if (!Caller.Token.Seen.empty())
-    Session.Token = encodeToken(Caller.Token, Caller.Account, Secret);
-  Session.TokenMissing = Caller.TokenMissing;
+  Session.Token = encodeToken(Caller.Token, Caller.Account, Secret);
+  Session.TokenMissing = !Caller.Token.Complete;
   Session.MaxAge = Caller.MaxAge;
   Session.RequestId = Caller.RequestId;
   Session.Idempotent = Caller.Idempotent;
   return Session;
 }
 
-Refusal lostRefusal(bool NeverSent) {
-  Refusal Reason;
-  Reason.SqlState =
-      NeverSent ? sqlstate::ConnectionFailure : sqlstate::TransactionUnknown;
-  Reason.State = NeverSent ? RunState::NotRun : RunState::Unknown;
-  Reason.Message = "the connection to the database's home VM was lost";
-  Reason.RetryAfter = seconds(1);
-  return Reason;
-}
-
 } // namespace
 
-void StatementDuty::route(const Running &Work, CallerState &Caller) {
+void StatementDuty::route(const WorkId &Work, CallerState &Caller) {
   std::optional<VmId> Home;
   if (m_HomeOf && !Caller.Remote)
     Home = m_HomeOf(Caller.Route.Database);
   if (Home)
     return forward(Work, Caller, *Home);
-  runFree(Work, Caller);
+  runHere(Work, Caller);
 }
 
-void StatementDuty::forward(const Running &Work, CallerState &Caller,
+void StatementDuty::forward(const WorkId &Work, CallerState &Caller,
                             const VmId &Home) {
+  Execution &Run = *Caller.Running;
   auto Member = m_Context.members().find(Home);
-  if (Member == m_Context.members().end()) {
-    Caller.Home.reset();
-    Caller.Transaction = TransactionState::None;
-    return refuse(Work, lostRefusal(true));
-  }
-  m_Forwarded.insert_or_assign(Work.Statement, Work);
+  if (Member == m_Context.members().end())
+    return m_Callers.refuse(
+        Work, m_Callers.settleLoss(Caller, "the database's home VM is gone"));
+  bool Explicit = Caller.Transaction != TransactionState::None;
+  bool Writes = Run.Kind == StatementKind::Write;
+  Caller.Wrote = Caller.Wrote || Writes;
+  Run.MayTakeEffect =
+      Explicit ? Run.Kind == StatementKind::Commit && Caller.Wrote : Writes;
+  if (Run.MayTakeEffect)
+    m_Callers.reportUnsettled(Caller);
+  Run.Sent = true;
+  Run.Forwarded = true;
   ForwardStatement Wanted;
   Wanted.To = Home;
   Wanted.Address = Member->second.PeerAddress;
   Wanted.Caller = Work.Caller;
   Wanted.Statement = Work.Statement;
   Wanted.Session = sessionOf(Caller, m_Context.settings().TokenSecret);
-  Wanted.Body = Work.Body;
-  Wanted.TimeLeft = std::max(Duration(0), Work.Deadline - m_Context.now());
+  Wanted.Body = Run.Body;
+  Wanted.TimeLeft = std::max(Duration(0), Run.Deadline - m_Context.now());
   Caller.Home = Home;
   m_Context.act(std::move(Wanted));
 }
 
 void StatementDuty::forwardAnswered(const ForwardAnswered &Event) {
-  auto Found = m_Forwarded.find(Event.Statement);
-  if (Found == m_Forwarded.end())
-    return;
-  Running Work = std::move(Found->second);
-  m_Forwarded.erase(Found);
-  CallerState *Caller = caller(Work.Caller);
+  WorkId Work{Event.Caller, Event.Statement};
+  CallerState *Caller = m_Callers.running(Work);
   if (Caller == nullptr)
     return;
   Caller->Transaction = !Event.InTransaction      ? TransactionState::None
@@ -89,43 +82,46 @@
                            m_Context.settings().TokenSecret);
   if (Token) {
     Caller->Token = *Token;
-    Caller->TokenMissing = false;
-    m_Context.act(ReportParameter{Work.Caller, SessionParameter, Event.Token});
+    m_Callers.reportToken(*Caller, *Token);
   }
   AnswerStatement Answer;
   Answer.Chunks = Event.Chunks;
   Answer.Error = Event.Error;
   Answer.Tag = Event.Tag;
   Answer.Notice = Event.Notice;
-  finish(Work, std::move(Answer));
+  m_Callers.finish(Work, std::move(Answer));
 }
 
 void StatementDuty::forwardLost(const ForwardLost &Event) {
-  auto Found = m_Forwarded.find(Event.Statement);
-  if (Found == m_Forwarded.end())
-    return;
-  Running Work = std::move(Found->second);
-  m_Forwarded.erase(Found);
-  CallerState *Caller = caller(Work.Caller);
+  WorkId Work{Event.Caller, Event.Statement};
+  CallerState *Caller = m_Callers.running(Work);
   if (Caller == nullptr)
     return;
-  bool WasInTransaction = Caller->Transaction != TransactionState::None;
+  Execution &Run = *Caller->Running;
+  bool Explicit = Caller->Transaction != TransactionState::None;
+  if (Event.NeverSent) {
+    Run.MayTakeEffect = false;
+    Run.Sent = Explicit;
+  }
+  bool Harmless =
+      Event.NeverSent || (Run.Kind == StatementKind::Read && Event.Chunks == 0);
+  Instant Next = m_Context.now() + RepeatDelay;
+  if (Explicit || !Harmless || Next >= Run.Deadline) {
+    Refusal Reason = m_Callers.settleLoss(
+        *Caller, "the connection to the database's home VM was lost");
+    Reason.RetryAfter = seconds(1);
+    return m_Callers.refuse(Work, std::move(Reason), Event.Chunks);
+  }
   Caller->Home.reset();
-  Caller->Transaction = TransactionState::None;
-  bool HasNoEffect = Event.NeverSent ||
-                     (Work.Kind == StatementKind::Read && Event.Chunks == 0);
-  if (WasInTransaction || !HasNoEffect)
-    return refuse(Work, lostRefusal(false), Event.Chunks);
-  if (m_Context.now() >= Work.Deadline)
-    return refuse(Work, lostRefusal(Event.NeverSent));
-  m_Context.timers().schedule(m_Context.now() + milliseconds(20), [this, Work] {
-    if (CallerState *Known = caller(Work.Caller))
+  Run.Forwarded = false;
+  m_Context.timers().schedule(Next, [this, Work] {
+    if (CallerState *Known = m_Callers.running(Work))
       route(Work, *Known);
   });
 }
 
 CallerState &StatementDuty::forwardedCaller(const ForwardArrived &Event) {
-  CallerState &Caller = m_Callers[Event.Caller];
+  CallerState &Caller = m_Callers.obtain(Event.Caller);
   const ForwardedSession &Session = Event.Session;
   Caller.Id = Event.Caller;
   Caller.Remote = true;
@@ -137,10 +133,7 @@
     Caller.Key->KeyId = Session.KeyId;
     Caller.Key->Digest = Session.KeyDigest;
   }
-  auto Token = decodeToken(Session.Token, Session.Account,
-                           m_Context.settings().TokenSecret);
-  Caller.Token = Token.value_or(SessionToken());
-  Caller.TokenMissing = Session.TokenMissing;
+  takeToken(Caller, Session.Token);
   Caller.MaxAge = Session.MaxAge;
   Caller.RequestId = Session.RequestId;
   Caller.Idempotent = Session.Idempotent;
@@ -148,27 +141,26 @@
 }
 
 void StatementDuty::forwardArrived(const ForwardArrived &Event) {
-  CallerState &Caller = forwardedCaller(Event);
-  if (Caller.Running)
+  const CallerState *Before = m_Callers.find(Event.Caller);
+  if (Before != nullptr && Before->Running)
     return;
-  Caller.Running = Event.Statement;
-  Running Work{Event.Caller, Event.Statement,
-               classifyStatement(Event.Body->Text),
-               m_Context.now() + Event.TimeLeft, Event.Body};
+  CallerState &Caller = forwardedCaller(Event);
+  WorkId Work =
+      begin(Caller, StatementArrived{Event.Caller, Event.Statement, Event.Body},
+            m_Context.now() + Event.TimeLeft);
   auto Route = m_Context.rules().Routes.find(Event.Session.Route);
   bool Known = Route != m_Context.rules().Routes.end();
   bool Allowed = Known && (Route->second.Open || Caller.Key);
-  if (!Allowed || (Caller.Key && !keyStands(m_Context.rules(), *Caller.Key))) {
-    Refusal Reason;
-    Reason.SqlState = sqlstate::InvalidAuthorization;
-    Reason.State = RunState::NotRun;
-    Reason.Message = "the route is not open to this client account";
-    return refuse(Work, Reason);
-  }
+  if (!Allowed || (Caller.Key && !keyStands(m_Context.rules(), *Caller.Key)))
+    return m_Callers.refuse(
+        Work, refusal(sqlstate::InvalidAuthorization, RunState::NotRun,
+                      "the route is not open to this client account"));
   Caller.Route = Route->second;
+  if (answerOwn(Work, Caller))
+    return;
   if (Caller.Pinned)
-    return runOn(Work, *Caller.Pinned);
-  runFree(Work, Caller);
+    return m_Primary.startPinned(Work);
+  runHere(Work, Caller);
 }
 
 } // namespace bergamotstage
--- a/src/session/ReadPolicy.cpp
+++ b/src/session/ReadPolicy.cpp
@@ -157,10 +157,10 @@
   Duration Cost = DefaultPrimaryCost;
   if (Given != Parameters.end())
     Cost = parseDuration(Given->second).value_or(DefaultPrimaryCost);
-  return [Cost](const ReadRequest &Request, const GroupState &Group,
-                Instant Now) {
-    return chooseEarliestFinish(Request, Group, Now, Cost);
-  };
+  return
+      [Cost](const ReadRequest &Request, const GroupState &Group, Instant Now) {
+        return chooseEarliestFinish(Request, Group, Now, Cost);
+      };
 }
 
 } // namespace bergamotstage
--- a/src/session/ResponseTimes.cpp
+++ b/src/session/ResponseTimes.cpp
@@ -25,10 +25,10 @@
                              Instant Now) {
   ended(Target);
   Times &At = m_Targets[Target];
-  At.Average = At.Known ? (At.Average * (AverageOver - NewWeight) +
-                           Took * NewWeight) /
-                              AverageOver
-                        : Took;
+  At.Average =
+      At.Known ? (At.Average * (AverageOver - NewWeight) + Took * NewWeight) /
+                     AverageOver
+               : Took;
   At.Known = true;
   At.LearntAt = Now;
 }
--- a/src/session/SessionToken.cpp
+++ b/src/session/SessionToken.cpp
@@ -98,6 +98,11 @@
     Holders[Database] = Holder;
 }
 
+void SessionToken::unsettle(const DatabaseId &Database) {
+  raise(Database, HistoryPoint());
+  Unsettled.insert(Database);
+}
+
 void SessionToken::settle(const DatabaseId &Database,
                           const HistoryPoint &Point) {
   raise(Database, Point);
--- a/src/session/TermCheck.cpp
+++ b/src/session/TermCheck.cpp
@@ -70,12 +70,12 @@
     return;
   }
   auto Ended = std::make_shared<bool>(false);
-  TimerId Timer = m_Context.timers().schedule(
-      m_Context.now() + RoundTimeout, [this, Target, Link, Ended] {
-        *Ended = true;
-        m_Busy.erase(Target);
-        m_Links.release(Link, false);
-      });
+  TimerId Timer = m_Context.timers().schedule(m_Context.now() + RoundTimeout,
+                                              [this, Target, Link, Ended] {
+                                                *Ended = true;
+                                                m_Busy.erase(Target);
+                                                m_Links.release(Link, false);
+                                              });
   m_Links.runInternal(Link, questionText(At.Asked),
                       [this, Database, Target, Number, Link, Timer,
                        Ended](const LinkPool::Answer &Answer) {
--- a/src/standin/Instance.cpp
+++ b/src/standin/Instance.cpp
@@ -270,7 +270,8 @@
   if (m_SeenTerm.value() > Statement.Term)
     return failure("55000", "a later term has been seen");
   HistoryPoint Wanted{Term(Statement.Term), LogPosition(Statement.Position)};
-  if (replayed() < Wanted)
+  bool AsksForPosition = Statement.Position > 0;
+  if (AsksForPosition && replayed() < Wanted)
     return std::nullopt;
   return success("CONFIRM");
 }
--- a/src/standin/Sql.h
+++ b/src/standin/Sql.h
@@ -53,7 +53,8 @@
   enum class Kind : std::uint8_t { Begin, Commit, Rollback, Discard, Set };
   Kind What = Kind::Begin;
 };
-/// @brief `CONFIRM term position`: waits until this instance holds it.
+/// @brief `CONFIRM term position`: waits until this instance holds it; position
+/// 0 only asks whether it has seen a later term.
 struct Confirm {
   std::uint64_t Term = 0;
   std::uint64_t Position = 0;
