--- a/src/request/StatementDuty.cpp
+++ b/src/request/StatementDuty.cpp
@@ -172,7 +172,7 @@
   WorkId Work{Event.Caller, Event.Statement};
   Execution Run;
   Run.Statement = Event.Statement;
-  Run.Kind = classifyStatement(Event.Body->Text);
+  Run.Kind = kindOf(*Event.Body);
   Run.Deadline = Deadline;
   Run.Body = Event.Body;
   Run.Timer =
