--- /dev/null
+++ b/test/unit-session-reads.cpp
@@ -0,0 +1,170 @@
+#include "SessionSite.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bergamotstage;
+using namespace bergamotstage::standin;
+
+namespace {
+
+const char *const Primary = "waitlist-a-1";
+const char *const Offer = "INSERT INTO offers VALUES ('plot-7', 'family-3')";
+const char *const Read = "SELECT value FROM offers WHERE key = 'plot-7'";
+
+bool toReplicas(const std::string &To) {
+  return To == "target:waitlist-a-2" || To == "target:waitlist-a-3";
+}
+
+} // namespace
+
+TEST_GROUP(SessionReads){};
+
+TEST(SessionReads, RoamingSessionReadsItsWriteFromAReplica) {
+  SessionSite Site(milliseconds(300));
+  LoopbackCaller &Clerk = Site.connect();
+  CHECK(Site.run(Clerk, Offer).succeeded());
+  Outcome Found = Site.run(Site.roam(Clerk.Token), Read);
+  CHECK_EQUAL(1U, Found.Rows.size());
+  CHECK(Found.RanOn != TargetId(Primary));
+}
+
+TEST(SessionReads, NamedSessionWithoutItsTokenReadsFromAVerifiedPrimary) {
+  SessionSite Site(seconds(30));
+  LoopbackCaller &Clerk = Site.roam("clerk-7");
+  Site.Internal.clear();
+  Outcome Found = Site.run(Clerk, Read);
+  CHECK(Found.succeeded());
+  CHECK(Found.RanOn == TargetId(Primary));
+  CHECK(!Site.Internal.empty());
+  CHECK(!Clerk.Token.empty());
+}
+
+TEST(SessionReads, UnverifiablePrimaryIsRefusedAtOnceWithATimeToReturn) {
+  SessionSite Site(milliseconds(20));
+  Site.Fleet.Blocked = [](const std::string &, const std::string &To) {
+    return toReplicas(To);
+  };
+  LoopbackCaller &Clerk = Site.roam("clerk-7");
+  Outcome Found = Site.run(Clerk, Read, seconds(3));
+  CHECK(Found.is(RunState::NotRun));
+  CHECK(Found.Answer.Error->RetryAfter.has_value());
+}
+
+TEST(SessionReads, SupersededPrimaryServesNoSessionWithoutToken) {
+  SessionSite Site(milliseconds(20));
+  Site.group().find(TargetId(Primary))->Cut = true;
+  CHECK(Site.promote("waitlist-a-2", 2).Applied);
+  Site.Fleet.Blocked = [](const std::string &From, const std::string &To) {
+    return From == "platform" || To == "platform";
+  };
+  Outcome Found = Site.run(Site.roam("clerk-7"), Read, seconds(3));
+  CHECK(Found.Answered);
+  CHECK(Found.RanOn != TargetId(Primary));
+}
+
+TEST(SessionReads, TokenOfALaterTermIsNeverServedByAnEarlierOne) {
+  SessionSite Site(milliseconds(20));
+  SessionToken Token;
+  Token.raise(DatabaseId("waitlist-a"), {Term(9), LogPosition(1)});
+  std::string Text =
+      encodeToken(Token, AccountId("ward-1"), "a secret for demonstrations");
+  Outcome Found = Site.run(Site.roam(Text), Read, milliseconds(100));
+  CHECK(Found.is(RunState::NotRun));
+  CHECK(Found.Answer.Error->RetryAfter.has_value());
+}
+
+TEST(SessionReads, UnknownOutcomeIsTreatedAsWritten) {
+  SessionSite Site(milliseconds(20));
+  LoopbackCaller &Clerk = Site.connect();
+  CHECK(Site.run(Clerk, Offer).succeeded());
+  Site.Fleet.Blocked = [](const std::string &From, const std::string &) {
+    return From == std::string("target:") + Primary;
+  };
+  Outcome Lost =
+      Site.run(Clerk, "UPDATE offers SET value = 'x' WHERE key = 'plot-7'");
+  CHECK(Lost.is(RunState::Unknown));
+  Site.Fleet.Blocked = nullptr;
+  Outcome Found = Site.run(Site.roam(Clerk.Token), Read);
+  CHECK_EQUAL(1U, Found.Rows.size());
+  STRCMP_EQUAL("x", Found.Rows[0][0].c_str());
+}
+
+TEST(SessionReads, VmThatDiesInAWriteLeavesTheCallerAnUnsettledToken) {
+  SessionSite Site(milliseconds(20));
+  LoopbackCaller &Clerk = Site.connect();
+  Site.start(Clerk, Offer);
+  Site.Fleet.runUntil(Site.Fleet.now() + milliseconds(15));
+  auto Token = decodeToken(Clerk.Token, AccountId("ward-1"),
+                           "a secret for demonstrations");
+  CHECK(Token.has_value());
+  CHECK(!Token->settled(DatabaseId("waitlist-a")));
+}
+
+TEST(SessionReads, AgeIsBoundedOrThePrimaryAnswers) {
+  SessionSite Old(seconds(30));
+  LoopbackCaller &Clerk = Old.connect();
+  Old.run(Clerk, Offer);
+  LoopbackCaller &Chairman = Old.connect({}, "timetable");
+  Outcome Found = Old.run(Chairman, Read);
+  CHECK_EQUAL(1U, Found.Rows.size());
+  CHECK(Found.RanOn == TargetId(Primary));
+  CHECK(Found.Answer.Notice.empty());
+  Old.Fleet.runUntil(Old.Fleet.now() + seconds(40));
+  CHECK(Old.run(Chairman, Read).RanOn != TargetId(Primary));
+}
+
+TEST(SessionReads, UnknownAgeIsSaid) {
+  SessionSite Site(milliseconds(20));
+  Site.Fleet.Blocked = [](const std::string &, const std::string &To) {
+    return toReplicas(To);
+  };
+  Outcome Found = Site.run(Site.connect({}, "timetable"), Read);
+  CHECK(Found.succeeded());
+  CHECK(!Found.Answer.Notice.empty());
+}
+
+TEST(SessionReads, CancelledReadIsCutAndCancelledWriteRunsToItsEnd) {
+  SessionSite Site(milliseconds(20));
+  LoopbackCaller &Clerk = Site.connect();
+  auto Sleeper = Site.start(Clerk, "SELECT pg_sleep(5)");
+  Site.Fleet.runUntil(Site.Fleet.now() + milliseconds(100));
+  Site.Fleet.deliver(Site.Vm, CancelArrived{Clerk.Id});
+  Site.Fleet.runUntil(Site.Fleet.now() + milliseconds(1));
+  CHECK(Sleeper->is(RunState::Failed));
+  STRCMP_EQUAL(sqlstate::QueryCanceled,
+               Sleeper->Answer.Error->SqlState.c_str());
+  auto Write = Site.start(Clerk, Offer);
+  Site.Fleet.runUntil(Site.Fleet.now() + milliseconds(13));
+  Site.Fleet.deliver(Site.Vm, CancelArrived{Clerk.Id});
+  Site.Fleet.runUntil(Site.Fleet.now() + seconds(1));
+  CHECK(Write->succeeded());
+}
+
+TEST(SessionReads, CancelledWaiterIsNotRun) {
+  SessionSite Site(milliseconds(20));
+  std::vector<LoopbackCaller *> Clerks;
+  for (int Number = 0; Number < 5; ++Number)
+    Clerks.push_back(&Site.connect());
+  for (int Number = 0; Number < 4; ++Number) {
+    Site.run(*Clerks[Number], "BEGIN", milliseconds(100));
+  }
+  auto Waiting = Site.start(*Clerks[4], Offer);
+  Site.Fleet.runUntil(Site.Fleet.now() + milliseconds(5));
+  Site.Fleet.deliver(Site.Vm, CancelArrived{Clerks[4]->Id});
+  Site.Fleet.runUntil(Site.Fleet.now() + milliseconds(1));
+  CHECK(Waiting->is(RunState::NotRun));
+  CHECK(Waiting->RanOn.value().empty());
+}
+
+TEST(SessionReads, LostTransactionRunsNothingUntilItIsEnded) {
+  SessionSite Site(milliseconds(20));
+  LoopbackCaller &Clerk = Site.connect();
+  CHECK(Site.run(Clerk, "BEGIN").succeeded());
+  auto Sleeper = Site.start(Clerk, "SELECT pg_sleep(60)");
+  Site.Fleet.runUntil(Site.Fleet.now() + seconds(12));
+  CHECK(Sleeper->is(RunState::Failed));
+  CHECK(Sleeper->Answer.TransactionFailed);
+  CHECK(Site.run(Clerk, Offer).is(RunState::NotRun));
+  CHECK(Site.run(Clerk, "ROLLBACK").succeeded());
+  CHECK(Site.run(Clerk, Offer).succeeded());
+}
