--- a/src/request/PrimaryRunner.cpp
+++ b/src/request/PrimaryRunner.cpp
@@ -274,6 +274,8 @@
   const GroupState *Group = m_Targets.group(Caller->Route.Database);
   if (Group == nullptr)
     return unconfirmed(Work, Answer, Confirmed::TimedOut);
+  if (Group->CurrentTerm > Answer.Reported.AtTerm)
+    return unconfirmed(Work, Answer, Confirmed::Superseded);
   DatabaseId Database = Group->Database;
   m_Targets.confirmation().wait(
       *Group, Answer.Reported,
--- a/test/SessionSite.h
+++ b/test/SessionSite.h
@@ -88,7 +88,14 @@
     return *Result;
   }
 
-  /// @brief Value of a row on the present primary.
+  /// @brief Runs a statement on a target, past the proxy.
+  void runAt(const char *Target, SqlSession &Session, const Sql &Statement) {
+    group()
+        .find(TargetId(Target))
+        ->State.execute(Session, Statement, Fleet.now());
+  }
+
+  /// @brief Value of a row on a target.
   std::string valueAt(const TargetId &Target, const std::string &Table,
                       const std::string &Key) {
     SqlSession Session;
--- a/test/unit-claims.cpp
+++ b/test/unit-claims.cpp
@@ -1,4 +1,5 @@
 #include "SessionSite.h"
+#include "bergamotstage/request/ClaimRunner.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -95,15 +96,19 @@
 
 TEST(Claims, RepeatWaitsBoundedForTheFirst) {
   Seats Site;
-  LoopbackCaller &One = Site.request("r1");
-  CHECK(Site.run(One, "BEGIN").succeeded());
-  CHECK(Site.run(One, Add).succeeded());
+  SqlSession First;
+  std::string Key = claimKey(AccountId("ward-1"), "r1");
+  Site.runAt("waitlist-a-1", First, Control{Control::Kind::Begin});
+  Site.runAt("waitlist-a-1", First, Insert{ClaimTable, {Key, "x"}, true});
+  Instant Sent = Site.Fleet.now();
   Outcome Second = Site.run(Site.request("r1"), Add);
   CHECK(Second.is(RunState::NotRun));
+  CHECK(Site.Fleet.now() - Sent < seconds(2));
   STRCMP_EQUAL(sqlstate::DuplicateRequest,
                Second.Answer.Error->SqlState.c_str());
   CHECK(Second.Answer.Error->RetryAfter.has_value());
-  CHECK(Site.run(One, "COMMIT").succeeded());
+  Site.runAt("waitlist-a-1", First, Control{Control::Kind::Rollback});
+  CHECK(Site.run(Site.request("r1"), Add).succeeded());
   STRCMP_EQUAL("1", Site.count().c_str());
 }
 
--- a/test/unit-session-reads.cpp
+++ b/test/unit-session-reads.cpp
@@ -102,8 +102,8 @@
 
 TEST(SessionReads, AgeIsBoundedOrThePrimaryAnswers) {
   SessionSite Old(seconds(30));
-  LoopbackCaller &Clerk = Old.connect();
-  Old.run(Clerk, Offer);
+  SqlSession Elsewhere;
+  Old.runAt(Primary, Elsewhere, Insert{"offers", {"plot-7", "x"}, false});
   LoopbackCaller &Chairman = Old.connect({}, "timetable");
   Outcome Found = Old.run(Chairman, Read);
   CHECK_EQUAL(1U, Found.Rows.size());
