--- a/src/target/LinkPool.cpp
+++ b/src/target/LinkPool.cpp
@@ -148,7 +148,7 @@
   m_Links.at(Id).Progress =
       m_Context.timers().schedule(m_Context.now() + Limit, [this, Id, Reason] {
         if (m_Links.count(Id) > 0)
-          lose(Id, true, LinkLost{Reason, false, 0});
+          lose(Id, true, LinkLost{Reason, false, 0, false});
       });
 }
 
@@ -167,7 +167,8 @@
                    SharedBody Body, AnswerCallback Callback) {
   auto Found = m_Links.find(Id);
   if (Found == m_Links.end())
-    return Callback(tl::make_unexpected(LinkLost{"the link is gone", true, 0}));
+    return Callback(
+        tl::make_unexpected(LinkLost{"the link is gone", true, 0, false}));
   Found->second.Used = true;
   start(Id, Found->second, Statement, std::move(Callback));
   m_Context.act(RunStatement{Id, Statement, Caller, std::move(Body)});
@@ -177,7 +178,8 @@
                            AnswerCallback Callback) {
   auto Found = m_Links.find(Id);
   if (Found == m_Links.end())
-    return Callback(tl::make_unexpected(LinkLost{"the link is gone", true, 0}));
+    return Callback(
+        tl::make_unexpected(LinkLost{"the link is gone", true, 0, false}));
   StatementId Statement = m_Context.newInternalStatement();
   start(Id, Found->second, Statement, std::move(Callback));
   m_Context.act(RunInternal{Id, Statement, Text});
@@ -336,7 +338,7 @@
     AnswerCallback Callback = std::move(m_Links.at(Link).Callback);
     forget(Link, true);
     if (Callback)
-      Callback(tl::make_unexpected(LinkLost{Reason, false, 0}));
+      Callback(tl::make_unexpected(LinkLost{Reason, false, 0, false}));
   }
 }
 
@@ -369,7 +371,7 @@
 void LinkPool::failed(const LinkFailed &Event) {
   if (m_Links.count(Event.Link) > 0)
     lose(Event.Link, false,
-         LinkLost{Event.Reason, Event.NeverSent, Event.Chunks});
+         LinkLost{Event.Reason, Event.NeverSent, Event.Chunks, false});
 }
 
 void LinkPool::answered(const LinkAnswered &Event) {
--- a/src/target/MonitorLinks.cpp
+++ b/src/target/MonitorLinks.cpp
@@ -8,8 +8,8 @@
 namespace bergamotstage {
 namespace {
 
-LinkResult lostResult(const std::string &Reason) {
-  return tl::make_unexpected(LinkLost{Reason, false, 0});
+LinkResult lostResult(const std::string &Reason, bool Replaced = false) {
+  return tl::make_unexpected(LinkLost{Reason, false, 0, Replaced});
 }
 
 } // namespace
@@ -87,7 +87,7 @@
   m_Links.at(Oldest).Work = 0;
   drop(Oldest, true, "");
   if (Number != 0)
-    finish(Number, lostResult("replaced by a new connection"), false);
+    finish(Number, lostResult("replaced by a new connection", true), false);
 }
 
 void MonitorLinks::drop(LinkId Id, bool CloseIt, const std::string &Reason) {
@@ -126,7 +126,8 @@
   if (Found->second.Link)
     drop(*Found->second.Link, true, "no answer in time");
   else
-    finish(Number, lostResult("no connection became free in time"), false);
+    finish(Number, lostResult("no connection became free in time", true),
+           false);
   serve(Name);
 }
 
