Test the primary when an answer is 100 ms overdue

A lost primary under traffic was noticed 500 ms after the first unanswered statement. The limit is now 100 ms: an early test costs one heartbeat on an open link.

--- a/src/target/LinkPool.cpp
+++ b/src/target/LinkPool.cpp
@@ -17,7 +17,7 @@
 constexpr Duration OpenTimeout = seconds(1);
 constexpr Duration ResetTimeout = seconds(1);
 /// @brief Time without an answer after which the target is tested.
-constexpr Duration OverdueAfter = milliseconds(500);
+constexpr Duration OverdueAfter = milliseconds(100);
 /// @brief Open links kept beyond those lent while the target is in use.
 constexpr std::size_t SpareLinks = 1;
 constexpr Duration IdleLinkLife = seconds(30);
