Spread heartbeats of watchers over time

All watchers started together and kept the same cycle, so that their heartbeats came in one burst. Each cycle is now drawn between a half and one and a half of its length.

--- a/src/target/PrimaryWatch.cpp
+++ b/src/target/PrimaryWatch.cpp
@@ -63,9 +63,12 @@
       std::find(All.begin(), All.end(), m_Context.settings().Vm) != All.end();
   if (Watches)
     check(Database);
-  std::size_t Turns = std::max<std::size_t>(1, All.size());
+  auto Turns = static_cast<Duration::rep>(std::max<std::size_t>(1, All.size()));
+  Duration::rep Cycle = HeartbeatInterval.count() * Turns;
+  std::uniform_int_distribution<Duration::rep> Jitter(Cycle / 2,
+                                                      Cycle + Cycle / 2);
   m_Context.timers().schedule(m_Context.now() +
-                                  HeartbeatInterval * static_cast<int>(Turns),
+                                  Duration(Jitter(m_Context.random())),
                               [this, Database] { heartbeat(Database); });
 }
 
