Shorten the time that heartbeats and probes wait

A heartbeat on an open link waited 150 ms and a probe over a new connection as long, though an answer takes one round trip and a connection 30 ms. They now wait 60 ms and 100 ms.

The vote still asks a majority, so that the shorter waits alone replace no primary.

--- a/src/target/PrimaryWatch.cpp
+++ b/src/target/PrimaryWatch.cpp
@@ -13,9 +13,9 @@
 
 /// @brief Time between heartbeats of all watchers of a primary together.
 constexpr Duration HeartbeatInterval = milliseconds(250);
-constexpr Duration HeartbeatTimeout = milliseconds(150);
+constexpr Duration HeartbeatTimeout = milliseconds(60);
 /// @brief Covers a new connection and one answer.
-constexpr Duration ProbeTimeout = milliseconds(150);
+constexpr Duration ProbeTimeout = milliseconds(100);
 /// @brief Time for the answers of other watchers beyond their own probe.
 constexpr Duration VoteMargin = milliseconds(50);
 /// @brief Rounds without any other VM's report before this VM acts alone.
