--- a/src/request/PrimaryRunner.cpp
+++ b/src/request/PrimaryRunner.cpp
@@ -91,19 +91,23 @@
                  {"kind", statementKindName(Caller->Running->Kind)},
                  {"target", Primary.value()},
                  {"reason", "primary"}});
-  m_Targets.links().acquire(
-      Primary, Caller->Account, Caller->Running->Deadline,
-      [this, Work](const LinkPool::Lent &Lent) {
-        if (Lent)
-          return lent(Work, *Lent);
-        CallerState *Known = m_Callers.running(Work);
-        if (Known == nullptr)
-          return;
-        if (Known->Running->MayTakeEffect)
-          return m_Callers.refuse(
-              Work, m_Callers.settleLoss(*Known, Lent.error().Message));
-        m_Callers.refuse(Work, Lent.error());
-      });
+  auto Lend = [this, Work](const LinkPool::Lent &Lent) {
+    if (Lent)
+      return lent(Work, *Lent);
+    CallerState *Known = m_Callers.running(Work);
+    if (Known == nullptr)
+      return;
+    if (Known->Running->MayTakeEffect)
+      return m_Callers.refuse(
+          Work, m_Callers.settleLoss(*Known, Lent.error().Message));
+    m_Callers.refuse(Work, Lent.error());
+  };
+  const DatabaseId &Database = Caller->Route.Database;
+  const GroupState *Group = m_Targets.group(Database);
+  Instant Deadline = Caller->Running->Deadline;
+  if (Group != nullptr && Group->Primary == Primary)
+    return m_Targets.acquirePrimary(Database, Caller->Account, Deadline, Lend);
+  m_Targets.links().acquire(Primary, Caller->Account, Deadline, Lend);
 }
 
 void PrimaryRunner::lent(const WorkId &Work, LinkId Link) {
@@ -277,16 +281,15 @@
   if (Group->CurrentTerm > Answer.Reported.AtTerm)
     return unconfirmed(Work, Answer, Confirmed::Superseded);
   DatabaseId Database = Group->Database;
+  TargetId RanAt = m_Targets.links().targetOf(Answer.Link);
   m_Targets.confirmation().wait(
-      *Group, Answer.Reported,
+      *Group, RanAt, Answer.Reported,
       [this, Work, SentAt, Answer, Instead, Database](Confirmed Result) {
         if (Result == Confirmed::Durable)
           m_Positions.add(Database, SentAt, Answer.Reported);
         if (m_Callers.running(Work) == nullptr)
           return;
-        bool Unknown =
-            Result == Confirmed::TimedOut || Result == Confirmed::Superseded;
-        if (Unknown)
+        if (!mayAcknowledge(Result))
           return unconfirmed(Work, Answer, Result);
         acknowledge(Work, Answer, Instead);
       });
