--- a/src/target/LinkPool.cpp
+++ b/src/target/LinkPool.cpp
@@ -126,7 +126,8 @@
   On.Account = Next.Account;
   On.LentAt = m_Context.now();
   ++At.Lent;
-  Next.Callback(Id);
+  LendCallback Callback = std::move(Next.Callback);
+  Callback(Id);
 }
 
 void LinkPool::openMore(const TargetId &Id, Target &At) {
