--- a/include/bergamotstage/target/LinkPool.h
+++ b/include/bergamotstage/target/LinkPool.h
@@ -64,10 +64,6 @@
   void acquire(const TargetId &Target, const AccountId &Account,
                Instant Deadline, LendCallback Callback);
 
-  /// @brief Keeps a spare link open for a while, so that the first statement
-  /// there does not wait for a connection.
-  void keepWarm(const TargetId &Target);
-
   /// @brief Runs a caller's statement on a lent link. Without an answer within
   /// the statement timeout the link is closed and the outcome is unknown.
   void run(LinkId Link, CallerId Caller, StatementId Statement, SharedBody Body,
--- a/src/target/LinkPool.cpp
+++ b/src/target/LinkPool.cpp
@@ -81,14 +81,6 @@
   serve(Id);
 }
 
-void LinkPool::keepWarm(const TargetId &Id) {
-  auto Found = m_Targets.find(Id);
-  if (Found == m_Targets.end())
-    return;
-  Found->second.UsedAt = m_Context.now();
-  openMore(Id, Found->second);
-}
-
 void LinkPool::expire(const TargetId &Id, std::uint64_t Ticket) {
   Target &At = m_Targets[Id];
   auto Found = At.Waiters.find(Ticket);
--- a/src/target/TargetDuty.cpp
+++ b/src/target/TargetDuty.cpp
@@ -205,9 +205,6 @@
     };
     return m_Hold.add(Database, Deadline, Again);
   }
-  for (const TargetState &Target : Group->Targets)
-    if (!Target.Leaving)
-      m_Links.keepWarm(Target.Id);
   TargetId Asked = Group->Primary;
   m_Links.acquire(Asked, Account, Deadline,
                   [this, Asked, Database, Account, Deadline,
