--- a/bench/Registry.cpp
+++ b/bench/Registry.cpp
@@ -7,6 +7,9 @@
   static const std::vector<BenchCase> Cases = {
       {"step", "time that the decision core takes for one read", benchStep},
       {"core", "time and memory of rules and of idle callers", benchCore},
+      {"reads", "share of reads on replicas in a burst of lookups, by policy",
+       benchReads},
+      {"once", "cost of running a request at most once", benchOnce},
   };
   return Cases;
 }
