--- a/include/bergamotstage/request/ReadRunner.h
+++ b/include/bergamotstage/request/ReadRunner.h
@@ -30,6 +30,9 @@
   ReadRequest requestOf(const CallerState &Caller,
                         const GroupState &Group) const;
   void route(const WorkId &Work);
+  /// @brief Whether age-bounded reads need a new sample of the primary's
+  /// position, so that replicas can be shown to cover one that is recent.
+  bool sampleIsDue(const GroupState &Group, Duration MaxAge) const;
   void verify(const WorkId &Work, const GroupState &Group);
   void sampleAge(const WorkId &Work, const GroupState &Group);
   bool waitForReplica(const WorkId &Work, Execution &Run,
--- a/include/bergamotstage/session/TermCheck.h
+++ b/include/bergamotstage/session/TermCheck.h
@@ -42,6 +42,12 @@
   /// share the next one.
   void verify(const GroupState &Group, Callback Done);
 
+  /// @brief Whether a round runs for a database.
+  bool runs(const DatabaseId &Database) const {
+    auto Found = m_Rounds.find(Database);
+    return Found != m_Rounds.end() && Found->second.Number != 0;
+  }
+
   /// @brief Rounds started, for reports.
   std::uint64_t rounds() const { return m_LastRound; }
 
--- a/src/request/ReadRunner.cpp
+++ b/src/request/ReadRunner.cpp
@@ -5,6 +5,7 @@
 #include "bergamotstage/request/Refusals.h"
 #include "bergamotstage/rules/PolicyChoice.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bergamotstage {
@@ -13,6 +14,8 @@
 constexpr unsigned MaxAttempts = 4;
 constexpr Duration CatchUpInterval = milliseconds(5);
 constexpr Duration RetryAfter = milliseconds(500);
+constexpr Duration MinSampleInterval = milliseconds(20);
+constexpr int SamplesWithinMaxAge = 16; ///< Of the primary's position.
 const char *const DefaultPolicy = "nearest-covered";
 const char *const AgeUnknownNotice =
     "the age of these data is not known: the primary could not be verified";
@@ -79,8 +82,14 @@
   ReadRequest Request = requestOf(*Caller, *Group);
   Request.Draw = m_Context.random()();
   ReadChoice Choice = Policy(Request, *Group, m_Context.now());
-  if (Choice.Shortfall == ReadShortfall::AgeUnknown && !Run.AgeSampled)
-    return sampleAge(Work, *Group);
+  if (Caller->MaxAge && sampleIsDue(*Group, *Caller->MaxAge)) {
+    bool Helps =
+        Choice.Shortfall == ReadShortfall::AgeUnknown && !Run.AgeSampled;
+    if (Helps)
+      return sampleAge(Work, *Group);
+    if (!m_Check.runs(Group->Database))
+      m_Check.verify(*Group, [](const TermCheck::Result &) {});
+  }
   bool Behind = Choice.Shortfall == ReadShortfall::Behind;
   if (Behind && waitForReplica(Work, Run, *Group, waitOf(Chosen)))
     return;
@@ -91,6 +100,12 @@
   lend(Work, Choice);
 }
 
+bool ReadRunner::sampleIsDue(const GroupState &Group, Duration MaxAge) const {
+  auto Newest = m_Positions.newest(Group.Database, Group.CurrentTerm);
+  Duration Interval = std::max(MinSampleInterval, MaxAge / SamplesWithinMaxAge);
+  return !Newest || m_Context.now() - *Newest >= Interval;
+}
+
 void ReadRunner::verify(const WorkId &Work, const GroupState &Group) {
   m_Check.verify(Group, [this, Work](const TermCheck::Result &Shown) {
     CallerState *Caller = m_Callers.running(Work);
