--- a/bench/Cases.h
+++ b/bench/Cases.h
@@ -10,6 +10,9 @@
 std::vector<BenchRow> benchCore();
 std::vector<BenchRow> benchReads();
 std::vector<BenchRow> benchOnce();
+std::vector<BenchRow> benchFailover();
+std::vector<BenchRow> benchFairness();
+std::vector<BenchRow> benchDurable();
 
 } // namespace bergamotstage::bench
 
--- a/include/bergamotstage/target/TargetDuty.h
+++ b/include/bergamotstage/target/TargetDuty.h
@@ -3,8 +3,12 @@
 
 #include "bergamotstage/node/NodeContext.h"
 #include "bergamotstage/target/Confirmation.h"
+#include "bergamotstage/target/Failover.h"
 #include "bergamotstage/target/GroupState.h"
 #include "bergamotstage/target/LinkPool.h"
+#include "bergamotstage/target/MonitorLinks.h"
+#include "bergamotstage/target/PrimaryCheck.h"
+#include "bergamotstage/target/WriteHold.h"
 
 #include <map>
 
@@ -27,6 +31,22 @@
   /// @brief Takes a message about targets from another VM.
   void peerReceived(const PeerReceived &Event);
 
+  /// @brief Take what happened to links to targets.
+  void linkOpened(const LinkOpened &Event);
+  void linkFailed(const LinkFailed &Event);
+  void linkAnswered(const LinkAnswered &Event);
+
+  /// @brief Tells whether the primary that this VM knows is the current one.
+  ///
+  /// False within a second where that cannot be told.
+  void verifyPrimary(const DatabaseId &Database, PrimaryCheck::Callback Done);
+
+  /// @brief Lends a link to the primary, now or once the next one is known.
+  ///
+  /// The wait is bounded; the refusal is truly "not run".
+  void acquirePrimary(const DatabaseId &Database, const AccountId &Account,
+                      Instant Deadline, LinkPool::LendCallback Callback);
+
   LinkPool &links() { return m_Links; }
   Confirmation &confirmation() { return m_Confirmation; }
 
@@ -36,11 +56,25 @@
 private:
   void readGroups();
   void takeGroups(const GroupsRead &Read);
+  void followLinks();
+  void followFailover();
+  void adopt(GroupState &Group, Term NewTerm, const TargetId &Primary);
+  void clearSuspicion(const GroupState &Group, TargetState &Target);
+  bool isHome(const DatabaseId &Database) const;
+  void chooseQueue();
+  void configureLinks();
   void takeReport(const TargetId &Target, const LinkAnswered &Answer);
+  void takeOutcome(const TargetId &Target, bool Answered);
+  void takeLoad(const TargetId &Target, unsigned Running, std::size_t Queued);
+  GroupState *groupOf(const TargetId &Target);
 
   NodeContext &m_Context;
   LinkPool m_Links;
+  MonitorLinks m_Monitors;
   Confirmation m_Confirmation;
+  PrimaryCheck m_PrimaryCheck;
+  Failover m_Failover;
+  WriteHold m_Hold;
   std::map<DatabaseId, GroupState> m_Groups;
   std::map<TargetId, DatabaseId> m_DatabaseOf;
 };
--- /dev/null
+++ b/src/target/TargetShare.cpp
@@ -0,0 +1,34 @@
+#include "bergamotstage/target/TargetShare.h"
+
+#include "bergamotstage/target/Watchers.h"
+
+#include <algorithm>
+
+namespace bergamotstage {
+namespace {
+
+/// @brief One connection in this many serves the proxy's own statements.
+constexpr unsigned LinksPerMonitor = 4;
+/// @brief One each for confirmations, heartbeats and fencing.
+constexpr unsigned MaxMonitorLinks = 3;
+
+} // namespace
+
+TargetShare shareOfTarget(const TargetRule &Rule, const MemberMap &Members,
+                          bool IsHome) {
+  if (!IsHome)
+    return {};
+  auto Watchers =
+      static_cast<unsigned>(watchersOf(Rule.Database, Members).size());
+  unsigned Reserved = Watchers;
+  unsigned Connections =
+      Rule.Connections > Reserved + 2 ? Rule.Connections - Reserved : 2U;
+  TargetShare Share;
+  Share.Slots = Rule.Slots;
+  Share.MonitorLinks =
+      std::clamp(Connections / LinksPerMonitor, 1U, MaxMonitorLinks);
+  Share.WorkLinks = Connections - Share.MonitorLinks;
+  return Share;
+}
+
+} // namespace bergamotstage
