Check terms over monitor links, outside the slots of statements

Checks of the primary's term took a slot of the target and waited behind reads and pending confirmations. They now run on the monitor links that targets keep for confirmations.

--- a/include/bergamotstage/session/TermCheck.h
+++ b/include/bergamotstage/session/TermCheck.h
@@ -6,12 +6,12 @@
 #include "bergamotstage/node/NodeContext.h"
 #include "bergamotstage/session/PositionHistory.h"
 #include "bergamotstage/target/GroupState.h"
-#include "bergamotstage/target/LinkPool.h"
+#include "bergamotstage/target/LinkResult.h"
+#include "bergamotstage/target/MonitorLinks.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
 #include <vector>
 
 namespace bergamotstage {
@@ -33,7 +33,8 @@
   };
   using Callback = std::function<void(const Result &)>;
 
-  TermCheck(NodeContext &Context, LinkPool &Links, PositionHistory &Positions)
+  TermCheck(NodeContext &Context, MonitorLinks &Links,
+            PositionHistory &Positions)
       : m_Context(Context), m_Links(Links), m_Positions(Positions) {}
 
   /// @brief Waits for a round that starts now or later.
@@ -70,20 +71,16 @@
 
   void start(const GroupState &Group);
   void ask(const DatabaseId &Database, const TargetId &Target);
-  void lent(const DatabaseId &Database, const TargetId &Target,
-            std::uint64_t Number, LinkId Link);
   void answered(const DatabaseId &Database, const TargetId &Target,
-                std::uint64_t Number, const LinkPool::Answer &Answer);
+                std::uint64_t Number, const LinkResult &Result);
   void agree(Round &At, const TargetId &Target, const LinkAnswered &Answer);
-  void failed(const DatabaseId &Database, std::uint64_t Number);
   void conclude(const DatabaseId &Database);
   void finish(const DatabaseId &Database, bool Verified);
 
   NodeContext &m_Context;
-  LinkPool &m_Links;
+  MonitorLinks &m_Links;
   PositionHistory &m_Positions;
   std::map<DatabaseId, Round> m_Rounds;
-  std::set<TargetId> m_Busy; ///< Targets that still owe an answer.
   std::uint64_t m_LastRound = 0;
 };
 
--- a/include/bergamotstage/target/TargetDuty.h
+++ b/include/bergamotstage/target/TargetDuty.h
@@ -48,6 +48,7 @@
                       Instant Deadline, LinkPool::LendCallback Callback);
 
   LinkPool &links() { return m_Links; }
+  MonitorLinks &monitors() { return m_Monitors; }
   Confirmation &confirmation() { return m_Confirmation; }
 
   /// @brief Name and state of all groups, for status.
--- a/src/request/StatementDuty.cpp
+++ b/src/request/StatementDuty.cpp
@@ -30,7 +30,7 @@
                              TargetDuty &Targets)
     : m_Context(Context), m_Accounts(Accounts), m_Targets(Targets),
       m_Callers(Context, Targets.links()),
-      m_Check(Context, Targets.links(), m_Positions),
+      m_Check(Context, Targets.monitors(), m_Positions),
       m_Reads(Context, Targets, m_Callers, m_Check, m_Positions),
       m_Primary(Context, Targets, m_Callers, m_Check, m_Positions) {}
 
--- a/src/session/TermCheck.cpp
+++ b/src/session/TermCheck.cpp
@@ -1,6 +1,5 @@
 #include "bergamotstage/session/TermCheck.h"
 
-#include <memory>
 #include <string>
 #include <utility>
 
@@ -49,53 +48,23 @@
 }
 
 void TermCheck::ask(const DatabaseId &Database, const TargetId &Target) {
-  std::uint64_t Number = m_Rounds[Database].Number;
-  if (!m_Busy.insert(Target).second)
-    return failed(Database, Number);
-  m_Links.acquire(Target, AccountId(), m_Context.now() + RoundTimeout,
-                  [this, Database, Target, Number](const LinkPool::Lent &Lent) {
-                    if (Lent)
-                      return lent(Database, Target, Number, *Lent);
-                    m_Busy.erase(Target);
-                    failed(Database, Number);
-                  });
-}
-
-void TermCheck::lent(const DatabaseId &Database, const TargetId &Target,
-                     std::uint64_t Number, LinkId Link) {
   const Round &At = m_Rounds[Database];
-  if (At.Number != Number) {
-    m_Busy.erase(Target);
-    m_Links.release(Link, true);
-    return;
-  }
-  auto Ended = std::make_shared<bool>(false);
-  TimerId Timer = m_Context.timers().schedule(m_Context.now() + RoundTimeout,
-                                              [this, Target, Link, Ended] {
-                                                *Ended = true;
-                                                m_Busy.erase(Target);
-                                                m_Links.release(Link, false);
-                                              });
-  m_Links.runInternal(Link, questionText(At.Asked),
-                      [this, Database, Target, Number, Link, Timer,
-                       Ended](const LinkPool::Answer &Answer) {
-                        if (*Ended)
-                          return;
-                        m_Context.timers().cancel(Timer);
-                        m_Busy.erase(Target);
-                        m_Links.release(Link, Answer.has_value());
-                        answered(Database, Target, Number, Answer);
-                      });
+  m_Links.run(
+      Target, questionText(At.Asked), RoundTimeout, MonitorLinks::Choice::Any,
+      [this, Database, Target, Number = At.Number](const LinkResult &Result) {
+        answered(Database, Target, Number, Result);
+      });
 }
 
 void TermCheck::answered(const DatabaseId &Database, const TargetId &Target,
-                         std::uint64_t Number, const LinkPool::Answer &Answer) {
+                         std::uint64_t Number, const LinkResult &Result) {
   Round &At = m_Rounds[Database];
   if (At.Number != Number)
     return;
-  if (!Answer || !Answer->ErrorSqlState.empty())
-    return failed(Database, Number);
-  agree(At, Target, *Answer);
+  if (Result && Result->ErrorSqlState.empty())
+    agree(At, Target, *Result);
+  else
+    ++At.Failed;
   conclude(Database);
 }
 
@@ -115,14 +84,6 @@
   At.PrimaryPoint = Answer.Reported;
 }
 
-void TermCheck::failed(const DatabaseId &Database, std::uint64_t Number) {
-  Round &At = m_Rounds[Database];
-  if (At.Number != Number)
-    return;
-  ++At.Failed;
-  conclude(Database);
-}
-
 void TermCheck::conclude(const DatabaseId &Database) {
   const Round &At = m_Rounds[Database];
   std::size_t Majority = At.Targets / 2 + 1;
