Tell a caller how each statement was routed, if it asks

Cause: an operator in front of psql could not see which target answered or why. Change: SET bergamotstage.explain = on adds a notice with home, target, policy, reason, rule line and author, also for forwarded statements.

--- a/include/bergamotstage/node/Forward.h
+++ b/include/bergamotstage/node/Forward.h
@@ -35,6 +35,7 @@
   std::optional<Duration> MaxAge;
   std::string RequestId;
   bool Idempotent = false;
+  bool Explain = false; ///< The answer says how it was routed.
 };
 
 /// @brief Action at the origin: runs a statement through a database's home.
--- a/include/bergamotstage/request/CallerState.h
+++ b/include/bergamotstage/request/CallerState.h
@@ -4,6 +4,7 @@
 #include "bergamotstage/core/Ids.h"
 #include "bergamotstage/core/Time.h"
 #include "bergamotstage/core/TimerQueue.h"
+#include "bergamotstage/request/RouteDecision.h"
 #include "bergamotstage/request/Statement.h"
 #include "bergamotstage/request/StatementBody.h"
 #include "bergamotstage/rules/RuleBook.h"
@@ -39,6 +40,7 @@
   bool AgeSampled = false;  ///< A check for its bound of age has been made.
   bool AgeUnknown = false;  ///< It is served without a known bound of age.
   HistoryPoint MustCover{}; ///< The session's token when it was routed.
+  RouteDecision Decision;   ///< The last one made for it.
 };
 
 /// @brief One caller's connection.
@@ -52,6 +54,7 @@
   std::string RequestId;   ///< For its non-idempotent request; kept until that
                            ///< request has completed or failed.
   bool Idempotent = false; ///< The caller says repeats are harmless.
+  bool Explain = false;    ///< Each answer says how it was routed.
   TransactionState Transaction = TransactionState::None;
   bool Wrote = false;           ///< The open transaction has run a write.
   bool Claimed = false;         ///< And holds the claim of its request id.
--- a/src/request/CallerTable.cpp
+++ b/src/request/CallerTable.cpp
@@ -24,6 +24,11 @@
   return Decided && Request;
 }
 
+void addNotice(AnswerStatement &Answer, const std::string &Text) {
+  bool Both = !Answer.Notice.empty() && !Text.empty();
+  Answer.Notice += (Both ? "; " : "") + Text;
+}
+
 } // namespace
 
 CallerState *CallerTable::find(CallerId Id) {
@@ -65,6 +70,8 @@
     return drop(*Caller);
   if (Done.Marked && Answer.Error)
     reportToken(*Caller, Caller->Token);
+  if (Caller->Explain)
+    addNotice(Answer, describeDecision(Done.Decision));
   Answer.Caller = Work.Caller;
   Answer.Statement = Work.Statement;
   Answer.InTransaction = !Ended;
--- a/src/request/PrimaryRunner.cpp
+++ b/src/request/PrimaryRunner.cpp
@@ -86,6 +86,11 @@
 
 void PrimaryRunner::lend(const WorkId &Work, const TargetId &Primary) {
   CallerState *Caller = m_Callers.running(Work);
+  Caller->Running->Decision = {m_Context.settings().Vm,
+                               Primary,
+                               "primary",
+                               "only the primary takes it",
+                               {}};
   m_Context.log(WriteLog::Level::Debug, "routed",
                 {{"statement", std::to_string(Work.Statement.value())},
                  {"kind", statementKindName(Caller->Running->Kind)},
--- a/src/request/ReadRunner.cpp
+++ b/src/request/ReadRunner.cpp
@@ -67,12 +67,16 @@
                                             "the database has no targets",
                                             RetryAfter));
   Execution &Run = *Caller->Running;
+  Run.Decision.Policy = "verified-primary";
+  Run.Decision.Source = {};
   if (Run.VerifiedPrimary)
     return lend(Work, {*Run.VerifiedPrimary, "verified primary"});
   if (!Caller->Token.settled(Group->Database))
     return verify(Work, *Group);
   PolicyChoice Chosen = choosePolicy(m_Context.rules(), "reads", DefaultPolicy,
                                      Caller->Token.SessionId);
+  Run.Decision.Policy = Chosen.Choice;
+  Run.Decision.Source = Chosen.Source;
   ReadPolicy Policy = readPolicy(Chosen.Choice, Chosen.Parameters);
   if (!Policy)
     Policy = readPolicy(DefaultPolicy);
@@ -135,6 +139,9 @@
   Execution &Run = *Caller->Running;
   ++Run.Attempts;
   Run.MustCover = Caller->Token.mustCover(Caller->Route.Database);
+  Run.Decision.Home = m_Context.settings().Vm;
+  Run.Decision.Target = Choice.Target;
+  Run.Decision.Reason = Choice.Reason;
   m_Context.log(WriteLog::Level::Debug, "routed",
                 {{"statement", std::to_string(Work.Statement.value())},
                  {"kind", statementKindName(Run.Kind)},
--- a/src/request/StatementDuty.cpp
+++ b/src/request/StatementDuty.cpp
@@ -13,6 +13,7 @@
 const char *const MaxAgeSetting = "bergamotstage.max_age";
 const char *const RequestIdSetting = "bergamotstage.request_id";
 const char *const IdempotentSetting = "bergamotstage.idempotent";
+const char *const ExplainSetting = "bergamotstage.explain";
 /// @brief Longer than the home's own limit, so that its answer comes first.
 constexpr Duration ForwardGrace = milliseconds(500);
 
@@ -77,6 +78,8 @@
     Caller.RequestId = Value;
   } else if (Name == IdempotentSetting) {
     Caller.Idempotent = Value == "on" || Value == "true";
+  } else if (Name == ExplainSetting) {
+    Caller.Explain = Value == "on" || Value == "true";
   }
 }
 
--- a/src/request/StatementForwarding.cpp
+++ b/src/request/StatementForwarding.cpp
@@ -26,6 +26,7 @@
   Session.MaxAge = Caller.MaxAge;
   Session.RequestId = Caller.RequestId;
   Session.Idempotent = Caller.Idempotent;
+  Session.Explain = Caller.Explain;
   return Session;
 }
 
@@ -137,6 +138,7 @@
   Caller.MaxAge = Session.MaxAge;
   Caller.RequestId = Session.RequestId;
   Caller.Idempotent = Session.Idempotent;
+  Caller.Explain = Session.Explain;
   return Caller;
 }
 
--- a/src/runtime/ForwardFrames.cpp
+++ b/src/runtime/ForwardFrames.cpp
@@ -17,6 +17,7 @@
     Out.set_max_age_us(Session.MaxAge->count());
   Out.set_request_id(Session.RequestId);
   Out.set_idempotent(Session.Idempotent);
+  Out.set_explain(Session.Explain);
 }
 
 void writeBody(const StatementBody &Body, wire::peer::ForwardStatement &Out) {
@@ -48,6 +49,7 @@
     Session.MaxAge = Duration(Message.max_age_us());
   Session.RequestId = Message.request_id();
   Session.Idempotent = Message.idempotent();
+  Session.Explain = Message.explain();
   return Session;
 }
 
