--- a/include/bergamotstage/target/PrimaryWatch.h
+++ b/include/bergamotstage/target/PrimaryWatch.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace bergamotstage {
@@ -59,8 +60,8 @@
     bool OwnDone = false;
     unsigned Lonely = 0; ///< Rounds in a row that no other VM reported in.
     bool Checking = false;
-    Instant AnsweredAt{}; ///< When a heartbeat was last answered.
-    Instant NotBefore{};  ///< No further vote before, after a needless one.
+    std::optional<Instant> SilentSince; ///< First heartbeat missed in a row.
+    Instant NotBefore{}; ///< No further vote before, after a needless one.
   };
 
   void heartbeat(const DatabaseId &Database);
--- a/src/request/StatementForwarding.cpp
+++ b/src/request/StatementForwarding.cpp
@@ -104,6 +104,8 @@
     Run.MayTakeEffect = false;
     Run.Sent = Explicit;
   }
+  if (Caller->Home)
+    m_Context.act(CloseForward{*Caller->Home, Caller->Id});
   bool Harmless =
       Event.NeverSent || (Run.Kind == StatementKind::Read && Event.Chunks == 0);
   Instant Next = m_Context.now() + RepeatDelay;
