--- a/include/bergamotstage/rules/PolicyChoice.h
+++ b/include/bergamotstage/rules/PolicyChoice.h
@@ -22,10 +22,19 @@
 /// @param Default choice where no rule names the kind
 /// @param SessionHash stable over a session's life and over VMs, so that a
 /// share of sessions keeps its arm
+/// Complexity: linear in the shares of the kind.
 PolicyChoice choosePolicy(const RuleBook &Rules, const std::string &Kind,
                           const std::string &Default,
                           std::uint64_t SessionHash);
 
+/// @brief Label of an arm: the choice and its parameters.
+ArmId armLabel(const std::string &Choice,
+               const std::map<std::string, std::string> &Parameters);
+
+/// @brief The rule by which a statement of a route may be repeated, or null.
+const IdempotentRule *idempotentBy(const RuleBook &Rules, const RouteId &Route,
+                                   std::string_view Statement);
+
 } // namespace bergamotstage
 
 #endif // BERGAMOTSTAGE_RULES_POLICYCHOICE_H
--- a/include/bergamotstage/rules/RuleBook.h
+++ b/include/bergamotstage/rules/RuleBook.h
@@ -76,6 +76,24 @@
   RuleRef Source;
 };
 
+/// @brief `share KIND PERCENT% CHOICE name=value...`: a stable part of the live
+/// sessions follows another choice than the policy.
+struct ShareRule {
+  std::string Kind;
+  double Percent = 0;
+  std::string Choice;
+  std::map<std::string, std::string> Parameters;
+  RuleRef Source;
+};
+
+/// @brief `idempotent route=R pattern="UPDATE plots *"`: statements that may
+/// be run again where their outcome is unknown.
+struct IdempotentRule {
+  RouteId Route;
+  std::string Pattern; ///< `*` stands for any text.
+  RuleRef Source;
+};
+
 /// @brief All rules of one revision, checked against each other.
 struct RuleBook {
   Revision Number;
@@ -85,7 +103,9 @@
   std::map<AccountId, AccountRule> Accounts;
   std::vector<KeyRule> Keys;
   std::map<RouteId, RouteRule> Routes;
-  std::map<std::string, PolicyRule> Policies; ///< By kind.
+  std::map<std::string, PolicyRule> Policies;           ///< By kind.
+  std::map<std::string, std::vector<ShareRule>> Shares; ///< By kind.
+  std::vector<IdempotentRule> Idempotent;
 };
 
 /// @brief Parses and checks a whole rules text.
--- a/src/rules/PolicyChoice.cpp
+++ b/src/rules/PolicyChoice.cpp
@@ -1,9 +1,31 @@
 #include "bergamotstage/rules/PolicyChoice.h"
 
+#include "bergamotstage/rules/RuleValue.h"
+
 namespace bergamotstage {
+namespace {
 
-PolicyChoice choosePolicy(const RuleBook &Rules, const std::string &Kind,
-                          const std::string &Default, std::uint64_t) {
+constexpr double PercentWhole = 100;
+
+/// @brief Mixes all bits of a number into all others (SplitMix64).
+std::uint64_t mixed(std::uint64_t Value) {
+  Value += 0x9E3779B97F4A7C15U;
+  Value = (Value ^ (Value >> 30U)) * 0xBF58476D1CE4E5B9U;
+  Value = (Value ^ (Value >> 27U)) * 0x94D049BB133111EBU;
+  return Value ^ (Value >> 31U);
+}
+
+/// @brief Place of a session from 0 to below 100, another one for each kind.
+double percentOf(const std::string &Kind, std::uint64_t SessionHash) {
+  constexpr std::uint64_t Steps = 1'000'000;
+  std::uint64_t Seed = SessionHash;
+  for (unsigned char Letter : Kind)
+    Seed = mixed(Seed ^ Letter);
+  return PercentWhole * static_cast<double>(mixed(Seed) % Steps) / Steps;
+}
+
+PolicyChoice basePolicy(const RuleBook &Rules, const std::string &Kind,
+                        const std::string &Default) {
   auto Found = Rules.Policies.find(Kind);
   if (Found == Rules.Policies.end())
     return {ArmId("default"), Default, {}, {}};
@@ -11,4 +33,40 @@
   return {ArmId("default"), Rule.Choice, Rule.Parameters, Rule.Source};
 }
 
+} // namespace
+
+ArmId armLabel(const std::string &Choice,
+               const std::map<std::string, std::string> &Parameters) {
+  std::string Label = Choice;
+  for (const auto &[Name, Value] : Parameters)
+    Label.append(",").append(Name).append("=").append(Value);
+  return ArmId(Label);
+}
+
+PolicyChoice choosePolicy(const RuleBook &Rules, const std::string &Kind,
+                          const std::string &Default,
+                          std::uint64_t SessionHash) {
+  PolicyChoice Base = basePolicy(Rules, Kind, Default);
+  auto Shares = Rules.Shares.find(Kind);
+  if (Shares == Rules.Shares.end())
+    return Base;
+  double Place = percentOf(Kind, SessionHash);
+  for (const ShareRule &Share : Shares->second) {
+    if (Place < Share.Percent)
+      return {armLabel(Share.Choice, Share.Parameters), Share.Choice,
+              Share.Parameters, Share.Source};
+    Place -= Share.Percent;
+  }
+  Base.Arm = armLabel(Base.Choice, Base.Parameters);
+  return Base;
+}
+
+const IdempotentRule *idempotentBy(const RuleBook &Rules, const RouteId &Route,
+                                   std::string_view Statement) {
+  for (const IdempotentRule &Rule : Rules.Idempotent)
+    if (Rule.Route == Route && matchesPattern(Rule.Pattern, Statement))
+      return &Rule;
+  return nullptr;
+}
+
 } // namespace bergamotstage
--- a/src/rules/RuleBook.cpp
+++ b/src/rules/RuleBook.cpp
@@ -1,6 +1,9 @@
 #include "bergamotstage/rules/RuleBook.h"
 
 #include "bergamotstage/core/Parse.h"
+#include "bergamotstage/rules/PolicyChoice.h"
+#include "bergamotstage/rules/PolicyKinds.h"
+#include "bergamotstage/rules/RuleValue.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -50,6 +53,12 @@
   Entry.Database = DatabaseId(option(Rule, "database"));
   Entry.DataCentre = DataCentreId(option(Rule, "data-centre"));
   Entry.Address = option(Rule, "address");
+  if (!isAddress(Entry.Address))
+    return fault(Rule, "address must be an IP number and a port");
+  for (const auto &[Id, Other] : Book.Targets)
+    if (Other.Address == Entry.Address && Id != Entry.Id)
+      return fault(Rule, "address contradicts line " +
+                             std::to_string(Other.Source.Line));
   auto Slots = parseCount(option(Rule, "slots"));
   auto Connections = parseCount(option(Rule, "connections"));
   if (!Slots || *Slots == 0 || *Slots > 10000)
@@ -113,6 +122,9 @@
 }
 
 Stored addPolicy(const RuleLine &Rule, RuleBook &Book) {
+  std::string Fault = policyFault(Rule.Words[0], Rule.Words[1], Rule.Options);
+  if (!Fault.empty())
+    return fault(Rule, Fault);
   PolicyRule Entry{Rule.Words[0], Rule.Words[1], Rule.Options, sourceOf(Rule)};
   auto [Found, Added] = Book.Policies.emplace(Entry.Kind, Entry);
   if (!Added)
@@ -121,30 +133,84 @@
   return {};
 }
 
+Stored addShare(const RuleLine &Rule, RuleBook &Book) {
+  ShareRule Entry{Rule.Words[0], 0, Rule.Words[2], Rule.Options,
+                  sourceOf(Rule)};
+  std::string Fault = policyFault(Entry.Kind, Entry.Choice, Entry.Parameters);
+  if (!Fault.empty())
+    return fault(Rule, Fault);
+  if (!findPolicyKind(Entry.Kind)->BySession)
+    return fault(Rule, "policy '" + Entry.Kind +
+                           "' is one for all sessions and takes no share");
+  auto Percent = parsePercent(Rule.Words[1]);
+  if (!Percent)
+    return fault(Rule, "the share must be a percentage such as 10%");
+  Entry.Percent = *Percent;
+  Book.Shares[Entry.Kind].push_back(Entry);
+  return {};
+}
+
+Stored addIdempotent(const RuleLine &Rule, RuleBook &Book) {
+  IdempotentRule Entry{RouteId(option(Rule, "route")), option(Rule, "pattern"),
+                       sourceOf(Rule)};
+  if (Entry.Pattern.find_first_not_of("* ") == std::string::npos)
+    return fault(Rule, "pattern must name a statement, such as \"UPDATE *\"");
+  for (const IdempotentRule &Other : Book.Idempotent)
+    if (Other.Route == Entry.Route && Other.Pattern == Entry.Pattern)
+      return fault(Rule,
+                   "pattern repeats line " + std::to_string(Other.Source.Line));
+  Book.Idempotent.push_back(Entry);
+  return {};
+}
+
 /// @brief One kind of rule: its shape and what stores it.
 struct RuleKind {
   std::string Name;
   std::size_t Words;
-  std::set<std::string> Options; ///< Empty: any option.
+  std::set<std::string> Needed;   ///< Options that must be given.
+  std::set<std::string> Optional; ///< Options that may be given.
   std::function<Stored(const RuleLine &, RuleBook &)> Add;
+  bool AnyOption = false; ///< Add() checks the options.
 };
 
 const std::vector<RuleKind> &ruleKinds() {
   static const std::vector<RuleKind> Kinds = {
-      {"data-centre", 1, {"region"}, addDataCentre},
-      {"database", 1, {"none"}, addDatabase},
+      {"data-centre", 1, {}, {"region"}, addDataCentre},
+      {"database", 1, {}, {}, addDatabase},
       {"target",
        1,
        {"database", "data-centre", "address", "slots", "connections"},
+       {},
        addTarget},
-      {"account", 1, {"rate", "burst", "weight"}, addAccount},
-      {"key", 2, {"salt", "digest"}, addKey},
-      {"route", 1, {"database", "access", "max-age"}, addRoute},
-      {"policy", 2, {}, addPolicy},
+      {"account", 1, {"rate", "burst"}, {"weight"}, addAccount},
+      {"key", 2, {"salt", "digest"}, {}, addKey},
+      {"route", 1, {"database", "access"}, {"max-age"}, addRoute},
+      {"policy", 2, {}, {}, addPolicy, true},
+      {"share", 3, {}, {}, addShare, true},
+      {"idempotent", 0, {"route", "pattern"}, {}, addIdempotent},
   };
   return Kinds;
 }
 
+Stored checkShape(const RuleLine &Rule, const RuleKind &Kind) {
+  if (Rule.Words.size() != Kind.Words)
+    return fault(Rule, "'" + Rule.Kind + "' takes " +
+                           std::to_string(Kind.Words) + " word(s) first");
+  for (const std::string &Word : Rule.Words)
+    if (!isName(Word) && !parsePercent(Word))
+      return fault(Rule, "'" + Word + "' is not a name");
+  for (const std::string &Name : Kind.Needed)
+    if (Rule.Options.count(Name) == 0)
+      return fault(Rule, "option '" + Name + "' is missing");
+  for (const auto &[Name, Value] : Rule.Options) {
+    bool Known = Kind.AnyOption || Kind.Needed.count(Name) > 0 ||
+                 Kind.Optional.count(Name) > 0;
+    if (!Known)
+      return fault(Rule, "unknown option '" + Name + "'");
+  }
+  return {};
+}
+
 Stored addRule(const RuleLine &Rule, RuleBook &Book) {
   const std::vector<RuleKind> &Kinds = ruleKinds();
   auto Kind = std::find_if(Kinds.begin(), Kinds.end(), [&](const auto &Entry) {
@@ -152,13 +218,33 @@
   });
   if (Kind == Kinds.end())
     return fault(Rule, "unknown kind of rule '" + Rule.Kind + "'");
-  if (Rule.Words.size() != Kind->Words)
-    return fault(Rule, "'" + Rule.Kind + "' takes " +
-                           std::to_string(Kind->Words) + " word(s) first");
-  for (const auto &[Name, Value] : Rule.Options)
-    if (!Kind->Options.empty() && Kind->Options.count(Name) == 0)
-      return fault(Rule, "unknown option '" + Name + "'");
-  return Kind->Add(Rule, Book);
+  Stored Shape = checkShape(Rule, *Kind);
+  return Shape ? Kind->Add(Rule, Book) : Shape;
+}
+
+/// @brief Checks that the shares of a kind fit in the whole and differ.
+void checkShares(const RuleBook &Book, std::vector<RuleFault> &Faults) {
+  constexpr double Whole = 100;
+  for (const auto &[Kind, Shares] : Book.Shares) {
+    std::map<ArmId, unsigned> Arms;
+    auto Base = Book.Policies.find(Kind);
+    if (Base != Book.Policies.end())
+      Arms[armLabel(Base->second.Choice, Base->second.Parameters)] =
+          Base->second.Source.Line;
+    double Sum = 0;
+    for (const ShareRule &Share : Shares) {
+      Sum += Share.Percent;
+      if (Sum > Whole)
+        Faults.push_back(
+            {Share.Source.Line, "shares of '" + Kind + "' exceed 100%"});
+      auto [Found, Added] = Arms.emplace(
+          armLabel(Share.Choice, Share.Parameters), Share.Source.Line);
+      if (!Added)
+        Faults.push_back(
+            {Share.Source.Line,
+             "repeats the choice of line " + std::to_string(Found->second)});
+    }
+  }
 }
 
 void checkReferences(const RuleBook &Book, std::vector<RuleFault> &Faults) {
@@ -175,6 +261,10 @@
     if (Book.Databases.count(Route.Database) == 0)
       Faults.push_back({Route.Source.Line,
                         "unknown database '" + Route.Database.value() + "'"});
+  for (const IdempotentRule &Rule : Book.Idempotent)
+    if (Book.Routes.count(Rule.Route) == 0)
+      Faults.push_back(
+          {Rule.Source.Line, "unknown route '" + Rule.Route.value() + "'"});
   for (const KeyRule &Key : Book.Keys)
     if (Book.Accounts.count(Key.Account) == 0)
       Faults.push_back({Key.Source.Line, "unknown client account '" +
@@ -211,6 +301,7 @@
       Faults.push_back(Result.error());
   }
   checkReferences(Book, Faults);
+  checkShares(Book, Faults);
   if (!Faults.empty())
     return tl::make_unexpected(std::move(Faults));
   return Book;
--- a/test/unit-config.cpp
+++ b/test/unit-config.cpp
@@ -36,7 +36,9 @@
 
   static VmId name(int At) { return VmId("vm-" + std::to_string(At)); }
   void run(Duration Span) { Fleet.runUntil(Fleet.now() + Span); }
-  Revision inForce(int At) { return Fleet.node(name(At)).context().rules().Number; }
+  Revision inForce(int At) {
+    return Fleet.node(name(At)).context().rules().Number;
+  }
   bool current(int At) {
     const NodeContext &Context = Fleet.node(name(At)).context();
     return Fleet.now() - Context.lastKnownCurrent() < CurrencyLimit;
