Drain without cutting requests, and give operators their commands

A shutdown ended the process while peers still sent it statements, and nobody could explain, show or withdraw from the command line. A draining VM now tells all VMs first, refuses new callers with 57P01, waits 500 ms for statements on their way and for what runs, and logs whether a deadline cut requests.

--- a/include/bergamotstage/fleet/FleetDuty.h
+++ b/include/bergamotstage/fleet/FleetDuty.h
@@ -30,6 +30,8 @@
   void rulesMessage(const PeerReceived &Event);
   void showRules(OperatorCallId Call);
   void showHistory(OperatorCallId Call);
+  void showMembers(OperatorCallId Call);
+  void explain(const OperatorAsked &Event);
 
   NodeContext &m_Context;
   RulesFollower m_Follower;
--- a/include/bergamotstage/node/Node.h
+++ b/include/bergamotstage/node/Node.h
@@ -66,7 +66,10 @@
   /// this one or the rules name no homes.
   std::optional<VmId> homeElsewhere(const DatabaseId &Database);
   void rulesChanged();
+  void callerOpened(const CallerOpened &Opened);
+  void operatorAsked(const OperatorAsked &Asked);
   void shutdown();
+  void exit();
   void checkDrained();
   void askToWake();
 
@@ -76,7 +79,7 @@
   StatementDuty m_Statements;
   FleetDuty m_Fleet;
   std::optional<Instant> m_AskedWake;
-  bool m_Draining = false;
+  std::optional<Instant> m_DrainingSince;
 };
 
 } // namespace bergamotstage
--- a/include/bergamotstage/rules/Explain.h
+++ b/include/bergamotstage/rules/Explain.h
@@ -31,8 +31,7 @@
                                               const ExplainRequest &Request);
 
 /// @brief One line for each decision: name, outcome, rule line and author.
-std::string
-explanationText(const std::vector<ExplainedDecision> &Decisions);
+std::string explanationText(const std::vector<ExplainedDecision> &Decisions);
 
 } // namespace bergamotstage
 
--- a/include/bergamotstage/rules/PolicyKinds.h
+++ b/include/bergamotstage/rules/PolicyKinds.h
@@ -32,9 +32,8 @@
 
 /// @brief Why a choice with its parameters is not one of the kind's.
 /// @return empty if it is one
-std::string
-policyFault(const std::string &Kind, const std::string &Choice,
-            const std::map<std::string, std::string> &Parameters);
+std::string policyFault(const std::string &Kind, const std::string &Choice,
+                        const std::map<std::string, std::string> &Parameters);
 
 } // namespace bergamotstage
 
--- a/src/cli/Apply.cpp
+++ b/src/cli/Apply.cpp
@@ -1,10 +1,9 @@
 #include "cli/Commands.h"
+#include "cli/Edit.h"
 #include "cli/Files.h"
-#include "cli/OperatorClient.h"
 
 #include <iostream>
 #include <memory>
-#include <random>
 
 namespace bergamotstage::cli {
 namespace {
@@ -12,34 +11,17 @@
 struct ApplyOptions {
   std::string Vm;
   std::string RulesFile;
-  unsigned Expected = 0;
-  std::string EditId;
+  RulesEdit Edit;
 };
 
-std::string newEditId() {
-  std::random_device Device;
-  return "edit-" + std::to_string(Device()) + "-" + std::to_string(Device());
-}
-
-int apply(const ApplyOptions &Options) {
+int apply(ApplyOptions &Options) {
   auto Text = readFile(Options.RulesFile);
   if (!Text) {
     std::cerr << Text.error() << "\n";
     return ExitFailure;
   }
-  auto Answer = askVm(
-      Options.Vm, "apply",
-      {{"text", *Text},
-       {"expect", std::to_string(Options.Expected)},
-       {"edit-id", Options.EditId.empty() ? newEditId() : Options.EditId}});
-  if (!Answer) {
-    std::cerr << Answer.error() << "\n";
-    return ExitFailure;
-  }
-  (Answer->Succeeded ? std::cout : std::cerr) << Answer->Body << "\n";
-  if (Answer->Succeeded)
-    return ExitSuccess;
-  return Answer->Body.rfind("conflict", 0) == 0 ? ExitConflict : ExitInvalid;
+  Options.Edit.Text = *Text;
+  return applyEdit(Options.Vm, Options.Edit);
 }
 
 } // namespace
@@ -52,11 +34,16 @@
       ->required();
   Command->add_option("--rules", Options->RulesFile, "Rules text.")->required();
   Command
-      ->add_option("--expect", Options->Expected,
+      ->add_option("--expect", Options->Edit.Expected,
                    "Revision that the edit started from.")
       ->required();
-  Command->add_option("--edit-id", Options->EditId,
+  Command->add_option("--edit-id", Options->Edit.EditId,
                       "Repeat of an edit whose answer was lost.");
+  Command->footer(
+      "Exit codes: 0 in force everywhere; 3 refused, nothing changed;\n"
+      "4 another edit came first, its difference is printed; 1 not known.\n"
+      "Example:\n  bergamotstage apply --vm 127.0.0.1:7101 --expect 3 "
+      "--rules site.rules");
   Command->callback([Options, &Code] { Code = apply(*Options); });
 }
 
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -19,6 +19,10 @@
 void addServe(CLI::App &App, int &Code);
 void addCheck(CLI::App &App, int &Code);
 void addApply(CLI::App &App, int &Code);
+void addExplain(CLI::App &App, int &Code);
+void addRules(CLI::App &App, int &Code);
+void addMembers(CLI::App &App, int &Code);
+void addDrain(CLI::App &App, int &Code);
 void addKeys(CLI::App &App, int &Code);
 void addStandIn(CLI::App &App, int &Code);
 void addFault(CLI::App &App, int &Code);
--- a/src/cli/Main.cpp
+++ b/src/cli/Main.cpp
@@ -14,6 +14,10 @@
   addServe(App, Code);
   addCheck(App, Code);
   addApply(App, Code);
+  addExplain(App, Code);
+  addRules(App, Code);
+  addMembers(App, Code);
+  addDrain(App, Code);
   addKeys(App, Code);
   addStandIn(App, Code);
   addFault(App, Code);
--- /dev/null
+++ b/src/cli/Rules.cpp
@@ -0,0 +1,117 @@
+#include "bergamotstage/rules/Explain.h"
+#include "cli/Commands.h"
+#include "cli/Files.h"
+#include "cli/OperatorClient.h"
+
+#include <iostream>
+#include <map>
+#include <memory>
+
+namespace bergamotstage::cli {
+namespace {
+
+using Arguments = std::map<std::string, std::string>;
+
+/// @brief Asks a VM and prints its answer.
+int printAnswer(const std::string &Vm, const std::string &Verb,
+                const Arguments &Given) {
+  auto Answer = askVm(Vm, Verb, Given);
+  if (!Answer) {
+    std::cerr << Answer.error() << "\n";
+    return ExitFailure;
+  }
+  (Answer->Succeeded ? std::cout : std::cerr) << Answer->Body << "\n";
+  return Answer->Succeeded ? ExitSuccess : ExitFailure;
+}
+
+struct ExplainOptions {
+  std::string Vm;
+  std::string RulesFile;
+  std::string Account;
+  std::string Route;
+  std::string Statement;
+  std::uint64_t Session = 0;
+};
+
+int explainFile(const ExplainOptions &Options) {
+  auto Text = readFile(Options.RulesFile);
+  if (!Text) {
+    std::cerr << Text.error() << "\n";
+    return ExitFailure;
+  }
+  auto Rules = parseRules(Revision(1), *Text);
+  if (!Rules) {
+    std::cerr << "the rules are not valid: see check --rules\n";
+    return ExitInvalid;
+  }
+  ExplainRequest Request{AccountId(Options.Account), RouteId(Options.Route),
+                         Options.Statement, Options.Session};
+  std::cout << explanationText(explainRequest(*Rules, Request));
+  return ExitSuccess;
+}
+
+int explain(const ExplainOptions &Options) {
+  if (!Options.RulesFile.empty())
+    return explainFile(Options);
+  return printAnswer(Options.Vm, "explain",
+                     {{"account", Options.Account},
+                      {"route", Options.Route},
+                      {"statement", Options.Statement},
+                      {"session", std::to_string(Options.Session)}});
+}
+
+void addVmQuery(CLI::App &App, const std::string &Name,
+                const std::string &Purpose, const std::string &Verb,
+                int &Code) {
+  auto Vm = std::make_shared<std::string>();
+  CLI::App *Command = App.add_subcommand(Name, Purpose);
+  Command->add_option("--vm", *Vm, "Peer address of any VM.")->required();
+  Command->callback([Vm, Verb, &Code] { Code = printAnswer(*Vm, Verb, {}); });
+}
+
+} // namespace
+
+void addExplain(CLI::App &App, int &Code) {
+  auto Options = std::make_shared<ExplainOptions>();
+  CLI::App *Command = App.add_subcommand(
+      "explain", "Show each decision about a request, its rule and author.");
+  auto *Vm = Command->add_option("--vm", Options->Vm,
+                                 "Peer address of a VM: its rules in force.");
+  auto *File = Command->add_option("--rules", Options->RulesFile,
+                                   "Rules text, instead of a VM's.");
+  Vm->excludes(File);
+  Command->add_option("--account", Options->Account, "Client account.");
+  Command->add_option("--route", Options->Route, "Route.")->required();
+  Command->add_option("--statement", Options->Statement, "SQL text.");
+  Command->add_option("--session", Options->Session,
+                      "Number of the session, which decides shares.");
+  Command->footer("Example:\n  bergamotstage explain --rules site.rules "
+                  "--account ward-1 --route waitlist --statement 'SELECT 1'");
+  Command->callback([Options, &Code] {
+    if (Options->Vm.empty() && Options->RulesFile.empty())
+      throw CLI::RequiredError("--vm or --rules");
+    Code = explain(*Options);
+  });
+}
+
+void addRules(CLI::App &App, int &Code) {
+  CLI::App *Rules = App.add_subcommand("rules", "Rules in force and earlier.");
+  Rules->require_subcommand(1);
+  addVmQuery(*Rules, "show", "Print the revision, then the text in force.",
+             "rules-show", Code);
+  addVmQuery(*Rules, "history",
+             "Print revision, object and edit id of the last revisions.",
+             "rules-history", Code);
+}
+
+void addMembers(CLI::App &App, int &Code) {
+  addVmQuery(App, "members", "Print the VMs that a VM knows of.", "members",
+             Code);
+}
+
+void addDrain(CLI::App &App, int &Code) {
+  addVmQuery(App, "drain", "Ask one VM to shut down without cutting requests.",
+             "drain", Code);
+}
+
+} // namespace bergamotstage::cli
--- a/src/fleet/FleetDuty.cpp
+++ b/src/fleet/FleetDuty.cpp
@@ -1,5 +1,8 @@
 #include "bergamotstage/fleet/FleetDuty.h"
 
+#include "bergamotstage/core/Parse.h"
+#include "bergamotstage/rules/Explain.h"
+
 #include <utility>
 #include <variant>
 
@@ -52,6 +55,10 @@
     return showRules(Event.Call);
   if (Event.Verb == "rules-history")
     return showHistory(Event.Call);
+  if (Event.Verb == "explain")
+    return explain(Event);
+  if (Event.Verb == "members")
+    return showMembers(Event.Call);
   if (Event.Verb == "revision") {
     m_Context.act(AnswerOperator{
         Event.Call, true, std::to_string(m_Context.rules().Number.value())});
@@ -65,6 +72,34 @@
   m_Context.act(AnswerOperator{Call, true, Number + "\n" + m_Follower.text()});
 }
 
+void FleetDuty::explain(const OperatorAsked &Event) {
+  auto Argument = [&Event](const char *Name) {
+    auto Found = Event.Arguments.find(Name);
+    return Found == Event.Arguments.end() ? std::string() : Found->second;
+  };
+  ExplainRequest Request{AccountId(Argument("account")),
+                         RouteId(Argument("route")), Argument("statement"),
+                         parseCount(Argument("session")).value_or(0)};
+  std::string Text =
+      explanationText(explainRequest(m_Context.rules(), Request));
+  m_Context.act(AnswerOperator{Event.Call, true, std::move(Text)});
+}
+
+void FleetDuty::showMembers(OperatorCallId Call) {
+  std::string Body;
+  Body += "revision=" + std::to_string(m_Context.rules().Number.value());
+  Body += " current=";
+  Body += m_Context.rulesAreCurrent() ? "yes" : "no";
+  Body += " vms=" + std::to_string(m_Context.members().size()) + "\n";
+  for (const auto &[Vm, Member] : m_Context.members()) {
+    Body += "vm=" + Vm.value() + " data_centre=" + Member.DataCentre.value();
+    Body += " address=" + Member.PeerAddress;
+    Body += Member.Reachable ? " reachable=yes" : " reachable=no";
+    Body += Member.Leaving ? " leaving=yes\n" : " leaving=no\n";
+  }
+  m_Context.act(AnswerOperator{Call, true, Body});
+}
+
 void FleetDuty::showHistory(OperatorCallId Call) {
   m_Context.callPlatform(
       ReadRows{RulesHistoryPrefix}, [this, Call](const PlatformAnswer &Answer) {
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::size_t MinSecretBytes = 16;
 constexpr Duration DrainCheckInterval = milliseconds(20);
+/// Time for statements that peers sent before they heard of the shutdown.
+constexpr Duration LeaveGrace = milliseconds(500);
 
 Refusal shutdownRefusal() {
   Refusal Reason;
@@ -60,7 +62,7 @@
 void Node::dispatch(const Event &Happened) {
   struct Dispatcher {
     Node &Self;
-    void operator()(const CallerOpened &E) { Self.m_Statements.opened(E); }
+    void operator()(const CallerOpened &E) { Self.callerOpened(E); }
     void operator()(const StatementArrived &E) { Self.m_Statements.arrived(E); }
     void operator()(const CancelArrived &) {}
     void operator()(const CallerClosed &E) { Self.m_Statements.closed(E); }
@@ -80,7 +82,7 @@
       Self.m_Context.platformAnswered(E);
     }
     void operator()(const PeerReceived &E) { Self.peerReceived(E); }
-    void operator()(const OperatorAsked &E) { Self.m_Fleet.operatorAsked(E); }
+    void operator()(const OperatorAsked &E) { Self.operatorAsked(E); }
     void operator()(const TimerFired &) {}
     void operator()(const ShutdownAsked &) { Self.shutdown(); }
   };
@@ -121,24 +123,45 @@
   m_Statements.rulesChanged();
 }
 
+void Node::callerOpened(const CallerOpened &Opened) {
+  if (m_DrainingSince)
+    m_Context.act(CloseCaller{Opened.Caller, shutdownRefusal()});
+  else
+    m_Statements.opened(Opened);
+}
+
+void Node::operatorAsked(const OperatorAsked &Asked) {
+  if (Asked.Verb != "drain")
+    return m_Fleet.operatorAsked(Asked);
+  m_Context.act(AnswerOperator{Asked.Call, true, "draining"});
+  if (!m_DrainingSince)
+    shutdown();
+}
+
 void Node::shutdown() {
-  if (m_Draining) {
-    m_Context.act(Exit{m_Statements.busy()});
-    return;
-  }
-  m_Draining = true;
+  if (m_DrainingSince)
+    return exit();
+  m_DrainingSince = m_Context.now();
+  m_Context.log(WriteLog::Level::Info, "shutdown_started", {});
+  m_Fleet.leave();
   m_Context.timers().schedule(
-      m_Context.now() + m_Context.settings().DrainTimeout,
-      [this] { m_Context.act(Exit{m_Statements.busy()}); });
+      m_Context.now() + m_Context.settings().DrainTimeout, [this] { exit(); });
   checkDrained();
 }
 
+/// @brief Ends the process; tells whether that cuts requests.
+void Node::exit() {
+  bool Cut = m_Statements.busy();
+  m_Context.log(Cut ? WriteLog::Level::Warning : WriteLog::Level::Info,
+                "shutdown_done", {{"requests_cut", Cut ? "yes" : "no"}});
+  m_Context.act(Exit{Cut});
+}
+
 void Node::checkDrained() {
   m_Statements.closeIdle(shutdownRefusal());
-  if (!m_Statements.busy()) {
-    m_Context.act(Exit{false});
-    return;
-  }
+  bool GraceOver = m_Context.now() - *m_DrainingSince >= LeaveGrace;
+  if (GraceOver && !m_Statements.busy())
+    return exit();
   m_Context.timers().schedule(m_Context.now() + DrainCheckInterval,
                               [this] { checkDrained(); });
 }
--- a/src/rules/Explain.cpp
+++ b/src/rules/Explain.cpp
@@ -41,12 +41,12 @@
 }
 
 void explainRoute(const RouteRule &Route, Decisions &Out) {
-  Out.push_back({"access", Route.Open ? "open to all" : "by key",
-                 Route.Source});
+  Out.push_back(
+      {"access", Route.Open ? "open to all" : "by key", Route.Source});
   Out.push_back({"database", Route.Database.value(), Route.Source});
   if (Route.MaxAge)
-    Out.push_back({"age accepted",
-                   numberText(toSeconds(*Route.MaxAge)) + " s", Route.Source});
+    Out.push_back({"age accepted", numberText(toSeconds(*Route.MaxAge)) + " s",
+                   Route.Source});
 }
 
 void explainTargets(const RuleBook &Rules, const DatabaseId &Database,
@@ -93,8 +93,7 @@
     return Out;
   }
   explainRoute(Route->second, Out);
-  bool NeedsAccount =
-      !Route->second.Open || !Request.Account.value().empty();
+  bool NeedsAccount = !Route->second.Open || !Request.Account.value().empty();
   if (NeedsAccount)
     explainAccount(Rules, Request.Account, Out);
   explainTargets(Rules, Route->second.Database, Out);
@@ -104,8 +103,7 @@
   return Out;
 }
 
-std::string
-explanationText(const std::vector<ExplainedDecision> &Decisions) {
+std::string explanationText(const std::vector<ExplainedDecision> &Decisions) {
   std::string Text;
   for (const ExplainedDecision &Entry : Decisions) {
     Text += Entry.Name + ": " + Entry.Outcome;
--- a/src/rules/PolicyKinds.cpp
+++ b/src/rules/PolicyKinds.cpp
@@ -37,15 +37,15 @@
 
 const PolicyKind *findPolicyKind(const std::string &Name) {
   const std::vector<PolicyKind> &Kinds = policyKinds();
-  auto Found = std::find_if(
-      Kinds.begin(), Kinds.end(),
-      [&Name](const PolicyKind &Kind) { return Kind.Name == Name; });
+  auto Found =
+      std::find_if(Kinds.begin(), Kinds.end(), [&Name](const PolicyKind &Kind) {
+        return Kind.Name == Name;
+      });
   return Found == Kinds.end() ? nullptr : &*Found;
 }
 
-std::string
-policyFault(const std::string &KindName, const std::string &Choice,
-            const std::map<std::string, std::string> &Parameters) {
+std::string policyFault(const std::string &KindName, const std::string &Choice,
+                        const std::map<std::string, std::string> &Parameters) {
   const PolicyKind *Kind = findPolicyKind(KindName);
   if (Kind == nullptr)
     return "unknown kind of policy '" + KindName + "'";
--- a/src/rules/RuleValue.cpp
+++ b/src/rules/RuleValue.cpp
@@ -63,8 +63,7 @@
     return false;
   std::string Host = Text.substr(0, Colon);
   in6_addr Parsed{};
-  bool Bracketed =
-      Host.size() > 2 && Host.front() == '[' && Host.back() == ']';
+  bool Bracketed = Host.size() > 2 && Host.front() == '[' && Host.back() == ']';
   if (Bracketed)
     return inet_pton(AF_INET6, Host.substr(1, Host.size() - 2).c_str(),
                      &Parsed) == 1;
