--- a/bench/Cases.h
+++ b/bench/Cases.h
@@ -8,6 +8,8 @@
 /// @brief Each runs one measurement and returns its rows.
 std::vector<BenchRow> benchStep();
 std::vector<BenchRow> benchCore();
+std::vector<BenchRow> benchConfig();
+std::vector<BenchRow> benchControl();
 
 } // namespace bergamotstage::bench
 
--- a/bench/Registry.cpp
+++ b/bench/Registry.cpp
@@ -7,6 +7,8 @@
   static const std::vector<BenchCase> Cases = {
       {"step", "time that the decision core takes for one read", benchStep},
       {"core", "time and memory of rules and of idle callers", benchCore},
+      {"config", "time from an edit to in force everywhere", benchConfig},
+      {"control", "cost of control for each VM", benchControl},
   };
   return Cases;
 }
--- a/src/cli/Keys.cpp
+++ b/src/cli/Keys.cpp
@@ -88,8 +88,7 @@
   }
   auto Text = withoutKey(Rules->Text, Options);
   if (!Text) {
-    std::cerr << "refused: revision " << Rules->Number
-              << " has no such key\n";
+    std::cerr << "refused: revision " << Rules->Number << " has no such key\n";
     return ExitInvalid;
   }
   return applyEdit(Options.Vm, {Rules->Number, Options.EditId, *Text});
--- a/src/fleet/RulesEditor.cpp
+++ b/src/fleet/RulesEditor.cpp
@@ -196,7 +196,7 @@
   if (Member.Vm == m_Context.settings().Vm)
     return true;
   auto Found = Change.Confirmed.find(Member.Vm);
-  return Found != Change.Confirmed.end() && Found->second == Member.Start;
+  return Found != Change.Confirmed.end() && Found->second >= Member.Start;
 }
 
 bool RulesEditor::inForceEverywhere(Edit &Change) const {
--- a/src/standin/LocalSite.cpp
+++ b/src/standin/LocalSite.cpp
@@ -18,8 +18,8 @@
   std::vector<asio::ip::tcp::acceptor> Held;
   std::vector<std::uint16_t> Ports;
   for (std::size_t At = 0; At < Count; ++At) {
-    Held.emplace_back(Io, asio::ip::tcp::endpoint(
-                              asio::ip::make_address("127.0.0.1"), 0));
+    Held.emplace_back(
+        Io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
     Ports.push_back(Held.back().local_endpoint().port());
   }
   return Ports;
@@ -79,8 +79,8 @@
   StandInGroup Group;
   Group.Database = DatabaseId("waitlist-a");
   for (unsigned At = 0; At < Targets; ++At)
-    Group.Targets.push_back({TargetId("waitlist-a-" + std::to_string(At + 1)),
-                             m_TargetPorts[At]});
+    Group.Targets.push_back(
+        {TargetId("waitlist-a-" + std::to_string(At + 1)), m_TargetPorts[At]});
   Chosen.Groups.push_back(std::move(Group));
   for (std::size_t At = 0; At < m_PeerAddresses.size(); ++At)
     Chosen.Vms.push_back({VmId(vmName(At)), DataCentreId(DataCentres[At % 3]),
