--- a/include/bergamotstage/fleet/Membership.h
+++ b/include/bergamotstage/fleet/Membership.h
@@ -63,6 +63,7 @@
   const MemberTable::Entry *choose();
   Duration suspectAfter() const;
   void publish();
+  void refreshReachable();
   void dropOldProbes();
 
   NodeContext &m_Context;
@@ -71,6 +72,7 @@
   std::map<std::uint64_t, SentProbe> m_Probes;
   std::uint64_t m_LastProbe = 0;
   Duration m_ListDelay;
+  bool m_Unpublished = false; ///< The table changed since publish().
 };
 
 } // namespace bergamotstage
--- a/src/fleet/Membership.cpp
+++ b/src/fleet/Membership.cpp
@@ -63,7 +63,10 @@
 void Membership::period() {
   probeSome(1);
   dropOldProbes();
-  publish();
+  if (m_Unpublished)
+    publish();
+  else
+    refreshReachable();
   m_Context.timers().schedule(m_Context.now() +
                                   withJitter(ProbePeriod, m_Context.random()),
                               [this] { period(); });
@@ -148,7 +151,7 @@
 
 void Membership::merge(const MemberRecord &Record, HeardAge Heard) {
   if (m_Table.take(Record, Heard, m_Context.now()))
-    publish();
+    m_Unpublished = true;
 }
 
 void Membership::leave() {
@@ -173,21 +176,34 @@
 }
 
 void Membership::publish() {
-  MemberMap &Members = m_Context.changeMembers();
-  Instant Now = m_Context.now();
-  Duration Limit = suspectAfter();
-  for (auto Next = Members.begin(); Next != Members.end();)
-    Next = m_Table.entries().count(Next->first) > 0 ? std::next(Next)
-                                                    : Members.erase(Next);
+  m_Unpublished = false;
+  MemberMap Members;
   for (const auto &[Vm, Known] : m_Table.entries()) {
-    MemberState &State = Members[Vm];
+    MemberState State;
     State.Vm = Vm;
     State.DataCentre = Known.Record.DataCentre;
     State.PeerAddress = Known.Record.PeerAddress;
     State.Start = Known.Record.Start;
-    State.Reachable = Vm == m_Context.settings().Vm ||
-                      Now - std::max(Known.Heard, Known.Added) < Limit;
     State.Leaving = Known.Record.Leaving || Known.ListedLeaving;
+    Members.emplace_hint(Members.end(), Vm, std::move(State));
+  }
+  m_Context.changeMembers() = std::move(Members);
+  refreshReachable();
+}
+
+void Membership::refreshReachable() {
+  Instant Oldest = m_Context.now() - suspectAfter();
+  MemberMap &Members = m_Context.changeMembers();
+  auto Known = m_Table.entries().begin();
+  // Both are in order of names; names that are not published yet are passed.
+  for (auto &[Vm, State] : Members) {
+    while (Known != m_Table.entries().end() && Known->first < Vm)
+      ++Known;
+    if (Known == m_Table.entries().end())
+      return;
+    const MemberTable::Entry &Entry = Known->second;
+    State.Reachable = Vm == m_Context.settings().Vm ||
+                      std::max(Entry.Heard, Entry.Added) > Oldest;
   }
 }
 
