--- a/bench/BenchConfig.cpp
+++ b/bench/BenchConfig.cpp
@@ -94,8 +94,7 @@
 
   bool everywhere() {
     for (unsigned Number = 0; Number < m_Vms; ++Number)
-      if (m_Fleet.node(vmName(Number)).context().rules().Number <
-          Revision(2))
+      if (m_Fleet.node(vmName(Number)).context().rules().Number < Revision(2))
         return false;
     if (m_Everywhere < m_Start)
       m_Everywhere = m_Fleet.now();
@@ -119,8 +118,8 @@
   std::string Size = "vms=" + std::to_string(Vms);
   ConfigRun Pushed(Vms);
   Pushed.run();
-  Rows.push_back({"config-in-force-everywhere", Size + " push",
-                  Pushed.inForce(), "s"});
+  Rows.push_back(
+      {"config-in-force-everywhere", Size + " push", Pushed.inForce(), "s"});
   Rows.push_back({"config-accepted", Size + " push", Pushed.accepted(), "s"});
   Rows.push_back(
       {"key-withdrawn-last-run", Size + " push", Pushed.lastRun(), "s"});
--- a/bench/BenchControl.cpp
+++ b/bench/BenchControl.cpp
@@ -100,10 +100,8 @@
                const ControlCost &Cost) {
   addCost(Rows, Variant, Cost);
   Rows.push_back({"control-memory", Variant, Cost.Megabytes, "MB"});
-  Rows.push_back(
-      {"store-reads-of-fleet", Variant, Cost.StoreReads, "1/s"});
-  Rows.push_back(
-      {"store-writes-of-fleet", Variant, Cost.StoreWrites, "1/s"});
+  Rows.push_back({"store-reads-of-fleet", Variant, Cost.StoreReads, "1/s"});
+  Rows.push_back({"store-writes-of-fleet", Variant, Cost.StoreWrites, "1/s"});
 }
 
 } // namespace
--- a/bench/Registry.cpp
+++ b/bench/Registry.cpp
@@ -9,6 +9,10 @@
       {"core", "time and memory of rules and of idle callers", benchCore},
       {"config", "time from an edit to in force everywhere", benchConfig},
       {"control", "cost of control for each VM", benchControl},
+      {"failover", "time without writes when a primary is lost", benchFailover},
+      {"fairness", "worst client account beside one at 5 times its rate",
+       benchFairness},
+      {"durable", "cost and use of confirmed acknowledgement", benchDurable},
   };
   return Cases;
 }
