--- a/bench/Cases.h
+++ b/bench/Cases.h
@@ -10,6 +10,8 @@
 std::vector<BenchRow> benchCore();
 std::vector<BenchRow> benchReads();
 std::vector<BenchRow> benchOnce();
+std::vector<BenchRow> benchConfig();
+std::vector<BenchRow> benchControl();
 std::vector<BenchRow> benchFailover();
 std::vector<BenchRow> benchFairness();
 std::vector<BenchRow> benchDurable();
--- a/bench/Registry.cpp
+++ b/bench/Registry.cpp
@@ -10,6 +10,8 @@
       {"reads", "share of reads on replicas in a burst of lookups, by policy",
        benchReads},
       {"once", "cost of running a request at most once", benchOnce},
+      {"config", "time from an edit to in force everywhere", benchConfig},
+      {"control", "cost of control for each VM", benchControl},
       {"failover", "time without writes when a primary is lost", benchFailover},
       {"fairness", "worst client account beside one at 5 times its rate",
        benchFairness},
--- a/src/request/PrimaryRunner.cpp
+++ b/src/request/PrimaryRunner.cpp
@@ -86,12 +86,17 @@
 
 void PrimaryRunner::lend(const WorkId &Work, const TargetId &Primary) {
   CallerState *Caller = m_Callers.running(Work);
+  Caller->Running->Decision = {m_Context.settings().Vm,
+                               Primary,
+                               "primary",
+                               "only the primary takes it",
+                               {}};
   m_Context.log(WriteLog::Level::Debug, "routed",
                 {{"statement", std::to_string(Work.Statement.value())},
                  {"kind", statementKindName(Caller->Running->Kind)},
                  {"target", Primary.value()},
                  {"reason", "primary"}});
-  auto Lend = [this, Work](const LinkPool::Lent &Lent) {
+  auto Done = [this, Work](const LinkPool::Lent &Lent) {
     if (Lent)
       return lent(Work, *Lent);
     CallerState *Known = m_Callers.running(Work);
@@ -102,12 +107,11 @@
           Work, m_Callers.settleLoss(*Known, Lent.error().Message));
     m_Callers.refuse(Work, Lent.error());
   };
-  const DatabaseId &Database = Caller->Route.Database;
-  const GroupState *Group = m_Targets.group(Database);
   Instant Deadline = Caller->Running->Deadline;
-  if (Group != nullptr && Group->Primary == Primary)
-    return m_Targets.acquirePrimary(Database, Caller->Account, Deadline, Lend);
-  m_Targets.links().acquire(Primary, Caller->Account, Deadline, Lend);
+  if (Caller->Running->VerifiedPrimary)
+    return m_Targets.links().acquire(Primary, Caller->Account, Deadline, Done);
+  m_Targets.acquirePrimary(Caller->Route.Database, Caller->Account, Deadline,
+                           Done);
 }
 
 void PrimaryRunner::lent(const WorkId &Work, LinkId Link) {
