Merge the work on targets: one decision on who lends the primary's link

Cause: two merges of the same lines. Change: a verified primary gets its link at once, any other goes through the hold across a failover.

--- a/src/request/PrimaryRunner.cpp
+++ b/src/request/PrimaryRunner.cpp
@@ -96,7 +96,7 @@
                  {"kind", statementKindName(Caller->Running->Kind)},
                  {"target", Primary.value()},
                  {"reason", "primary"}});
-  auto Done = [this, Work](const LinkPool::Lent &Lent) {
+  auto Lend = [this, Work](const LinkPool::Lent &Lent) {
     if (Lent)
       return lent(Work, *Lent);
     CallerState *Known = m_Callers.running(Work);
@@ -107,11 +107,13 @@
           Work, m_Callers.settleLoss(*Known, Lent.error().Message));
     m_Callers.refuse(Work, Lent.error());
   };
+  const DatabaseId &Database = Caller->Route.Database;
+  const GroupState *Group = m_Targets.group(Database);
   Instant Deadline = Caller->Running->Deadline;
-  if (Caller->Running->VerifiedPrimary)
-    return m_Targets.links().acquire(Primary, Caller->Account, Deadline, Done);
-  m_Targets.acquirePrimary(Caller->Route.Database, Caller->Account, Deadline,
-                           Done);
+  bool MayMove = !Caller->Running->VerifiedPrimary;
+  if (MayMove && Group != nullptr && Group->Primary == Primary)
+    return m_Targets.acquirePrimary(Database, Caller->Account, Deadline, Lend);
+  m_Targets.links().acquire(Primary, Caller->Account, Deadline, Lend);
 }
 
 void PrimaryRunner::lent(const WorkId &Work, LinkId Link) {
