--- /dev/null
+++ b/bench/BenchProxy.cpp
@@ -0,0 +1,223 @@
+#include "bench/Cases.h"
+#include "standin/LocalSite.h"
+
+#include <asio.hpp>
+#include <libpq-fe.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <fstream>
+#include <stdexcept>
+#include <string>
+#include <thread>
+
+namespace bergamotstage::bench {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr unsigned LatencyReads = 4000;
+constexpr unsigned WarmUpReads = 200;
+constexpr unsigned IdleCallers = 2000;
+constexpr unsigned RowsOfScan = 2000;
+constexpr unsigned Scans = 20;
+constexpr unsigned UnlimitedRate = 1000000;
+constexpr auto StartLimit = std::chrono::seconds(20);
+constexpr auto RetryInterval = std::chrono::milliseconds(20);
+const char *const Read = "SELECT value FROM offers WHERE key = 'plot-7'";
+
+/// @brief A libpq connection that is closed at the end.
+class Client {
+public:
+  explicit Client(const std::string &Address) {
+    auto Limit = Clock::now() + StartLimit;
+    do {
+      PQfinish(m_Connection);
+      m_Connection = PQconnectdb(Address.c_str());
+      if (PQstatus(m_Connection) == CONNECTION_OK)
+        return;
+      std::this_thread::sleep_for(RetryInterval);
+    } while (Clock::now() < Limit);
+    throw std::runtime_error(PQerrorMessage(m_Connection));
+  }
+  ~Client() { PQfinish(m_Connection); }
+  Client(const Client &) = delete;
+  Client &operator=(const Client &) = delete;
+
+  bool run(const std::string &Text) {
+    PGresult *Answer = PQexec(m_Connection, Text.c_str());
+    ExecStatusType Status = PQresultStatus(Answer);
+    PQclear(Answer);
+    return Status == PGRES_TUPLES_OK || Status == PGRES_COMMAND_OK;
+  }
+
+  void runUntilDone(const std::string &Text) {
+    auto Limit = Clock::now() + StartLimit;
+    while (!run(Text)) {
+      if (Clock::now() >= Limit)
+        throw std::runtime_error(PQerrorMessage(m_Connection));
+      std::this_thread::sleep_for(RetryInterval);
+    }
+  }
+
+private:
+  PGconn *m_Connection = nullptr;
+};
+
+/// @brief Processor time of this process in microseconds.
+double processorMicroseconds() {
+  rusage Usage{};
+  getrusage(RUSAGE_SELF, &Usage);
+  constexpr double Million = 1e6;
+  auto Total = [](const timeval &Time) {
+    return static_cast<double>(Time.tv_sec) * Million +
+           static_cast<double>(Time.tv_usec);
+  };
+  return Total(Usage.ru_utime) + Total(Usage.ru_stime);
+}
+
+/// @brief Resident memory of this process in bytes.
+double residentBytes() {
+  constexpr double PageBytes = 4096;
+  std::ifstream Statistics("/proc/self/statm");
+  double Total = 0;
+  double Resident = 0;
+  Statistics >> Total >> Resident;
+  return Resident * PageBytes;
+}
+
+struct ReadCost {
+  double MedianMicroseconds = 0;
+  double P99Microseconds = 0;
+  double ProcessorMicroseconds = 0; ///< Of the whole process, for each read.
+};
+
+ReadCost costOfReads(Client &Caller) {
+  for (unsigned At = 0; At < WarmUpReads; ++At)
+    Caller.run(Read);
+  std::vector<double> Took;
+  double Processor = processorMicroseconds();
+  for (unsigned At = 0; At < LatencyReads; ++At) {
+    auto Start = Clock::now();
+    if (!Caller.run(Read))
+      throw std::runtime_error("a read was refused");
+    Took.push_back(
+        std::chrono::duration<double, std::micro>(Clock::now() - Start)
+            .count());
+  }
+  Processor = processorMicroseconds() - Processor;
+  std::sort(Took.begin(), Took.end());
+  return {Took[Took.size() / 2], Took[Took.size() * 99 / 100],
+          Processor / LatencyReads};
+}
+
+void addReads(std::vector<BenchRow> &Rows, const ReadCost &Direct,
+              const ReadCost &Proxied, const std::string &Way) {
+  Rows.push_back({"median read", Way, Proxied.MedianMicroseconds, "us"});
+  Rows.push_back({"p99 read", Way, Proxied.P99Microseconds, "us"});
+  Rows.push_back({"added latency, median", Way,
+                  Proxied.MedianMicroseconds - Direct.MedianMicroseconds,
+                  "us"});
+  double Added = Proxied.ProcessorMicroseconds - Direct.ProcessorMicroseconds;
+  constexpr double Million = 1e6;
+  Rows.push_back({"added processor time, one read", Way, Added, "us"});
+  Rows.push_back({"reads of one core", Way, Million / Added, "1/s"});
+}
+
+/// @brief Processor time of this process for each row of a scan.
+double scanCost(Client &Caller) {
+  double Processor = processorMicroseconds();
+  for (unsigned At = 0; At < Scans; ++At)
+    Caller.run("SELECT value FROM wide");
+  Processor = processorMicroseconds() - Processor;
+  return Processor / (Scans * RowsOfScan);
+}
+
+void addScans(std::vector<BenchRow> &Rows, Client &Direct, Client &Proxied) {
+  for (unsigned Row = 0; Row < RowsOfScan; ++Row)
+    Direct.runUntilDone("INSERT INTO wide VALUES ('row-" +
+                        std::to_string(Row) + "', 'a value of some length')");
+  std::this_thread::sleep_for(RetryInterval);
+  double DirectCost = scanCost(Direct);
+  double ProxiedCost = scanCost(Proxied);
+  Rows.push_back({"processor time, one row", "direct", DirectCost, "us"});
+  Rows.push_back({"added processor time, one row", "one VM",
+                  ProxiedCost - DirectCost, "us"});
+}
+
+/// @brief A connection that holds nothing but a socket, on an open route.
+class IdleCaller {
+public:
+  IdleCaller(asio::io_context &Io, std::uint16_t Port) : m_Socket(Io) {
+    using namespace std::string_literals;
+    m_Socket.connect({asio::ip::make_address("127.0.0.1"), Port});
+    std::string Body = "\0\3\0\0user\0ward-1\0database\0timetable\0\0"s;
+    std::string Length = "\0\0\0"s + static_cast<char>(Body.size() + 4);
+    asio::write(m_Socket, asio::buffer(Length + Body));
+    waitReady();
+  }
+
+private:
+  void waitReady() {
+    constexpr std::size_t ReadyBytes = 6;
+    std::array<char, 1024> Input{};
+    std::string Tail;
+    while (Tail.size() < ReadyBytes || Tail[Tail.size() - ReadyBytes] != 'Z') {
+      std::size_t Count = m_Socket.read_some(asio::buffer(Input));
+      Tail.append(Input.data(), Count);
+    }
+  }
+
+  asio::ip::tcp::socket m_Socket;
+};
+
+void addIdle(std::vector<BenchRow> &Rows, std::uint16_t Port) {
+  asio::io_context Io;
+  std::vector<std::unique_ptr<IdleCaller>> Idle;
+  Idle.reserve(IdleCallers);
+  double Before = residentBytes();
+  for (unsigned At = 0; At < IdleCallers; ++At)
+    Idle.push_back(std::make_unique<IdleCaller>(Io, Port));
+  double Each = (residentBytes() - Before) / IdleCallers;
+  Rows.push_back({"memory, one idle caller", "both socket ends", Each, "bytes"});
+}
+
+/// @brief Lets the process hold both ends of all idle connections.
+void raiseDescriptorLimit() {
+  rlimit Limit{};
+  getrlimit(RLIMIT_NOFILE, &Limit);
+  Limit.rlim_cur = Limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &Limit);
+}
+
+} // namespace
+
+std::vector<BenchRow> benchProxy() {
+  raiseDescriptorLimit();
+  standin::LocalSiteOptions Options;
+  Options.Vms = 2;
+  Options.Rate = UnlimitedRate;
+  Options.Burst = UnlimitedRate;
+  auto Site = standin::LocalSite::start(Options);
+  if (!Site)
+    throw std::runtime_error(Site.error());
+  std::vector<BenchRow> Rows;
+  Client Direct((*Site)->primaryAddress());
+  Client First((*Site)->callerAddress(0));
+  Client Second((*Site)->callerAddress(1));
+  First.runUntilDone(Read);
+  Second.runUntilDone(Read);
+  ReadCost ToTarget = costOfReads(Direct);
+  Rows.push_back(
+      {"median read", "direct", ToTarget.MedianMicroseconds, "us"});
+  Rows.push_back({"p99 read", "direct", ToTarget.P99Microseconds, "us"});
+  addReads(Rows, ToTarget, costOfReads(First), "through vm-1");
+  addReads(Rows, ToTarget, costOfReads(Second), "through vm-2");
+  addScans(Rows, Direct, First);
+  addIdle(Rows, (*Site)->callerPort(0));
+  return Rows;
+}
+
+} // namespace bergamotstage::bench
--- a/bench/Cases.h
+++ b/bench/Cases.h
@@ -7,6 +7,7 @@
 
 /// @brief Each runs one measurement and returns its rows.
 std::vector<BenchRow> benchStep();
+std::vector<BenchRow> benchProxy();
 std::vector<BenchRow> benchCore();
 
 } // namespace bergamotstage::bench
--- a/bench/Registry.cpp
+++ b/bench/Registry.cpp
@@ -7,6 +7,7 @@
   static const std::vector<BenchCase> Cases = {
       {"step", "time that the decision core takes for one read", benchStep},
       {"core", "time and memory of rules and of idle callers", benchCore},
+      {"proxy", "cost of a VM over sockets against direct libpq", benchProxy},
   };
   return Cases;
 }
--- a/src/runtime/StartupOptions.cpp
+++ b/src/runtime/StartupOptions.cpp
@@ -7,6 +7,9 @@
 
 constexpr std::string_view SettingPrefix = "bergamotstage.";
 
+/// @brief Length of `-c` and of `--` before a setting.
+constexpr std::size_t PrefixBytes = 2;
+
 bool isOwn(std::string_view Name) {
   return Name.substr(0, SettingPrefix.size()) == SettingPrefix;
 }
@@ -30,10 +33,9 @@
                  std::map<std::string, std::string> &Settings) {
   while (!Rest.empty()) {
     std::string Word = nextWord(Rest);
-    if (Word.rfind("-c", 0) == 0)
-      Word.erase(0, 2);
-    else if (Word.rfind("--", 0) == 0)
-      Word.erase(0, 2);
+    bool Prefixed = Word.rfind("-c", 0) == 0 || Word.rfind("--", 0) == 0;
+    if (Prefixed)
+      Word.erase(0, PrefixBytes);
     std::size_t Equals = Word.find('=');
     if (isOwn(Word) && Equals != std::string::npos)
       Settings[Word.substr(0, Equals)] = Word.substr(Equals + 1);
--- a/src/standin/LocalSite.cpp
+++ b/src/standin/LocalSite.cpp
@@ -18,8 +18,8 @@
   std::vector<asio::ip::tcp::acceptor> Held;
   std::vector<std::uint16_t> Ports;
   for (std::size_t At = 0; At < Count; ++At) {
-    Held.emplace_back(Io, asio::ip::tcp::endpoint(
-                              asio::ip::make_address("127.0.0.1"), 0));
+    Held.emplace_back(
+        Io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
     Ports.push_back(Held.back().local_endpoint().port());
   }
   return Ports;
@@ -31,13 +31,21 @@
 
 std::string vmName(std::size_t At) { return "vm-" + std::to_string(At + 1); }
 
-/// @brief The rules of the small site with other addresses of its targets.
-std::string rulesFor(const std::vector<std::uint16_t> &Ports) {
+void replaceWord(std::string &Text, const std::string &Old,
+                 const std::string &New) {
+  Text.replace(Text.find(Old), Old.size(), New);
+}
+
+/// @brief The rules of the small site with this site's ports and rates.
+std::string rulesFor(const LocalSiteOptions &Options,
+                     const std::vector<std::uint16_t> &Ports) {
   std::string Text = smallSiteRules();
   for (unsigned At = 0; At < Targets; ++At) {
     std::string Old = "127.0.0.1:711" + std::to_string(At + 1);
-    Text.replace(Text.find(Old), Old.size(), loopback(Ports[At]));
+    replaceWord(Text, Old, loopback(Ports[At]));
   }
+  replaceWord(Text, "rate=2000", "rate=" + std::to_string(Options.Rate));
+  replaceWord(Text, "burst=4000", "burst=" + std::to_string(Options.Burst));
   return Text;
 }
 
@@ -73,14 +81,14 @@
 void LocalSite::runPlatform(const LocalSiteOptions &Options) {
   StandInSettings Chosen;
   Chosen.ListenAddress = m_PlatformAddress;
-  Chosen.RulesText = rulesFor(m_TargetPorts);
+  Chosen.RulesText = rulesFor(Options, m_TargetPorts);
   Chosen.LagMilliseconds = static_cast<std::uint64_t>(
       std::chrono::duration_cast<milliseconds>(Options.Lag).count());
   StandInGroup Group;
   Group.Database = DatabaseId("waitlist-a");
   for (unsigned At = 0; At < Targets; ++At)
-    Group.Targets.push_back({TargetId("waitlist-a-" + std::to_string(At + 1)),
-                             m_TargetPorts[At]});
+    Group.Targets.push_back(
+        {TargetId("waitlist-a-" + std::to_string(At + 1)), m_TargetPorts[At]});
   Chosen.Groups.push_back(std::move(Group));
   for (std::size_t At = 0; At < m_PeerAddresses.size(); ++At)
     Chosen.Vms.push_back({VmId(vmName(At)), DataCentreId(DataCentres[At % 3]),
--- a/src/standin/LocalSite.h
+++ b/src/standin/LocalSite.h
@@ -20,6 +20,9 @@
   Duration Lag{}; ///< Of the replicas.
   /// @brief Changes a VM's settings before it starts, if set.
   std::function<void(runtime::Settings &)> Adjust;
+  /// @brief Rate and burst of the account ward-1, in statements.
+  unsigned Rate = 2000;
+  unsigned Burst = 4000;
 };
 
 /// @brief A stand-in platform, one database group of three targets and some
--- /dev/null
+++ b/test/unit-fuzz-wire.cpp
@@ -0,0 +1,105 @@
+#include "bergamotstage/wire/Frontend.h"
+
+#include <algorithm>
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bergamotstage::wire;
+
+namespace {
+
+constexpr unsigned Cases = 20000;
+constexpr std::uint64_t Seed = 20261;
+constexpr std::size_t MaxPieceBytes = 300;
+
+using Generator = std::mt19937_64;
+
+std::size_t below(Generator &Random, std::size_t Limit) {
+  return std::uniform_int_distribution<std::size_t>(0, Limit - 1)(Random);
+}
+
+std::string int32(std::uint32_t Value) {
+  std::string Bytes;
+  for (unsigned Shift : {24U, 16U, 8U, 0U})
+    Bytes += static_cast<char>((Value >> Shift) & 0xFFU);
+  return Bytes;
+}
+
+std::string randomBytes(Generator &Random, std::size_t Count) {
+  std::string Bytes(Count, '\0');
+  for (char &Byte : Bytes)
+    Byte = static_cast<char>(below(Random, 256));
+  return Bytes;
+}
+
+std::string startup() {
+  using namespace std::string_literals;
+  std::string Body = int32(196608) + "user\0ward-1\0database\0waitlist\0\0"s;
+  return int32(static_cast<std::uint32_t>(Body.size() + 4)) + Body;
+}
+
+/// @brief A message of a known type whose body is random, at times with a
+/// length that does not fit it.
+std::string randomMessage(Generator &Random) {
+  const std::string Types = "pQPBDECSHXFdcf?";
+  std::string Body = randomBytes(Random, below(Random, 40));
+  auto Length = static_cast<std::uint32_t>(Body.size() + 4);
+  if (below(Random, 8) == 0)
+    Length = static_cast<std::uint32_t>(Random());
+  return Types[below(Random, Types.size())] + int32(Length) + Body;
+}
+
+/// @brief Feeds bytes in random pieces until the end or the first error.
+/// @return messages read
+unsigned feedAll(Generator &Random, const std::string &Bytes) {
+  FrontendReader Reader;
+  unsigned Messages = 0;
+  std::size_t At = 0;
+  while (At < Bytes.size()) {
+    std::size_t Count =
+        std::min(1 + below(Random, MaxPieceBytes), Bytes.size() - At);
+    Reader.feed(std::string_view(Bytes).substr(At, Count));
+    At += Count;
+    while (true) {
+      auto Message = Reader.next();
+      if (!Message)
+        return Messages;
+      if (!*Message)
+        break;
+      ++Messages;
+    }
+    CHECK(Reader.heldBytes() <= MaxMessageBytes + MaxPieceBytes);
+  }
+  return Messages;
+}
+
+} // namespace
+
+TEST_GROUP(FuzzWire){};
+
+TEST(FuzzWire, RandomBytesNeverCrashTheReader) {
+  Generator Random(Seed);
+  for (unsigned Case = 0; Case < Cases; ++Case)
+    feedAll(Random, randomBytes(Random, below(Random, 200)));
+}
+
+TEST(FuzzWire, RandomMessagesAfterStartupNeverCrashTheReader) {
+  Generator Random(Seed + 1);
+  unsigned Messages = 0;
+  for (unsigned Case = 0; Case < Cases; ++Case) {
+    std::string Bytes = startup();
+    for (std::size_t Count = below(Random, 6); Count > 0; --Count)
+      Bytes += randomMessage(Random);
+    Messages += feedAll(Random, Bytes);
+  }
+  CHECK(Messages > Cases);
+}
+
+TEST(FuzzWire, MessageAboveTheLimitIsAnErrorBeforeItIsHeld) {
+  FrontendReader Reader;
+  Reader.feed(startup());
+  CHECK(Reader.next().has_value());
+  Reader.feed("Q" + int32(MaxMessageBytes + 1));
+  CHECK(!Reader.next().has_value());
+}
--- a/test/unit-runtime-sockets.cpp
+++ b/test/unit-runtime-sockets.cpp
@@ -52,8 +52,7 @@
     auto Limit = std::chrono::steady_clock::now() + WaitLimit;
     while (true) {
       Result Answer = run(Text);
-      const char *Hint = PQresultErrorField(Answer.get(),
-                                            PG_DIAG_MESSAGE_HINT);
+      const char *Hint = PQresultErrorField(Answer.get(), PG_DIAG_MESSAGE_HINT);
       bool NotRun = Hint != nullptr && std::strncmp(Hint, "not run", 7) == 0;
       if (!NotRun || std::chrono::steady_clock::now() >= Limit)
         return Answer;
@@ -77,7 +76,8 @@
   return State == nullptr ? "" : State;
 }
 
-const char *const OfferPlot = "INSERT INTO offers VALUES ('plot-7', 'family-3')";
+const char *const OfferPlot =
+    "INSERT INTO offers VALUES ('plot-7', 'family-3')";
 const char *const ReadPlot = "SELECT value FROM offers WHERE key = 'plot-7'";
 
 } // namespace
@@ -92,8 +92,7 @@
   CHECK(First.connected());
   Result Written = First.runUntilRun(OfferPlot);
   CHECK_EQUAL(PGRES_COMMAND_OK, PQresultStatus(Written.get()));
-  std::string Token =
-      PQparameterStatus(First.get(), "bergamotstage.session");
+  std::string Token = PQparameterStatus(First.get(), "bergamotstage.session");
   CHECK(!Token.empty());
   Client Second(Site->callerAddress(1) +
                 " options='-c bergamotstage.session=" + Token + "'");
@@ -116,8 +115,8 @@
     STRCMP_EQUAL("value", PQfname(Columns.get(), 0));
   }
   const char *Key = "plot-7";
-  Result Read = owned(PQexecPrepared(Clerk.get(), "by-key", 1, &Key, nullptr,
-                                     nullptr, 0));
+  Result Read = owned(
+      PQexecPrepared(Clerk.get(), "by-key", 1, &Key, nullptr, nullptr, 0));
   CHECK_EQUAL(1, PQntuples(Read.get()));
   Result Again = owned(PQprepare(Clerk.get(), "by-key", Text, 0, nullptr));
   STRCMP_EQUAL("42P05", sqlStateOf(Again).c_str());
@@ -177,7 +176,8 @@
   PGconn *Second = PQconnectdb(Site->callerAddress(0).c_str());
   CHECK_EQUAL(CONNECTION_BAD, PQstatus(Second));
   PQfinish(Second);
-  CHECK_EQUAL(PGRES_TUPLES_OK, PQresultStatus(Only.runUntilRun(ReadPlot).get()));
+  CHECK_EQUAL(PGRES_TUPLES_OK,
+              PQresultStatus(Only.runUntilRun(ReadPlot).get()));
 }
 
 TEST(RuntimeSockets, ShutdownTellsIdleCallers) {
