Pass rows in chunks of 16 KiB and end small answers in one write

Cause: every row was a chunk of its own through the ring, and the rows of a small answer woke the caller's client before its end was written. Change: a link encodes rows into one buffer and passes it on when it holds 16 KiB, when the target has nothing more ready, or at the end; the last chunk is marked, and the session writes it together with the completion.

--- a/bench/BenchProxy.cpp
+++ b/bench/BenchProxy.cpp
@@ -137,8 +137,8 @@
 
 void addScans(std::vector<BenchRow> &Rows, Client &Direct, Client &Proxied) {
   for (unsigned Row = 0; Row < RowsOfScan; ++Row)
-    Direct.runUntilDone("INSERT INTO wide VALUES ('row-" +
-                        std::to_string(Row) + "', 'a value of some length')");
+    Direct.runUntilDone("INSERT INTO wide VALUES ('row-" + std::to_string(Row) +
+                        "', 'a value of some length')");
   std::this_thread::sleep_for(RetryInterval);
   double DirectCost = scanCost(Direct);
   double ProxiedCost = scanCost(Proxied);
@@ -181,7 +181,8 @@
   for (unsigned At = 0; At < IdleCallers; ++At)
     Idle.push_back(std::make_unique<IdleCaller>(Io, Port));
   double Each = (residentBytes() - Before) / IdleCallers;
-  Rows.push_back({"memory, one idle caller", "both socket ends", Each, "bytes"});
+  Rows.push_back(
+      {"memory, one idle caller", "both socket ends", Each, "bytes"});
 }
 
 /// @brief Lets the process hold both ends of all idle connections.
@@ -210,8 +211,7 @@
   First.runUntilDone(Read);
   Second.runUntilDone(Read);
   ReadCost ToTarget = costOfReads(Direct);
-  Rows.push_back(
-      {"median read", "direct", ToTarget.MedianMicroseconds, "us"});
+  Rows.push_back({"median read", "direct", ToTarget.MedianMicroseconds, "us"});
   Rows.push_back({"p99 read", "direct", ToTarget.P99Microseconds, "us"});
   addReads(Rows, ToTarget, costOfReads(First), "through vm-1");
   addReads(Rows, ToTarget, costOfReads(Second), "through vm-2");
--- a/src/cli/DemoSteps.cpp
+++ b/src/cli/DemoSteps.cpp
@@ -53,8 +53,8 @@
 ClientLogin DemoSteps::login(const std::string &Address,
                              const std::string &Account,
                              const std::string &Route) const {
-  return {Address, Account, "demo-key", Route,
-          {{"bergamotstage.explain", "on"}}};
+  return {
+      Address, Account, "demo-key", Route, {{"bergamotstage.explain", "on"}}};
 }
 
 std::optional<DemoClient> DemoSteps::connect(const ClientLogin &Login,
@@ -99,8 +99,7 @@
 
 std::string DemoSteps::writeThroughA() {
   const std::string Step = "a clerk writes through proxy A";
-  auto Client =
-      connect(login(m_Options.ProxyA, "ward-1", "waitlist"), Step);
+  auto Client = connect(login(m_Options.ProxyA, "ward-1", "waitlist"), Step);
   if (!Client)
     return "";
   ClientAnswer Written =
@@ -218,8 +217,8 @@
     Detail = describe(*Client, Written);
     return Written.SqlState.empty();
   });
-  auto Gap = std::chrono::duration_cast<std::chrono::milliseconds>(
-      Clock::now() - Cut);
+  auto Gap =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - Cut);
   check(Resumed, Step,
         Detail + " after " + std::to_string(Gap.count()) + " ms");
 }
--- a/src/runtime/CallerSession.cpp
+++ b/src/runtime/CallerSession.cpp
@@ -152,8 +152,10 @@
   else
     m_Out += Chunk.Bytes;
   if (m_Answer)
-    finishAnswer();
-  flush();
+    return finishAnswer();
+  // The last rows leave in one write with the end of the statement.
+  if (!Chunk.Last)
+    flush();
 }
 
 void CallerSession::answer(AnswerStatement Answer) {
--- a/src/runtime/Commands.h
+++ b/src/runtime/Commands.h
@@ -17,6 +17,7 @@
   StatementId Statement;
   std::string Bytes;     ///< Whole messages of the PostgreSQL protocol.
   SharedRowsTaken Taken; ///< Called once the caller has taken the bytes.
+  bool Last = false;     ///< The end of the statement follows at once.
 };
 
 /// @brief What the decision thread tells the callers' thread.
--- a/src/runtime/TargetLink.cpp
+++ b/src/runtime/TargetLink.cpp
@@ -11,6 +11,8 @@
 namespace bergamotstage::runtime {
 namespace {
 
+/// @brief Rows are passed on in chunks of at least this size.
+constexpr std::size_t FullChunkBytes = std::size_t{16} << 10U;
 constexpr auto RetryInterval = std::chrono::milliseconds(1);
 const char *const ConnectTimeoutSeconds = "5";
 
@@ -184,6 +186,8 @@
 
 void TargetLink::startQuery(bool Sent) {
   m_Busy = true;
+  m_Ending = false;
+  m_Stalled = false;
   m_Unpassed.clear();
   if (!Sent)
     return fail(trimmed(PQerrorMessage(m_Connection)));
@@ -204,17 +208,15 @@
   startQuery(PQsendDescribePrepared(m_Connection, "") == 1);
 }
 
-bool TargetLink::takeDescription(const PGresult *Result) {
-  std::string Bytes;
+void TargetLink::takeDescription(const PGresult *Result) {
   std::vector<std::uint32_t> Types;
   for (int At = 0; At < PQnparams(Result); ++At)
     Types.push_back(PQparamtype(Result, At));
-  wire::BackendWriter(Bytes).parameterDescription(Types);
+  wire::BackendWriter(m_Unpassed).parameterDescription(Types);
   if (PQnfields(Result) == 0)
-    wire::BackendWriter(Bytes).noData();
+    wire::BackendWriter(m_Unpassed).noData();
   else
-    describeRows(Result, Bytes);
-  return passChunk(std::move(Bytes));
+    describeRows(Result, m_Unpassed);
 }
 
 void TargetLink::flushOutput() {
@@ -243,19 +245,30 @@
 }
 
 void TargetLink::readResults() {
+  m_Stalled = !readAvailable();
+  if (!m_Stalled && !m_Closed)
+    waitReadable();
+}
+
+bool TargetLink::readAvailable() {
+  if (m_Stalled && !passChunk(m_Ending))
+    return false;
   while (m_Busy && PQisBusy(m_Connection) == 0) {
-    PGresult *Result = PQgetResult(m_Connection);
-    if (Result == nullptr) {
-      finish();
+    if (!m_Ending) {
+      PGresult *Result = PQgetResult(m_Connection);
+      m_Ending = Result == nullptr;
+      bool Passed = m_Ending || takeResult(Result);
+      PQclear(Result);
+      if (!Passed)
+        return false;
       continue;
     }
-    bool Passed = takeResult(Result);
-    PQclear(Result);
-    if (!Passed)
-      return;
+    if (!passChunk(true))
+      return false;
+    finish();
   }
-  if (!m_Closed)
-    waitReadable();
+  // The target is not done yet: what has come must not wait for the rest.
+  return !m_Busy || passChunk(false);
 }
 
 bool TargetLink::takeResult(PGresult *Result) {
@@ -271,7 +284,9 @@
     return passRows(Result);
   case PGRES_COMMAND_OK:
     m_Answer.Tag = PQcmdStatus(Result);
-    return !m_Prepared || takeDescription(Result);
+    if (m_Prepared)
+      takeDescription(Result);
+    return true;
   case PGRES_EMPTY_QUERY:
     return true;
   default:
@@ -281,21 +296,22 @@
 }
 
 bool TargetLink::passRows(const PGresult *Result) {
-  std::string Bytes;
   if (!m_Described)
-    describeRows(Result, Bytes);
+    describeRows(Result, m_Unpassed);
   m_Described = true;
-  encodeRows(Result, Bytes);
-  return Bytes.empty() || passChunk(std::move(Bytes));
+  encodeRows(Result, m_Unpassed);
+  return m_Unpassed.size() < FullChunkBytes || passChunk(false);
 }
 
-bool TargetLink::passChunk(std::string &&Bytes) {
-  std::size_t Count = Bytes.size();
-  if (!m_Credit->take(Count)) {
-    m_Unpassed = std::move(Bytes);
+bool TargetLink::passChunk(bool Last) {
+  if (m_Unpassed.empty())
+    return true;
+  std::size_t Count = m_Unpassed.size();
+  if (!m_Credit->take(Count))
     return false;
-  }
-  RowChunk Chunk{m_Caller, m_Answer.Statement, std::move(Bytes), m_Taken};
+  RowChunk Chunk{m_Caller, m_Answer.Statement, std::move(m_Unpassed), m_Taken,
+                 Last};
+  m_Unpassed.clear();
   if (m_Chunks(std::move(Chunk))) {
     ++m_Answer.Chunks;
     return true;
@@ -308,11 +324,7 @@
 }
 
 void TargetLink::resume() {
-  if (m_Closed || !m_Busy || m_Unpassed.empty())
-    return;
-  std::string Bytes = std::move(m_Unpassed);
-  m_Unpassed.clear();
-  if (passChunk(std::move(Bytes)))
+  if (!m_Closed && m_Busy && m_Stalled)
     readResults();
 }
 
--- a/src/runtime/TargetLink.h
+++ b/src/runtime/TargetLink.h
@@ -43,12 +43,13 @@
   void flushOutput();
   void waitReadable();
   void readResults();
+  bool readAvailable();
   bool takeResult(PGresult *Result);
   bool passRows(const PGresult *Result);
-  bool passChunk(std::string &&Bytes);
+  bool passChunk(bool Last);
   void sendDescribe(const StatementBody &Body);
   void describePrepared();
-  bool takeDescription(const PGresult *Result);
+  void takeDescription(const PGresult *Result);
   SharedCredit newCredit();
   void resume();
   void keepCells(const PGresult *Result);
@@ -75,7 +76,9 @@
   SharedRowsTaken m_Taken;
   CallerId m_Caller;
   LinkAnswered m_Answer;
-  std::string m_Unpassed; ///< A chunk that met a full ring.
+  std::string m_Unpassed; ///< Encoded rows that have not been passed on.
+  bool m_Ending = false;  ///< libpq has no further result of the statement.
+  bool m_Stalled = false; ///< Nothing is read until rows can be passed on.
 };
 
 } // namespace bergamotstage::runtime
--- a/test/unit-runtime-settings.cpp
+++ b/test/unit-runtime-settings.cpp
@@ -37,13 +37,12 @@
 
 TEST(RuntimeSettings, TlsIsRequiredUnlessAllowed) {
   const char *Files = R"("certificate": "vm.crt", "key": "vm.key"})";
-  auto Strict = parseSettings(settingsWith(R"(, "caller_tls": {)" +
-                                           std::string(Files)));
+  auto Strict =
+      parseSettings(settingsWith(R"(, "caller_tls": {)" + std::string(Files)));
   CHECK(Strict.has_value());
   CHECK(Strict->CallerTls == TlsMode::Required);
-  auto Lenient = parseSettings(
-      settingsWith(R"(, "caller_tls": {"mode": "allowed", )" +
-                   std::string(Files)));
+  auto Lenient = parseSettings(settingsWith(
+      R"(, "caller_tls": {"mode": "allowed", )" + std::string(Files)));
   CHECK(Lenient.has_value());
   CHECK(Lenient->CallerTls == TlsMode::Allowed);
 }
@@ -53,8 +52,7 @@
   CHECK(isOnlyFault(R"(, "limits": {"logins": "1s"})", "limits.logins"));
   CHECK(isOnlyFault(R"(, "limits": {"login": 30})", "limits.login"));
   CHECK(isOnlyFault(R"(, "limits": {"login": "2h"})", "limits.login"));
-  CHECK(isOnlyFault(R"(, "limits": {"connections": 0})",
-                    "limits.connections"));
+  CHECK(isOnlyFault(R"(, "limits": {"connections": 0})", "limits.connections"));
   CHECK(isOnlyFault(R"(, "limits": 5)", "limits"));
   CHECK(isOnlyFault(R"(, "caller_tls": {"certificate": "vm.crt"})",
                     "caller_tls.key"));
