Send the last rows of a forwarded statement with its answer

Cause: a forwarded read took two messages back, rows and answer, and each message costs several thread changes inside gRPC.

--- a/bench/BenchProxy.cpp
+++ b/bench/BenchProxy.cpp
@@ -49,6 +49,7 @@
   bool run(const std::string &Text) {
     PGresult *Answer = PQexec(m_Connection, Text.c_str());
     ExecStatusType Status = PQresultStatus(Answer);
+    m_Rows = static_cast<unsigned>(PQntuples(Answer));
     PQclear(Answer);
     return Status == PGRES_TUPLES_OK || Status == PGRES_COMMAND_OK;
   }
@@ -62,8 +63,12 @@
     }
   }
 
+  /// @brief Rows of the last answer.
+  unsigned rows() const { return m_Rows; }
+
 private:
   PGconn *m_Connection = nullptr;
+  unsigned m_Rows = 0;
 };
 
 /// @brief Processor time of this process in microseconds.
@@ -101,8 +106,8 @@
   double Processor = processorMicroseconds();
   for (unsigned At = 0; At < LatencyReads; ++At) {
     auto Start = Clock::now();
-    if (!Caller.run(Read))
-      throw std::runtime_error("a read was refused");
+    if (!Caller.run(Read) || Caller.rows() != 1)
+      throw std::runtime_error("a read was refused or lost its row");
     Took.push_back(
         std::chrono::duration<double, std::micro>(Clock::now() - Start)
             .count());
@@ -208,7 +213,8 @@
   Client Direct((*Site)->primaryAddress());
   Client First((*Site)->callerAddress(0));
   Client Second((*Site)->callerAddress(1));
-  First.runUntilDone(Read);
+  First.runUntilDone("INSERT INTO offers VALUES ('plot-7', 'family-3')");
+  std::this_thread::sleep_for(RetryInterval);
   Second.runUntilDone(Read);
   ReadCost ToTarget = costOfReads(Direct);
   Rows.push_back({"median read", "direct", ToTarget.MedianMicroseconds, "us"});
--- a/src/runtime/ForwardReceiver.cpp
+++ b/src/runtime/ForwardReceiver.cpp
@@ -58,6 +58,7 @@
     m_Frames[{From.Stream, Frame.id()}] = Arrived.Caller;
     Entry.Statement = Arrived.Statement;
     Entry.Taken.reset();
+    Entry.LastRows.clear();
   }
   pushUntilTaken([&] { return m_Hooks.Events(Event(Arrived)); });
 }
@@ -145,9 +146,10 @@
   Caller &Entry = Known->second;
   std::uint64_t Transaction =
       Answer.InTransaction ? Answer.Caller.value() : std::uint64_t{0};
-  m_Hooks.Reply(Entry.At.first,
-                answerFrame(Entry.Frame, Answer, std::exchange(Entry.Token, {}),
-                            Transaction));
+  ForwardFrame Frame = answerFrame(Entry.Frame, Answer,
+                                   std::exchange(Entry.Token, {}), Transaction);
+  Frame.mutable_answer()->set_last_rows(std::exchange(Entry.LastRows, {}));
+  m_Hooks.Reply(Entry.At.first, std::move(Frame));
   m_Frames.erase({Entry.At.first, Entry.Frame});
   Entry.Frame = 0;
   if (!Answer.InTransaction)
@@ -157,6 +159,8 @@
 bool ForwardReceiver::pushRows(RowChunk &&Chunk) {
   std::uint64_t Stream = 0;
   std::uint64_t Frame = 0;
+  bool WithAnswer = Chunk.Last && Chunk.Bytes.size() <= MaxRowsFrameBytes;
+  std::size_t Count = Chunk.Bytes.size();
   {
     std::lock_guard<std::mutex> Guard(m_Lock);
     auto Known = m_Callers.find(Chunk.Caller);
@@ -165,22 +169,24 @@
       Known->second.Taken = Chunk.Taken;
       Stream = Known->second.At.first;
       Frame = Known->second.Frame;
+      if (WithAnswer)
+        Known->second.LastRows = std::move(Chunk.Bytes);
     }
   }
-  if (Stream == 0) {
-    (*Chunk.Taken)(Chunk.Bytes.size());
+  if (Stream == 0 || WithAnswer) {
+    (*Chunk.Taken)(Count);
     return true;
   }
   // Pieces keep below the largest message that gRPC takes.
   std::size_t Sent = 0;
   do {
     std::string Piece = Chunk.Bytes.substr(Sent, MaxRowsFrameBytes);
-    std::size_t Count = Piece.size();
+    std::size_t PieceBytes = Piece.size();
     if (!m_Hooks.Reply(Stream, rowsFrame(Frame, std::move(Piece)))) {
       Chunk.Bytes.erase(0, Sent);
       return !isOpen(Stream);
     }
-    Sent += Count;
+    Sent += PieceBytes;
   } while (Sent < Chunk.Bytes.size());
   return true;
 }
--- a/src/runtime/ForwardReceiver.h
+++ b/src/runtime/ForwardReceiver.h
@@ -50,7 +50,8 @@
     std::uint64_t Frame = 0; ///< Id of the statement under way; 0: none.
     StatementId Statement;
     bool InTransaction = false;
-    std::string Token; ///< To go with the next answer.
+    std::string Token;    ///< To go with the next answer.
+    std::string LastRows; ///< To go with the next answer.
     SharedRowsTaken Taken;
   };
 
--- a/src/runtime/ForwardSender.cpp
+++ b/src/runtime/ForwardSender.cpp
@@ -86,12 +86,17 @@
 
 void ForwardSender::answered(ForwardFrame &&Frame) {
   if (Frame.has_rows())
-    takeRows(Frame.id(), std::move(*Frame.mutable_rows()->mutable_bytes()));
-  else if (Frame.has_answer())
-    takeAnswer(Frame.id(), Frame.answer());
+    takeRows(Frame.id(), std::move(*Frame.mutable_rows()->mutable_bytes()),
+             false);
+  if (!Frame.has_answer())
+    return;
+  std::string &Rows = *Frame.mutable_answer()->mutable_last_rows();
+  if (!Rows.empty())
+    takeRows(Frame.id(), std::move(Rows), true);
+  takeAnswer(Frame.id(), Frame.answer());
 }
 
-void ForwardSender::takeRows(std::uint64_t Id, std::string Bytes) {
+void ForwardSender::takeRows(std::uint64_t Id, std::string Bytes, bool Last) {
   RowChunk Chunk;
   {
     std::lock_guard<std::mutex> Guard(m_Lock);
@@ -100,7 +105,7 @@
       return;
     ++Known->second.Chunks;
     Chunk = {Known->second.Caller, Known->second.Statement, std::move(Bytes),
-             Known->second.Taken};
+             Known->second.Taken, Last};
   }
   pushUntilTaken([&] { return m_Hooks.Rows(std::move(Chunk)); });
 }
--- a/src/runtime/ForwardSender.h
+++ b/src/runtime/ForwardSender.h
@@ -59,7 +59,7 @@
   bool send(const ForwardStatement &Wanted);
   void close(const CloseForward &Wanted);
   void giveCredit(std::uint64_t Id, std::size_t Bytes);
-  void takeRows(std::uint64_t Id, std::string Bytes);
+  void takeRows(std::uint64_t Id, std::string Bytes, bool Last);
   void takeAnswer(std::uint64_t Id, const wire::peer::ForwardAnswer &Message);
 
   Hooks m_Hooks;
