Keep gRPC channels until their transport ends

Change: the transport keeps the channels, and a stream drops its call context before it reports its end.

--- a/src/runtime/ForwardTransport.cpp
+++ b/src/runtime/ForwardTransport.cpp
@@ -3,11 +3,14 @@
 #include "runtime/HomeStream.h"
 #include "runtime/OriginStream.h"
 
+#include <iterator>
 #include <utility>
 
 namespace bergamotstage::runtime {
 namespace {
 
+/// @brief Channels kept for VMs that may come back.
+constexpr std::size_t MaxChannels = 1024;
 constexpr int KeepaliveIntervalMilliseconds = 2000;
 constexpr int KeepaliveTimeoutMilliseconds = 2000;
 constexpr int ReconnectLeastMilliseconds = 100;
@@ -94,17 +97,36 @@
 
 grpc::Service &ForwardTransport::service() { return *m_Service; }
 
+std::shared_ptr<grpc::Channel>
+ForwardTransport::channelTo(const std::string &Address) {
+  auto &Channel = m_Channels[Address];
+  if (Channel)
+    return Channel;
+  Channel =
+      grpc::CreateCustomChannel(Address, m_Credentials, channelArguments());
+  auto Made = Channel;
+  if (m_Channels.size() > MaxChannels)
+    dropUnusedChannels();
+  return Made;
+}
+
+void ForwardTransport::dropUnusedChannels() {
+  for (auto Next = m_Channels.begin(); Next != m_Channels.end();) {
+    bool Unused = m_Origins.count(Next->first) == 0 &&
+                  Next->second.use_count() == 1;
+    Next = Unused ? m_Channels.erase(Next) : std::next(Next);
+  }
+}
+
 std::shared_ptr<OriginStream>
 ForwardTransport::openStream(const std::string &Address) {
-  auto Channel =
-      grpc::CreateCustomChannel(Address, m_Credentials, channelArguments());
   OriginStream::Hooks Hooks;
   Hooks.Answered = m_Hooks.Answered;
   Hooks.Lost = m_Hooks.Lost;
   Hooks.Ended = [this, Address](OriginStream *Ended) {
     originEnded(Address, Ended);
   };
-  auto Stream = std::make_shared<OriginStream>(Channel, std::move(Hooks));
+  auto Stream = std::make_shared<OriginStream>(channelTo(Address), std::move(Hooks));
   m_Open.insert(Stream.get());
   Stream->start(helloFrame(m_Self, m_Start));
   return Stream;
--- a/src/runtime/ForwardTransport.h
+++ b/src/runtime/ForwardTransport.h
@@ -73,6 +73,8 @@
 private:
   class Service;
 
+  std::shared_ptr<grpc::Channel> channelTo(const std::string &Address);
+  void dropUnusedChannels();
   std::shared_ptr<OriginStream> openStream(const std::string &Address);
   void originEnded(const std::string &Address, OriginStream *Ended);
 
@@ -84,6 +86,8 @@
   bool m_Stopped = false;
   std::condition_variable m_OriginEnded;
   std::map<std::string, std::shared_ptr<OriginStream>> m_Origins;
+  /// @brief Kept until the end: gRPC must not drop one on its own threads.
+  std::map<std::string, std::shared_ptr<grpc::Channel>> m_Channels;
   std::set<OriginStream *> m_Open; ///< All that have not ended yet.
   std::unique_ptr<Service> m_Service;
 };
--- a/src/runtime/OriginStream.cpp
+++ b/src/runtime/OriginStream.cpp
@@ -7,11 +7,12 @@
 OriginStream::OriginStream(const std::shared_ptr<grpc::Channel> &Channel,
                            Hooks Wanted)
     : m_Hooks(std::move(Wanted)),
-      m_Stub(wire::peer::Forwarding::NewStub(Channel)) {}
+      m_Stub(wire::peer::Forwarding::NewStub(Channel)),
+      m_Context(std::make_unique<grpc::ClientContext>()) {}
 
 void OriginStream::start(ForwardFrame Hello) {
   m_Self = shared_from_this();
-  m_Stub->async()->Carry(&m_Context, this);
+  m_Stub->async()->Carry(m_Context.get(), this);
   // Writes start outside reactions, which needs a hold until close().
   AddHold();
   std::lock_guard<std::mutex> Guard(m_Lock);
@@ -35,6 +36,12 @@
   return SendResult::Accepted;
 }
 
+void OriginStream::cancel() {
+  std::lock_guard<std::mutex> Guard(m_Lock);
+  if (m_Context)
+    m_Context->TryCancel();
+}
+
 void OriginStream::writeNext() {
   if (!m_Ready || m_Closed)
     return;
@@ -78,7 +85,7 @@
   if (m_Closed)
     return;
   m_Closed = true;
-  m_Context.TryCancel();
+  m_Context->TryCancel();
   RemoveHold();
 }
 
@@ -87,6 +94,8 @@
   {
     std::lock_guard<std::mutex> Guard(m_Lock);
     Left.swap(m_UnderWay);
+    m_Stub.reset();
+    m_Context.reset();
   }
   for (const auto &[Id, Written] : Left)
     m_Hooks.Lost(Id, !Written);
--- a/src/runtime/OriginStream.h
+++ b/src/runtime/OriginStream.h
@@ -38,7 +38,7 @@
   SendResult send(ForwardFrame &&Frame);
 
   /// @brief Ends the call; Ended follows.
-  void cancel() { m_Context.TryCancel(); }
+  void cancel();
 
   void OnReadDone(bool Succeeded) override;
   void OnWriteDone(bool Succeeded) override;
@@ -51,7 +51,9 @@
   Hooks m_Hooks;
   std::shared_ptr<OriginStream> m_Self; ///< Set while the call is open.
   std::unique_ptr<wire::peer::Forwarding::Stub> m_Stub;
-  grpc::ClientContext m_Context;
+  /// @brief Gone once the call has ended. It refers to the channel, the last
+  /// reference to which must not go on a thread of gRPC.
+  std::unique_ptr<grpc::ClientContext> m_Context;
   ForwardFrame m_Input;
   std::mutex m_Lock;
   FrameQueue m_Queue;
