--- a/bench/Cases.h
+++ b/bench/Cases.h
@@ -9,6 +9,9 @@
 std::vector<BenchRow> benchStep();
 std::vector<BenchRow> benchProxy();
 std::vector<BenchRow> benchCore();
+std::vector<BenchRow> benchFailover();
+std::vector<BenchRow> benchFairness();
+std::vector<BenchRow> benchDurable();
 
 } // namespace bergamotstage::bench
 
--- a/bench/Registry.cpp
+++ b/bench/Registry.cpp
@@ -8,6 +8,10 @@
       {"step", "time that the decision core takes for one read", benchStep},
       {"core", "time and memory of rules and of idle callers", benchCore},
       {"proxy", "cost of a VM over sockets against direct libpq", benchProxy},
+      {"failover", "time without writes when a primary is lost", benchFailover},
+      {"fairness", "worst client account beside one at 5 times its rate",
+       benchFairness},
+      {"durable", "cost and use of confirmed acknowledgement", benchDurable},
   };
   return Cases;
 }
