--- a/bench/Cases.h
+++ b/bench/Cases.h
@@ -9,6 +9,8 @@
 std::vector<BenchRow> benchStep();
 std::vector<BenchRow> benchProxy();
 std::vector<BenchRow> benchCore();
+std::vector<BenchRow> benchConfig();
+std::vector<BenchRow> benchControl();
 std::vector<BenchRow> benchFailover();
 std::vector<BenchRow> benchFairness();
 std::vector<BenchRow> benchDurable();
--- a/src/request/StatementForwarding.cpp
+++ b/src/request/StatementForwarding.cpp
@@ -26,6 +26,7 @@
   Session.MaxAge = Caller.MaxAge;
   Session.RequestId = Caller.RequestId;
   Session.Idempotent = Caller.Idempotent;
+  Session.Explain = Caller.Explain;
   return Session;
 }
 
@@ -103,6 +104,8 @@
     Run.MayTakeEffect = false;
     Run.Sent = Explicit;
   }
+  if (Caller->Home)
+    m_Context.act(CloseForward{*Caller->Home, Caller->Id});
   bool Harmless =
       Event.NeverSent || (Run.Kind == StatementKind::Read && Event.Chunks == 0);
   Instant Next = m_Context.now() + RepeatDelay;
@@ -137,6 +140,7 @@
   Caller.MaxAge = Session.MaxAge;
   Caller.RequestId = Session.RequestId;
   Caller.Idempotent = Session.Idempotent;
+  Caller.Explain = Session.Explain;
   return Caller;
 }
 
--- a/src/target/PrimaryWatch.cpp
+++ b/src/target/PrimaryWatch.cpp
@@ -80,9 +80,11 @@
               HeartbeatTimeout, MonitorLinks::Choice::Prompt,
               [this, Database, AtTerm](const LinkResult &Result) {
                 m_Votes[Database].Checking = false;
+                if (!Result && Result.error().Replaced)
+                  return;
                 if (!Result)
                   return suspect(Database);
-                m_Votes[Database].AnsweredAt = m_Context.now();
+                m_Votes[Database].SilentSince.reset();
                 if (Result->ErrorSqlState == LaterTermSeen && m_FencedHook)
                   m_FencedHook(Database, AtTerm);
               });
@@ -118,7 +120,9 @@
 }
 
 void PrimaryWatch::waitFixed(const DatabaseId &Database, Duration Timeout) {
-  if (m_Context.now() - m_Votes[Database].AnsweredAt >= Timeout)
+  Vote &At = m_Votes[Database];
+  At.SilentSince = At.SilentSince.value_or(m_Context.now());
+  if (m_Context.now() - *At.SilentSince >= Timeout)
     return m_LostHook(Database, "no answer within the fixed timeout");
   m_Context.timers().schedule(m_Context.now() + HeartbeatInterval,
                               [this, Database] { check(Database); });
@@ -129,7 +133,8 @@
   m_Links.run(Target, confirmText({AtTerm, LogPosition(0)}), ProbeTimeout,
               MonitorLinks::Choice::Fresh,
               [Done = std::move(Done)](const LinkResult &Result) {
-                Done(Result.has_value());
+                if (Result || !Result.error().Replaced)
+                  Done(Result.has_value());
               });
 }
 
