--- a/bench/Registry.cpp
+++ b/bench/Registry.cpp
@@ -10,6 +10,7 @@
       {"reads", "share of reads on replicas in a burst of lookups, by policy",
        benchReads},
       {"once", "cost of running a request at most once", benchOnce},
+      {"proxy", "cost of a VM over sockets against direct libpq", benchProxy},
       {"config", "time from an edit to in force everywhere", benchConfig},
       {"control", "cost of control for each VM", benchControl},
       {"failover", "time without writes when a primary is lost", benchFailover},
