--- a/src/runtime/ForwardTransport.cpp
+++ b/src/runtime/ForwardTransport.cpp
@@ -3,11 +3,16 @@
 #include "runtime/HomeStream.h"
 #include "runtime/OriginStream.h"
 
+#include <iterator>
 #include <utility>
 
 namespace bergamotstage::runtime {
 namespace {
 
+/// @brief Below the largest message that gRPC takes by default, 4 MiB.
+constexpr std::size_t MaxFrameBytes = std::size_t{3} << 20U;
+/// @brief Channels kept for VMs that may come back.
+constexpr std::size_t MaxChannels = 1024;
 constexpr int KeepaliveIntervalMilliseconds = 2000;
 constexpr int KeepaliveTimeoutMilliseconds = 2000;
 constexpr int ReconnectLeastMilliseconds = 100;
@@ -94,25 +99,45 @@
 
 grpc::Service &ForwardTransport::service() { return *m_Service; }
 
-std::shared_ptr<OriginStream>
-ForwardTransport::openStream(const std::string &Address) {
-  auto Channel =
+std::shared_ptr<grpc::Channel>
+ForwardTransport::channelTo(const std::string &Address) {
+  auto &Channel = m_Channels[Address];
+  if (Channel)
+    return Channel;
+  Channel =
       grpc::CreateCustomChannel(Address, m_Credentials, channelArguments());
+  auto Made = Channel;
+  if (m_Channels.size() > MaxChannels)
+    dropUnusedChannels();
+  return Made;
+}
+
+void ForwardTransport::dropUnusedChannels() {
+  for (auto Next = m_Channels.begin(); Next != m_Channels.end();) {
+    bool Unused =
+        m_Origins.count(Next->first) == 0 && Next->second.use_count() == 1;
+    Next = Unused ? m_Channels.erase(Next) : std::next(Next);
+  }
+}
+
+std::shared_ptr<OriginStream>
+ForwardTransport::openStream(const std::string &Address, ForwardFrame First) {
   OriginStream::Hooks Hooks;
   Hooks.Answered = m_Hooks.Answered;
   Hooks.Lost = m_Hooks.Lost;
   Hooks.Ended = [this, Address](OriginStream *Ended) {
     originEnded(Address, Ended);
   };
-  auto Stream = std::make_shared<OriginStream>(Channel, std::move(Hooks));
+  auto Stream =
+      std::make_shared<OriginStream>(channelTo(Address), std::move(Hooks));
   m_Open.insert(Stream.get());
-  Stream->start(helloFrame(m_Self, m_Start));
+  Stream->start(helloFrame(m_Self, m_Start), std::move(First));
   return Stream;
 }
 
 bool ForwardTransport::send(const std::string &Address, ForwardFrame Frame) {
   std::lock_guard<std::mutex> Guard(m_Lock);
-  if (m_Stopped)
+  if (m_Stopped || Frame.ByteSizeLong() > MaxFrameBytes)
     return false;
   auto &Stream = m_Origins[Address];
   bool Opens = Frame.has_statement();
@@ -121,12 +146,12 @@
     if (Result != OriginStream::SendResult::Closed)
       return Result == OriginStream::SendResult::Accepted;
   }
-  // Credit and cancellations belong to statements of a stream that is gone.
+  // Credit and ends of callers belong to a stream that is gone.
   if (!Opens)
     return false;
-  Stream = openStream(Address);
   // NOLINTNEXTLINE(bugprone-use-after-move): a closed stream takes nothing.
-  return Stream->send(std::move(Frame)) == OriginStream::SendResult::Accepted;
+  Stream = openStream(Address, std::move(Frame));
+  return true;
 }
 
 bool ForwardTransport::reply(std::uint64_t Stream, ForwardFrame Frame) {
--- a/src/runtime/ForwardTransport.h
+++ b/src/runtime/ForwardTransport.h
@@ -56,8 +56,8 @@
 
   /// @brief Sends a frame to a home VM; opens the stream if there is none.
   /// @param Address IP number and port of the home VM's peer service
-  /// @return false if too many bytes wait for that VM: nothing was sent, and
-  /// no event follows
+  /// @return false if the frame is too large or too many bytes wait for that
+  /// VM: nothing was sent, and no event follows
   bool send(const std::string &Address, ForwardFrame Frame);
 
   /// @brief Sends rows or an answer back.
@@ -73,7 +73,10 @@
 private:
   class Service;
 
-  std::shared_ptr<OriginStream> openStream(const std::string &Address);
+  std::shared_ptr<grpc::Channel> channelTo(const std::string &Address);
+  void dropUnusedChannels();
+  std::shared_ptr<OriginStream> openStream(const std::string &Address,
+                                           ForwardFrame First);
   void originEnded(const std::string &Address, OriginStream *Ended);
 
   VmId m_Self;
@@ -84,6 +87,8 @@
   bool m_Stopped = false;
   std::condition_variable m_OriginEnded;
   std::map<std::string, std::shared_ptr<OriginStream>> m_Origins;
+  /// @brief Kept until the end: gRPC must not drop one on its own threads.
+  std::map<std::string, std::shared_ptr<grpc::Channel>> m_Channels;
   std::set<OriginStream *> m_Open; ///< All that have not ended yet.
   std::unique_ptr<Service> m_Service;
 };
--- a/src/runtime/OriginStream.h
+++ b/src/runtime/OriginStream.h
@@ -30,7 +30,8 @@
   OriginStream(const std::shared_ptr<grpc::Channel> &Channel, Hooks Wanted);
 
   /// @brief Opens the stream, which keeps itself alive until it has ended.
-  void start(ForwardFrame Hello);
+  /// @param First statement to send, which is under way from then on
+  void start(ForwardFrame Hello, ForwardFrame First);
 
   enum class SendResult : std::uint8_t { Accepted, Full, Closed };
 
@@ -38,7 +39,7 @@
   SendResult send(ForwardFrame &&Frame);
 
   /// @brief Ends the call; Ended follows.
-  void cancel() { m_Context.TryCancel(); }
+  void cancel();
 
   void OnReadDone(bool Succeeded) override;
   void OnWriteDone(bool Succeeded) override;
@@ -51,7 +52,9 @@
   Hooks m_Hooks;
   std::shared_ptr<OriginStream> m_Self; ///< Set while the call is open.
   std::unique_ptr<wire::peer::Forwarding::Stub> m_Stub;
-  grpc::ClientContext m_Context;
+  /// @brief Gone once the call has ended. It refers to the channel, the last
+  /// reference to which must not go on a thread of gRPC.
+  std::unique_ptr<grpc::ClientContext> m_Context;
   ForwardFrame m_Input;
   std::mutex m_Lock;
   FrameQueue m_Queue;
