--- /dev/null
+++ b/test/unit-random-config.cpp
@@ -0,0 +1,202 @@
+#include "standin/SmallSite.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+#include <cstdio>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace bergamotstage;
+using namespace bergamotstage::standin;
+
+namespace {
+
+constexpr unsigned Vms = 9;
+constexpr unsigned Steps = 100000;
+constexpr Duration Step = milliseconds(50);
+
+/// @brief How often each failure and precondition occurred.
+using Counts = std::map<std::string, unsigned>;
+
+/// @brief Random faults and edits on nine VMs, with the promises checked.
+class RandomRun {
+public:
+  RandomRun() {
+    m_Fleet.Blocked = [this](const std::string &From, const std::string &To) {
+      return blocked(From, To);
+    };
+    m_Fleet.OnAction = [this](const VmId &, const Action &Taken) {
+      if (const auto *Answer = std::get_if<AnswerOperator>(&Taken))
+        answered(*Answer);
+    };
+    m_Fleet.storeRules(smallSiteRules());
+    for (unsigned Vm = 0; Vm < Vms; ++Vm)
+      start(Vm);
+    m_Fleet.runUntil(m_Fleet.now() + seconds(8));
+  }
+
+  Counts run() {
+    for (unsigned Done = 0; Done < Steps; ++Done) {
+      m_Fleet.runUntil(m_Fleet.now() + Step);
+      check();
+      disturb();
+    }
+    return m_Counts;
+  }
+
+private:
+  static VmId name(unsigned Vm) { return VmId("vm-" + std::to_string(Vm)); }
+  static std::string party(unsigned Vm) { return "vm:" + name(Vm).value(); }
+  bool oneIn(unsigned Count) { return m_Random() % Count == 0; }
+  unsigned someVm() { return static_cast<unsigned>(m_Random() % Vms); }
+
+  void start(unsigned Vm) {
+    auto &Listed = m_Fleet.listedVms();
+    for (auto At = Listed.begin(); At != Listed.end();)
+      At = At->Vm == name(Vm) ? Listed.erase(At) : At + 1;
+    m_Fleet.startVm(smallSiteVm(name(Vm).value(), "hoan-kiem"));
+    m_Seen[Vm] = Revision(0);
+  }
+
+  bool blocked(const std::string &From, const std::string &To) const {
+    bool Store = From == "platform" || To == "platform";
+    for (unsigned Vm = 0; Vm < Vms; ++Vm) {
+      bool Ends = From == party(Vm) || To == party(Vm);
+      const auto &Cuts = Store ? m_StoreCut : m_PeersCut;
+      if (Ends && m_Fleet.now() < Cuts[Vm])
+        return true;
+    }
+    if (Store || m_Fleet.now() >= m_PartedUntil)
+      return false;
+    return (From < party(4)) != (To < party(4));
+  }
+
+  void answered(const AnswerOperator &Answer) {
+    std::string Word = Answer.Body.substr(0, Answer.Body.find(':'));
+    ++m_Counts["answer " + Word];
+    if (Word != "accepted")
+      return;
+    auto Number = std::stoull(Answer.Body.substr(Answer.Body.find("on ") + 3));
+    m_Accepted = std::max(m_Accepted, Revision(Number));
+  }
+
+  void check() {
+    for (unsigned Vm = 0; Vm < Vms; ++Vm) {
+      if (!m_Fleet.alive(name(Vm)))
+        continue;
+      const NodeContext &Context = m_Fleet.node(name(Vm)).context();
+      Revision Number = Context.rules().Number;
+      CHECK(m_Seen[Vm] <= Number);
+      m_Seen[Vm] = Number;
+      bool Serves = Number > Revision(0) &&
+                    m_Fleet.now() - Context.lastKnownCurrent() < CurrencyLimit;
+      m_Counts["behind, not serving"] += !Serves && Number < m_Accepted ? 1 : 0;
+      CHECK(!Serves || Number >= m_Accepted);
+    }
+  }
+
+  void edit() {
+    bool Repeat = m_Edit > 0 && oneIn(3);
+    m_Edit += Repeat ? 0 : 1;
+    m_Counts[Repeat ? "edit repeated" : "edit"] += 1;
+    Revision Newest(0);
+    for (unsigned Vm = 0; Vm < Vms; ++Vm)
+      Newest = std::max(Newest, m_Seen[Vm]);
+    if (!Repeat)
+      m_Expected = Newest;
+    for (unsigned Operator = 0; Operator < 1 + m_Random() % 2; ++Operator) {
+      std::string Id = std::to_string(m_Edit) + "-" + std::to_string(Operator);
+      std::string Text = smallSiteRules() + "account a" + Id +
+                         " rate=1 burst=1 # Ledger office\n";
+      m_Fleet.deliver(name(someVm()),
+                      OperatorAsked{OperatorCallId(++m_LastCall),
+                                    "apply",
+                                    {{"text", Text},
+                                     {"expect", std::to_string(m_Expected.value())},
+                                     {"edit-id", Id}}});
+    }
+  }
+
+  void restart(unsigned Vm, const char *Why) {
+    m_Fleet.killVm(name(Vm));
+    start(Vm);
+    ++m_Counts[Why];
+  }
+
+  void disturb() {
+    Instant Until = m_Fleet.now() + Duration(m_Random() % 30000000);
+    unsigned Vm = someVm();
+    if (oneIn(150))
+      edit();
+    if (oneIn(700)) {
+      bool Store = oneIn(2);
+      bool Peers = !Store || oneIn(2);
+      m_StoreCut[Vm] = Store ? Until : m_StoreCut[Vm];
+      m_PeersCut[Vm] = Peers ? Until : m_PeersCut[Vm];
+      ++m_Counts[Store && Peers ? "cut from both"
+                 : Store        ? "cut from the store"
+                                : "cut from peers"];
+    }
+    if (oneIn(400))
+      restart(Vm, "restart");
+    if (oneIn(3000)) {
+      m_Fleet.pauseVm(name(Vm), Until);
+      ++m_Counts["pause"];
+    }
+    if (oneIn(3000)) {
+      m_PartedUntil = Until;
+      ++m_Counts["regions parted"];
+    }
+    disturbStore(Until);
+  }
+
+  void disturbStore(Instant Until) {
+    if (oneIn(1500)) {
+      m_Fleet.StoreDown = true;
+      m_Fleet.at(Until, [this] { m_Fleet.StoreDown = false; });
+      ++m_Counts["store down"];
+    }
+    if (oneIn(800)) {
+      m_Fleet.LoseWriteAnswers = true;
+      m_Fleet.at(Until, [this] { m_Fleet.LoseWriteAnswers = false; });
+      ++m_Counts["write answers lost"];
+    }
+    if (m_Fleet.StoreDown && oneIn(3000))
+      for (unsigned Vm = 0; Vm < Vms; ++Vm)
+        restart(Vm, "fleet restarted, store down");
+    if (oneIn(10000))
+      for (unsigned Vm = 0; Vm < Vms / 2; ++Vm)
+        restart(Vm, "half of the VMs restarted");
+  }
+
+  LoopbackFleet m_Fleet{{}, 11};
+  std::mt19937_64 m_Random{5};
+  Counts m_Counts;
+  std::array<Instant, Vms> m_StoreCut{};
+  std::array<Instant, Vms> m_PeersCut{};
+  std::array<Revision, Vms> m_Seen{};
+  Instant m_PartedUntil{};
+  Revision m_Accepted{1};
+  Revision m_Expected{1};
+  unsigned m_Edit = 0;
+  std::uint64_t m_LastCall = 0;
+};
+
+} // namespace
+
+TEST_GROUP(RandomConfig){};
+
+TEST(RandomConfig, AcceptedRulesAreInForceWhereAVmServes) {
+  Counts Found = RandomRun().run();
+  for (const auto &[Name, Count] : Found)
+    std::printf("%s=%u\n", Name.c_str(), Count);
+  for (const char *Name :
+       {"edit", "edit repeated", "answer accepted", "answer conflict",
+        "answer unavailable", "answer unknown", "answer unconfirmed", "cut from both", "cut from the store",
+        "cut from peers", "restart", "pause", "regions parted", "store down",
+        "write answers lost", "fleet restarted, store down",
+        "half of the VMs restarted", "behind, not serving"})
+    CHECK(Found[Name] > 0);
+}
