--- a/include/bergamotstage/fleet/FleetDuty.h
+++ b/include/bergamotstage/fleet/FleetDuty.h
@@ -14,9 +14,9 @@
 /// @brief Rules, membership and the operators' requests about them.
 class FleetDuty {
 public:
-  using RulesHook = std::function<void()>;
+  using Hook = std::function<void()>;
 
-  FleetDuty(NodeContext &Context, RulesHook RulesChanged);
+  FleetDuty(NodeContext &Context, Hook RulesChanged, Hook MembersChanged);
 
   /// @brief Starts to follow the platform's rules and its list of VMs.
   void start();
--- a/include/bergamotstage/fleet/Membership.h
+++ b/include/bergamotstage/fleet/Membership.h
@@ -32,6 +32,8 @@
     std::function<HeldRevision()> Held;
     /// @brief A VM answered a probe that was sent at the given time.
     std::function<void(const VmId &, const GossipAck &, Instant)> Acked;
+    /// @brief A VM came, went, left or changed in reachability.
+    std::function<void()> Changed;
   };
 
   Membership(NodeContext &Context, Hooks Taken);
@@ -63,7 +65,7 @@
   const MemberTable::Entry *choose();
   Duration suspectAfter() const;
   void publish();
-  void refreshReachable();
+  bool refreshReachable();
   void dropOldProbes();
 
   NodeContext &m_Context;
--- a/include/bergamotstage/target/TargetDuty.h
+++ b/include/bergamotstage/target/TargetDuty.h
@@ -21,6 +21,8 @@
 
   /// @brief Takes over targets and limits of the rules now in force.
   void rulesChanged();
+  /// @brief Takes over which VMs share the targets.
+  void membersChanged() { configureLinks(); }
 
   /// @brief Starts to follow the platform's view of the groups.
   void start();
--- a/src/fleet/FleetDuty.cpp
+++ b/src/fleet/FleetDuty.cpp
@@ -8,7 +8,8 @@
 
 namespace bergamotstage {
 
-FleetDuty::FleetDuty(NodeContext &Context, RulesHook RulesChanged)
+FleetDuty::FleetDuty(NodeContext &Context, Hook RulesChanged,
+                     Hook MembersChanged)
     : m_Context(Context),
       m_Follower(Context, {[this] { return m_Membership.vouchedByQuorum(); },
                            std::move(RulesChanged)}),
@@ -19,11 +20,11 @@
                        Instant Written) {
                   m_Follower.accepted(Head, Text, Written);
                 }}),
-      m_Membership(Context, {[this] { return m_Follower.held(); },
-                             [this](const VmId &From, const GossipAck &Ack,
-                                    Instant Sent) {
-                               m_Follower.acked(From, Ack, Sent);
-                             }}) {}
+      m_Membership(Context,
+                   {[this] { return m_Follower.held(); },
+                    [this](const VmId &From, const GossipAck &Ack,
+                           Instant Sent) { m_Follower.acked(From, Ack, Sent); },
+                    std::move(MembersChanged)}) {}
 
 void FleetDuty::start() {
   m_Follower.start();
--- a/src/fleet/Membership.cpp
+++ b/src/fleet/Membership.cpp
@@ -65,8 +65,8 @@
   dropOldProbes();
   if (m_Unpublished)
     publish();
-  else
-    refreshReachable();
+  else if (refreshReachable())
+    m_Hooks.Changed();
   m_Context.timers().schedule(m_Context.now() +
                                   withJitter(ProbePeriod, m_Context.random()),
                               [this] { period(); });
@@ -189,9 +189,11 @@
   }
   m_Context.changeMembers() = std::move(Members);
   refreshReachable();
+  m_Hooks.Changed();
 }
 
-void Membership::refreshReachable() {
+bool Membership::refreshReachable() {
+  bool Changed = false;
   Instant Oldest = m_Context.now() - suspectAfter();
   MemberMap &Members = m_Context.changeMembers();
   auto Known = m_Table.entries().begin();
@@ -200,11 +202,14 @@
     while (Known != m_Table.entries().end() && Known->first < Vm)
       ++Known;
     if (Known == m_Table.entries().end())
-      return;
+      return Changed;
     const MemberTable::Entry &Entry = Known->second;
-    State.Reachable = Vm == m_Context.settings().Vm ||
-                      std::max(Entry.Heard, Entry.Added) > Oldest;
+    bool Reachable = Vm == m_Context.settings().Vm ||
+                     std::max(Entry.Heard, Entry.Added) > Oldest;
+    Changed = Changed || State.Reachable != Reachable;
+    State.Reachable = Reachable;
   }
+  return Changed;
 }
 
 void Membership::dropOldProbes() {
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -38,7 +38,9 @@
 Node::Node(NodeSettings Settings, std::uint64_t Seed)
     : m_Context(std::move(Settings), Seed), m_Accounts(m_Context),
       m_Targets(m_Context), m_Statements(m_Context, m_Accounts, m_Targets),
-      m_Fleet(m_Context, [this] { rulesChanged(); }) {
+      m_Fleet(
+          m_Context, [this] { rulesChanged(); },
+          [this] { m_Targets.membersChanged(); }) {
   m_Statements.onHome(
       [this](const DatabaseId &Database) { return homeElsewhere(Database); });
 }
--- a/src/rules/RuleBook.cpp
+++ b/src/rules/RuleBook.cpp
@@ -56,7 +56,8 @@
   if (!isAddress(Entry.Address))
     return fault(Rule, "address must be an IP number and a port");
   for (const auto &[Id, Other] : Book.Targets)
-    if (Other.Address == Entry.Address && Id != Entry.Id)
+    if (Other.Database == Entry.Database && Other.Address == Entry.Address &&
+        Id != Entry.Id)
       return fault(Rule, "address contradicts line " +
                              std::to_string(Other.Source.Line));
   auto Slots = parseCount(option(Rule, "slots"));
