--- a/bench/Registry.cpp
+++ b/bench/Registry.cpp
@@ -7,6 +7,10 @@
   static const std::vector<BenchCase> Cases = {
       {"step", "time that the decision core takes for one read", benchStep},
       {"core", "time and memory of rules and of idle callers", benchCore},
+      {"reads", "share of reads on replicas in a burst of lookups, by policy",
+       benchReads},
+      {"once", "cost of running a request at most once", benchOnce},
+      {"proxy", "cost of a VM over sockets against direct libpq", benchProxy},
       {"config", "time from an edit to in force everywhere", benchConfig},
       {"control", "cost of control for each VM", benchControl},
       {"failover", "time without writes when a primary is lost", benchFailover},
--- a/src/request/PrimaryRunner.cpp
+++ b/src/request/PrimaryRunner.cpp
@@ -86,6 +86,11 @@
 
 void PrimaryRunner::lend(const WorkId &Work, const TargetId &Primary) {
   CallerState *Caller = m_Callers.running(Work);
+  Caller->Running->Decision = {m_Context.settings().Vm,
+                               Primary,
+                               "primary",
+                               "only the primary takes it",
+                               {}};
   m_Context.log(WriteLog::Level::Debug, "routed",
                 {{"statement", std::to_string(Work.Statement.value())},
                  {"kind", statementKindName(Caller->Running->Kind)},
@@ -105,7 +110,8 @@
   const DatabaseId &Database = Caller->Route.Database;
   const GroupState *Group = m_Targets.group(Database);
   Instant Deadline = Caller->Running->Deadline;
-  if (Group != nullptr && Group->Primary == Primary)
+  bool MayMove = !Caller->Running->VerifiedPrimary;
+  if (MayMove && Group != nullptr && Group->Primary == Primary)
     return m_Targets.acquirePrimary(Database, Caller->Account, Deadline, Lend);
   m_Targets.links().acquire(Primary, Caller->Account, Deadline, Lend);
 }
--- a/src/standin/LoopbackFleet.cpp
+++ b/src/standin/LoopbackFleet.cpp
@@ -507,6 +507,7 @@
     return;
   Tunnel Broken = Found->second;
   m_Tunnels.erase(Found);
+  deliver(Broken.Home, CallerClosed{Virtual});
   deliver(Broken.Origin,
           ForwardLost{Broken.Caller, *Broken.Statement, NeverSent, 0});
 }
@@ -535,6 +536,9 @@
   VmId Origin = On.Origin;
   On.Statement.reset();
   if (blocked(vmParty(Name), vmParty(Origin))) {
+    CallerId Virtual = Answer.Caller;
+    m_Tunnels.erase(Found);
+    at(m_Now, [this, Name, Virtual] { deliver(Name, CallerClosed{Virtual}); });
     ForwardLost Lost{Given.Caller, Given.Statement, false, 0};
     at(m_Now + m_Delays.ConnectTimeout,
        [this, Origin, Lost] { deliver(Origin, Lost); });
--- a/src/target/PrimaryWatch.cpp
+++ b/src/target/PrimaryWatch.cpp
@@ -13,9 +13,9 @@
 
 /// @brief Time between heartbeats of all watchers of a primary together.
 constexpr Duration HeartbeatInterval = milliseconds(250);
-constexpr Duration HeartbeatTimeout = milliseconds(150);
+constexpr Duration HeartbeatTimeout = milliseconds(60);
 /// @brief Covers a new connection and one answer.
-constexpr Duration ProbeTimeout = milliseconds(150);
+constexpr Duration ProbeTimeout = milliseconds(100);
 /// @brief Time for the answers of other watchers beyond their own probe.
 constexpr Duration VoteMargin = milliseconds(50);
 /// @brief Rounds without any other VM's report before this VM acts alone.
@@ -63,9 +63,12 @@
       std::find(All.begin(), All.end(), m_Context.settings().Vm) != All.end();
   if (Watches)
     check(Database);
-  std::size_t Turns = std::max<std::size_t>(1, All.size());
+  auto Turns = static_cast<Duration::rep>(std::max<std::size_t>(1, All.size()));
+  Duration::rep Cycle = HeartbeatInterval.count() * Turns;
+  std::uniform_int_distribution<Duration::rep> Jitter(Cycle / 2,
+                                                      Cycle + Cycle / 2);
   m_Context.timers().schedule(m_Context.now() +
-                                  HeartbeatInterval * static_cast<int>(Turns),
+                                  Duration(Jitter(m_Context.random())),
                               [this, Database] { heartbeat(Database); });
 }
 
@@ -80,9 +83,11 @@
               HeartbeatTimeout, MonitorLinks::Choice::Prompt,
               [this, Database, AtTerm](const LinkResult &Result) {
                 m_Votes[Database].Checking = false;
+                if (!Result && Result.error().Replaced)
+                  return;
                 if (!Result)
                   return suspect(Database);
-                m_Votes[Database].AnsweredAt = m_Context.now();
+                m_Votes[Database].SilentSince.reset();
                 if (Result->ErrorSqlState == LaterTermSeen && m_FencedHook)
                   m_FencedHook(Database, AtTerm);
               });
@@ -118,7 +123,9 @@
 }
 
 void PrimaryWatch::waitFixed(const DatabaseId &Database, Duration Timeout) {
-  if (m_Context.now() - m_Votes[Database].AnsweredAt >= Timeout)
+  Vote &At = m_Votes[Database];
+  At.SilentSince = At.SilentSince.value_or(m_Context.now());
+  if (m_Context.now() - *At.SilentSince >= Timeout)
     return m_LostHook(Database, "no answer within the fixed timeout");
   m_Context.timers().schedule(m_Context.now() + HeartbeatInterval,
                               [this, Database] { check(Database); });
@@ -129,7 +136,8 @@
   m_Links.run(Target, confirmText({AtTerm, LogPosition(0)}), ProbeTimeout,
               MonitorLinks::Choice::Fresh,
               [Done = std::move(Done)](const LinkResult &Result) {
-                Done(Result.has_value());
+                if (Result || !Result.error().Replaced)
+                  Done(Result.has_value());
               });
 }
 
