Share each client account's rate over the fleet exactly

Every VM took a fixed half of an account's rate, so callers on one VM were refused within the contract and nothing bounded a third VM. Parts are now fractions in one row per account, which only their owner gives away or a named heir takes over while the owner's burst stays in reserve; between parts tokens are lent debit-first under loan ids.

--- a/include/bergamotstage/account/AccountDuty.h
+++ b/include/bergamotstage/account/AccountDuty.h
@@ -1,22 +1,20 @@
 #ifndef BERGAMOTSTAGE_ACCOUNT_ACCOUNTDUTY_H
 #define BERGAMOTSTAGE_ACCOUNT_ACCOUNTDUTY_H
 
-#include "bergamotstage/account/TokenBucket.h"
-#include "bergamotstage/core/Outcome.h"
+#include "bergamotstage/account/AccountShare.h"
 #include "bergamotstage/node/NodeContext.h"
 
-#include <tl/expected.hpp>
-
-#include <functional>
 #include <map>
+#include <memory>
 
 namespace bergamotstage {
 
 /// @brief Keys and rates of client accounts.
 class AccountDuty {
 public:
-  using Admitted = tl::expected<void, Refusal>;
-  using AdmitCallback = std::function<void(Admitted)>;
+  using Admitted = bergamotstage::Admitted;
+  using AdmitCallback = bergamotstage::AdmitCallback;
+  using ShareMap = std::map<AccountId, std::unique_ptr<AccountShare>>;
 
   explicit AccountDuty(NodeContext &Context) : m_Context(Context) {}
 
@@ -27,12 +25,23 @@
   /// @param Done gets the refusal, which is truly "not run", or nothing
   void admit(const AccountId &Account, const AdmitCallback &Done);
 
+  /// @brief Gives back the token of a statement that certainly did not run.
+  void refund(const AccountId &Account);
+
+  /// @brief Hands all parts over to other VMs: this one is shutting down.
+  void drain();
+  /// @brief Whether no part is left to hand over, or the store cannot do it.
+  bool drained() const;
+
+  /// @brief What this VM holds of each client account.
+  const ShareMap &shares() const { return m_Shares; }
+
   /// @brief Takes a message about tokens from another VM.
   void peerReceived(const PeerReceived &Event);
 
 private:
   NodeContext &m_Context;
-  std::map<AccountId, TokenBucket> m_Buckets;
+  ShareMap m_Shares; ///< Kept when an account leaves the rules.
 };
 
 } // namespace bergamotstage
--- /dev/null
+++ b/include/bergamotstage/account/AllocationKeeper.h
@@ -0,0 +1,83 @@
+#ifndef BERGAMOTSTAGE_ACCOUNT_ALLOCATIONKEEPER_H
+#define BERGAMOTSTAGE_ACCOUNT_ALLOCATIONKEEPER_H
+
+#include "bergamotstage/account/Allocation.h"
+#include "bergamotstage/core/Time.h"
+#include "bergamotstage/node/NodeContext.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace bergamotstage {
+
+/// @brief Reads one account's row and changes it by conditional writes.
+///
+/// At most one write is under way. A write whose answer is lost is repeated
+/// under the same id until the store has decided it; meanwhile the VM counts
+/// only on what both the old and the new row give it.
+class AllocationKeeper {
+public:
+  using ChangedHook = std::function<void()>;
+
+  /// @param Changed runs whenever a row was read or a write was decided
+  AllocationKeeper(NodeContext &Context, AccountId Account,
+                   ChangedHook Changed);
+  AllocationKeeper(const AllocationKeeper &) = delete;
+  AllocationKeeper &operator=(const AllocationKeeper &) = delete;
+
+  /// @brief Reads the row now unless a read is under way.
+  void refresh();
+
+  /// @brief Replaces the row unless it has changed or a write is under way.
+  void propose(AllocationRow New);
+
+  /// @brief Whether the row, or its absence, was ever read.
+  bool known() const { return m_Known; }
+  /// @brief Whether the store holds a row, as last read.
+  bool exists() const { return m_Version != 0; }
+  bool writing() const { return m_Pending.has_value(); }
+  /// @brief Whether the last call to the store failed.
+  bool storeFails() const { return m_Failures > 0; }
+  const AllocationRow &row() const { return m_Row; }
+  /// @brief The row that a write under way would bring about.
+  const std::optional<AllocationRow> &pending() const { return m_Pending; }
+
+  /// @brief The share that this process holds whatever becomes of a write.
+  Share held() const;
+
+  /// @brief When this process first saw the row as it now stands.
+  Instant seenSince() const { return m_SeenSince; }
+  /// @brief When the write under way was first sent.
+  Instant writeSent() const { return m_WriteSent; }
+  /// @brief When the last write that took effect was first sent.
+  std::optional<Instant> lastApplied() const { return m_LastApplied; }
+
+private:
+  void takeRead(const PlatformAnswer &Answer);
+  void takeRow(const TableRow &Row);
+  void sendWrite();
+  void takeDecision(const PlatformAnswer &Answer);
+  Duration backOff();
+  Share heldIn(const AllocationRow &Row) const;
+
+  NodeContext &m_Context;
+  AccountId m_Account;
+  ChangedHook m_Changed;
+  AllocationRow m_Row;
+  std::uint64_t m_Version = 0;
+  bool m_Known = false;
+  bool m_Reading = false;
+  std::optional<AllocationRow> m_Pending;
+  ConditionalWrite m_Write;
+  std::uint64_t m_LastWrite = 0;
+  Instant m_WriteSent{};
+  Instant m_SeenSince{};
+  std::optional<Instant> m_LastApplied;
+  unsigned m_Failures = 0;
+};
+
+} // namespace bergamotstage
+
+#endif // BERGAMOTSTAGE_ACCOUNT_ALLOCATIONKEEPER_H
--- /dev/null
+++ b/include/bergamotstage/account/Borrower.h
@@ -0,0 +1,68 @@
+#ifndef BERGAMOTSTAGE_ACCOUNT_BORROWER_H
+#define BERGAMOTSTAGE_ACCOUNT_BORROWER_H
+
+#include "bergamotstage/account/AllocationMessage.h"
+#include "bergamotstage/account/TokenCount.h"
+#include "bergamotstage/core/Ids.h"
+#include "bergamotstage/core/Time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace bergamotstage {
+
+/// @brief Loans that one VM has taken for one client account.
+///
+/// A grant is credited once and only while its ask is open, so that neither a
+/// repeated nor a late message creates tokens.
+class Borrower {
+public:
+  using SendHook = std::function<void(const VmId &, const AllocationBody &)>;
+
+  /// @brief How long unspent tokens are kept before they go back.
+  static constexpr Duration KeepTime = milliseconds(250);
+  /// @brief How long a grant may take to arrive.
+  static constexpr Duration AskTime = milliseconds(20);
+
+  explicit Borrower(SendHook Send) : m_Send(std::move(Send)) {}
+
+  /// @brief Asks one VM for tokens.
+  void ask(const VmId &Lender, TokenCount Wanted, Instant Now);
+  /// @brief Whether a grant may still arrive.
+  bool asking(Instant Now) const;
+  /// @return whether the grant brought tokens
+  bool received(const VmId &From, const LoanGrant &Grant, Instant Now);
+
+  /// @brief Unspent tokens of all loans.
+  TokenCount available() const;
+  /// @brief Takes tokens that are available, oldest loan first.
+  void take(TokenCount Amount);
+
+  /// @brief Gives back what was not spent in time and says what is closed.
+  void settle(Instant Now);
+  /// @brief Whether a lender has yet to hear of a closed loan.
+  bool unsettled() const { return !m_Open.empty() || !m_Tell.empty(); }
+
+private:
+  struct Loan {
+    VmId Lender;
+    Instant Asked;
+    bool Granted = false;
+    TokenCount Left;
+  };
+
+  std::uint64_t openFrom(const VmId &Lender) const;
+  void close(std::uint64_t Id, TokenCount Returned);
+
+  SendHook m_Send;
+  std::uint64_t m_LastLoan = 0;
+  std::map<std::uint64_t, Loan> m_Open;
+  /// Lenders to tell of closed loans, and how often they will be told.
+  std::map<VmId, unsigned> m_Tell;
+};
+
+} // namespace bergamotstage
+
+#endif // BERGAMOTSTAGE_ACCOUNT_BORROWER_H
--- /dev/null
+++ b/include/bergamotstage/account/Lender.h
@@ -0,0 +1,45 @@
+#ifndef BERGAMOTSTAGE_ACCOUNT_LENDER_H
+#define BERGAMOTSTAGE_ACCOUNT_LENDER_H
+
+#include "bergamotstage/account/AllocationMessage.h"
+#include "bergamotstage/account/TokenBucket.h"
+#include "bergamotstage/core/Ids.h"
+
+#include <cstdint>
+#include <map>
+
+namespace bergamotstage {
+
+/// @brief Loans that one VM has given for one client account.
+///
+/// Tokens are debited before the grant is sent. A repeated ask gets the grant
+/// of the first one; a loan is settled once.
+class Lender {
+public:
+  explicit Lender(TokenBucket &Bucket) : m_Bucket(Bucket) {}
+
+  /// @brief Answers an ask.
+  /// @param Most what may be lent now
+  LoanGrant ask(const VmId &From, Incarnation Start, const LoanAsk &Ask,
+                TokenCount Most, Instant Now);
+  void settle(const VmId &From, Incarnation Start, const LoanSettle &Settle,
+              Instant Now);
+
+private:
+  /// @brief Loans of one process of a VM.
+  struct Borrower {
+    Incarnation Start;
+    std::uint64_t OpenFrom = 0;
+    std::map<std::uint64_t, TokenCount> Open;
+  };
+
+  Borrower *borrower(const VmId &From, Incarnation Start, Instant Now);
+  void closeBelow(Borrower &From, std::uint64_t OpenFrom, Instant Now);
+
+  TokenBucket &m_Bucket;
+  std::map<VmId, Borrower> m_Borrowers;
+};
+
+} // namespace bergamotstage
+
+#endif // BERGAMOTSTAGE_ACCOUNT_LENDER_H
--- a/include/bergamotstage/account/TokenBucket.h
+++ b/include/bergamotstage/account/TokenBucket.h
@@ -1,48 +1,58 @@
 #ifndef BERGAMOTSTAGE_ACCOUNT_TOKENBUCKET_H
 #define BERGAMOTSTAGE_ACCOUNT_TOKENBUCKET_H
 
+#include "bergamotstage/account/TokenCount.h"
 #include "bergamotstage/core/Time.h"
 
-#include <algorithm>
-
 namespace bergamotstage {
 
-/// @brief A token bucket on a clock that is passed in.
+/// @brief An exact token bucket on a clock that is passed in.
+///
+/// Tokens held and tokens lent out together never exceed the burst, so that a
+/// loan cannot make room for tokens beyond the contract. All operations have
+/// constant complexity.
 class TokenBucket {
 public:
-  /// @param Rate tokens a second
-  /// @param Burst most tokens held
-  TokenBucket(double Rate, double Burst, Instant Now)
-      : m_Rate(Rate), m_Burst(Burst), m_Tokens(Burst), m_Filled(Now) {}
-
-  /// @brief Takes one token if there is one. Complexity: constant.
-  bool take(Instant Now) {
-    fill(Now);
-    if (m_Tokens < 1)
-      return false;
-    m_Tokens -= 1;
-    return true;
-  }
-
-  /// @brief Time until one token is there.
-  Duration untilNext(Instant Now) {
-    fill(Now);
-    double Missing = std::max(0.0, 1 - m_Tokens);
-    return Duration(static_cast<Duration::rep>(Missing / m_Rate * 1e6) + 1);
-  }
+  /// @brief Changes rate and burst; tokens beyond the burst are dropped.
+  void configure(const TokenContract &Contract, Instant Now);
+
+  /// @brief Fills the bucket, as for a contract of which none was ever spent.
+  void fillUp(Instant Now);
+
+  /// @brief Drops all tokens that are held; loans stay outstanding.
+  void empty(Instant Now);
+
+  /// @brief Tokens that can be spent now.
+  TokenCount available(Instant Now);
+
+  /// @brief Takes tokens if there are enough.
+  bool take(TokenCount Amount, Instant Now);
+
+  /// @brief Moves tokens that are there from held to lent.
+  void lend(TokenCount Amount, Instant Now);
+
+  /// @brief Ends a loan: some of its tokens come back, the rest was spent.
+  void settle(TokenCount Lent, TokenCount Returned, Instant Now);
+
+  /// @brief Puts back tokens that were taken and not spent.
+  void giveBack(TokenCount Amount, Instant Now);
+
+  /// @brief Tokens lent and not settled.
+  TokenCount outstanding() const { return m_Lent; }
+
+  const TokenContract &contract() const { return m_Contract; }
+
+  /// @brief Time until the given amount is there; a day if it never will.
+  Duration until(TokenCount Amount, Instant Now);
 
 private:
-  void fill(Instant Now) {
-    if (Now <= m_Filled)
-      return;
-    m_Tokens = std::min(m_Burst, m_Tokens + toSeconds(Now - m_Filled) * m_Rate);
-    m_Filled = Now;
-  }
-
-  double m_Rate;
-  double m_Burst;
-  double m_Tokens;
-  Instant m_Filled;
+  void earn(Instant Now);
+  TokenCount room() const;
+
+  TokenContract m_Contract;
+  TokenCount m_Held;
+  TokenCount m_Lent;
+  Instant m_Earned{};
 };
 
 } // namespace bergamotstage
--- /dev/null
+++ b/include/bergamotstage/account/TokenCount.h
@@ -0,0 +1,53 @@
+#ifndef BERGAMOTSTAGE_ACCOUNT_TOKENCOUNT_H
+#define BERGAMOTSTAGE_ACCOUNT_TOKENCOUNT_H
+
+#include <cstdint>
+
+namespace bergamotstage {
+
+/// @brief An exact amount of tokens; one statement costs one token.
+///
+/// Counted in 1e-12 tokens, which is what a rate in 1e-6 tokens a second earns
+/// in one microsecond, so that earning never rounds.
+struct TokenCount {
+  static constexpr std::int64_t PicoPerToken = 1'000'000'000'000;
+
+  std::int64_t Pico = 0;
+
+  friend TokenCount operator+(TokenCount Left, TokenCount Right) {
+    return {Left.Pico + Right.Pico};
+  }
+  friend TokenCount operator-(TokenCount Left, TokenCount Right) {
+    return {Left.Pico - Right.Pico};
+  }
+  friend bool operator<(TokenCount Left, TokenCount Right) {
+    return Left.Pico < Right.Pico;
+  }
+  friend bool operator==(TokenCount Left, TokenCount Right) {
+    return Left.Pico == Right.Pico;
+  }
+};
+
+constexpr TokenCount OneToken{TokenCount::PicoPerToken};
+
+/// @brief Tokens earned a second, in 1e-6 tokens.
+struct TokenRate {
+  std::int64_t MicroPerSecond = 0;
+};
+
+/// @brief Rate and burst of one client account or of a part of it.
+struct TokenContract {
+  TokenRate Rate;
+  TokenCount Burst;
+};
+
+/// @brief Converts a rate and a burst of the rules, rounding down.
+///
+/// A burst above four million tokens counts as four million.
+/// @param Rate tokens a second
+/// @param Burst tokens
+TokenContract makeContract(double Rate, double Burst);
+
+} // namespace bergamotstage
+
+#endif // BERGAMOTSTAGE_ACCOUNT_TOKENCOUNT_H
--- a/include/bergamotstage/request/StatementDuty.h
+++ b/include/bergamotstage/request/StatementDuty.h
@@ -53,6 +53,7 @@
     StatementKind Kind = StatementKind::Empty;
     Instant Deadline{};
     SharedBody Body;
+    bool Admitted = false; ///< It took a token of its client account.
   };
 
   CallerState *caller(CallerId Id);
--- a/src/account/AccountDuty.cpp
+++ b/src/account/AccountDuty.cpp
@@ -1,35 +1,70 @@
 #include "bergamotstage/account/AccountDuty.h"
 
+#include "bergamotstage/rules/PolicyChoice.h"
+
+#include <algorithm>
+
 namespace bergamotstage {
 namespace {
 
-constexpr double VmsOfToday = 2;
+/// @brief With more client accounts than this a VM takes a part of one only
+/// when a caller or a peer needs it.
+constexpr std::size_t MaxEagerAccounts = 64;
+
+/// @brief How VMs share a rate: `policy rate loans` or `policy rate split`.
+AccountShare::Limits chooseLimits(const RuleBook &Rules) {
+  PolicyChoice Choice = choosePolicy(Rules, "rate", "loans", 0);
+  AccountShare::Limits Limits;
+  Limits.Borrow = Choice.Choice != "split";
+  return Limits;
+}
 
 } // namespace
 
 void AccountDuty::rulesChanged() {
-  std::map<AccountId, TokenBucket> Buckets;
-  for (const auto &[Id, Rule] : m_Context.rules().Accounts)
-    Buckets.emplace(Id, TokenBucket(Rule.Rate / VmsOfToday,
-                                    Rule.Burst / VmsOfToday, m_Context.now()));
-  m_Buckets = std::move(Buckets);
+  const RuleBook &Rules = m_Context.rules();
+  AccountShare::Limits Limits = chooseLimits(Rules);
+  bool Eager = Rules.Accounts.size() <= MaxEagerAccounts;
+  for (const auto &[Id, Rule] : Rules.Accounts) {
+    std::unique_ptr<AccountShare> &Held = m_Shares[Id];
+    if (!Held)
+      Held = std::make_unique<AccountShare>(m_Context, Rule, Limits);
+    Held->setLimits(Limits);
+    Held->contractChanged(Rule);
+    if (Eager)
+      Held->activate();
+  }
 }
 
 void AccountDuty::admit(const AccountId &Account, const AdmitCallback &Done) {
-  auto Found = m_Buckets.find(Account);
-  if (Found == m_Buckets.end() || Found->second.take(m_Context.now())) {
-    Done({});
-    return;
-  }
-  Refusal Reason;
-  Reason.SqlState = sqlstate::TooManyRequests;
-  Reason.State = RunState::NotRun;
-  Reason.Message = "the client account is over its rate";
-  Reason.Rule = m_Context.rules().Accounts.at(Account).Source;
-  Reason.RetryAfter = Found->second.untilNext(m_Context.now());
-  Done(tl::make_unexpected(Reason));
+  if (m_Context.rules().Accounts.count(Account) == 0)
+    return Done({});
+  m_Shares.at(Account)->admit(Done);
 }
 
-void AccountDuty::peerReceived(const PeerReceived &) {}
+void AccountDuty::refund(const AccountId &Account) {
+  auto Found = m_Shares.find(Account);
+  if (Found != m_Shares.end())
+    Found->second->refund();
+}
+
+void AccountDuty::drain() {
+  for (auto &[Id, Held] : m_Shares)
+    Held->drain();
+}
+
+bool AccountDuty::drained() const {
+  return std::all_of(m_Shares.begin(), m_Shares.end(),
+                     [](const auto &Entry) { return Entry.second->drained(); });
+}
+
+void AccountDuty::peerReceived(const PeerReceived &Event) {
+  auto Message = decodeAllocationMessage(Event.Message.Payload);
+  if (!Message)
+    return;
+  auto Found = m_Shares.find(Message->Account);
+  if (Found != m_Shares.end())
+    Found->second->received(Event, Message->Body);
+}
 
 } // namespace bergamotstage
--- /dev/null
+++ b/src/account/AllocationKeeper.cpp
@@ -0,0 +1,126 @@
+#include "bergamotstage/account/AllocationKeeper.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace bergamotstage {
+namespace {
+
+constexpr Duration FirstBackOff = milliseconds(200);
+constexpr unsigned MaxDoublings = 5;
+
+} // namespace
+
+AllocationKeeper::AllocationKeeper(NodeContext &Context, AccountId Account,
+                                   ChangedHook Changed)
+    : m_Context(Context), m_Account(std::move(Account)),
+      m_Changed(std::move(Changed)) {}
+
+Duration AllocationKeeper::backOff() {
+  unsigned Doublings = std::min(m_Failures, MaxDoublings);
+  Duration Longest = FirstBackOff * (1U << Doublings);
+  std::uniform_int_distribution<Duration::rep> Jitter(Longest.count() / 2,
+                                                      Longest.count());
+  return Duration(Jitter(m_Context.random()));
+}
+
+void AllocationKeeper::refresh() {
+  if (m_Reading || m_Pending)
+    return;
+  m_Reading = true;
+  m_Context.callPlatform(
+      ReadRows{allocationKey(m_Account)},
+      [this](const PlatformAnswer &Answer) { takeRead(Answer); });
+}
+
+void AllocationKeeper::takeRead(const PlatformAnswer &Answer) {
+  m_Reading = false;
+  const auto *Read = std::get_if<RowsRead>(&Answer);
+  if (Read == nullptr) {
+    ++m_Failures;
+    m_Context.timers().schedule(m_Context.now() + backOff(),
+                                [this] { refresh(); });
+    return m_Changed();
+  }
+  m_Failures = 0;
+  if (m_Pending)
+    return;
+  m_Known = true;
+  for (const TableRow &Row : Read->Rows)
+    if (Row.Key == allocationKey(m_Account))
+      takeRow(Row);
+  m_Changed();
+}
+
+void AllocationKeeper::takeRow(const TableRow &Row) {
+  if (Row.Version <= m_Version)
+    return;
+  auto Decoded = decodeAllocation(Row.Value);
+  if (!Decoded) {
+    m_Context.log(WriteLog::Level::Error, "allocation_unreadable",
+                  {{"account", m_Account.value()}});
+    return;
+  }
+  m_Row = std::move(*Decoded);
+  m_Version = Row.Version;
+  m_SeenSince = m_Context.now();
+}
+
+void AllocationKeeper::propose(AllocationRow New) {
+  if (m_Pending || !m_Known)
+    return;
+  const NodeSettings &Self = m_Context.settings();
+  m_Write = ConditionalWrite();
+  m_Write.WriteId = allocationKey(m_Account) + "/" + Self.Vm.value() + "/" +
+                    std::to_string(Self.Start.value()) + "/" +
+                    std::to_string(++m_LastWrite);
+  m_Write.Conditions.push_back({allocationKey(m_Account), m_Version});
+  m_Write.Changes.push_back({allocationKey(m_Account), encodeAllocation(New)});
+  m_Pending = std::move(New);
+  m_WriteSent = m_Context.now();
+  sendWrite();
+}
+
+void AllocationKeeper::sendWrite() {
+  m_Context.callPlatform(
+      m_Write, [this](const PlatformAnswer &Answer) { takeDecision(Answer); });
+}
+
+void AllocationKeeper::takeDecision(const PlatformAnswer &Answer) {
+  const auto *Decided = std::get_if<WriteDecided>(&Answer);
+  if (Decided == nullptr || !Decided->Known) {
+    ++m_Failures;
+    m_Context.timers().schedule(m_Context.now() + backOff(),
+                                [this] { sendWrite(); });
+    return m_Changed();
+  }
+  m_Failures = 0;
+  if (Decided->Applied) {
+    m_LastApplied = m_WriteSent;
+    m_Row = *m_Pending;
+    m_SeenSince = m_Context.now();
+  }
+  m_Pending.reset();
+  // The version that the next write is to be conditional on has to be read.
+  m_Known = false;
+  refresh();
+  m_Changed();
+}
+
+Share AllocationKeeper::heldIn(const AllocationRow &Row) const {
+  const AllocationPart *Part = Row.find(m_Context.settings().Vm);
+  if (Part == nullptr || Part->Start != m_Context.settings().Start)
+    return {};
+  return Part->Held;
+}
+
+Share AllocationKeeper::held() const {
+  Share Now = heldIn(m_Row);
+  if (!m_Pending)
+    return Now;
+  Share Next = heldIn(*m_Pending);
+  return {std::min(Now.Rate, Next.Rate), std::min(Now.Burst, Next.Burst)};
+}
+
+} // namespace bergamotstage
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -135,7 +135,9 @@
 
 void Node::checkDrained() {
   m_Statements.closeIdle(shutdownRefusal());
-  if (!m_Statements.busy()) {
+  if (!m_Statements.busy())
+    m_Accounts.drain();
+  if (!m_Statements.busy() && m_Accounts.drained()) {
     m_Context.act(Exit{false});
     return;
   }
--- a/src/request/StatementDuty.cpp
+++ b/src/request/StatementDuty.cpp
@@ -177,7 +177,9 @@
                        return;
                      if (!Admitted)
                        return refuse(Work, Admitted.error());
-                     route(Work, *Known);
+                     Running Counted = Work;
+                     Counted.Admitted = true;
+                     route(Counted, *Known);
                    });
 }
 
@@ -319,6 +321,10 @@
 
 void StatementDuty::refuse(const Running &Work, Refusal Reason,
                            std::uint64_t Chunks) {
+  const CallerState *Caller = caller(Work.Caller);
+  bool TakesBack = Work.Admitted && Reason.State == RunState::NotRun;
+  if (TakesBack && Caller != nullptr)
+    m_Accounts.refund(Caller->Account);
   AnswerStatement Answer;
   Answer.Chunks = Chunks;
   Answer.Error = std::move(Reason);
--- /dev/null
+++ b/src/standin/AccountFleet.cpp
@@ -0,0 +1,191 @@
+#include "standin/AccountFleet.h"
+
+#include "bergamotstage/core/Invariant.h"
+
+#include <utility>
+#include <variant>
+
+namespace bergamotstage::standin {
+
+bool AccountFleet::chance(double Share) {
+  return std::uniform_real_distribution<double>(0, 1)(m_Random) < Share;
+}
+
+void AccountFleet::setRules(const std::string &Text) {
+  auto Parsed = parseRules(Revision(++m_LastRevision), Text);
+  BERGAMOTSTAGE_INVARIANT(Parsed.has_value(), "rules of a fake are valid");
+  m_Rules = std::make_shared<RuleBook>(std::move(*Parsed));
+  for (const VmId &Name : vms())
+    step(Name, m_Vms.at(Name).Start, [this](Vm &At) {
+      At.Context->setRules(m_Rules);
+      At.Duty->rulesChanged();
+    });
+}
+
+std::vector<VmId> AccountFleet::vms() const {
+  std::vector<VmId> Names;
+  for (const auto &[Name, At] : m_Vms)
+    Names.push_back(Name);
+  return Names;
+}
+
+void AccountFleet::startVm(const VmId &Name) {
+  killVm(Name);
+  NodeSettings Settings;
+  Settings.Vm = Name;
+  Settings.PeerAddress = Name.value();
+  Settings.Start = Incarnation(++m_LastStart);
+  Vm &New = m_Vms[Name];
+  New.Start = Settings.Start;
+  New.Context = std::make_unique<NodeContext>(Settings, ++m_Seed);
+  New.Duty = std::make_unique<AccountDuty>(*New.Context);
+  for (auto &[Other, At] : m_Vms)
+    for (auto &[Peer, Unused] : m_Vms) {
+      MemberState &Known = At.Context->changeMembers()[Peer];
+      Known.Vm = Peer;
+      Known.PeerAddress = Peer.value();
+    }
+  step(Name, New.Start, [this](Vm &At) {
+    At.Context->setRules(m_Rules);
+    At.Duty->rulesChanged();
+  });
+}
+
+void AccountFleet::killVm(const VmId &Name) { m_Vms.erase(Name); }
+
+void AccountFleet::pauseVm(const VmId &Name, Instant Until, bool ClockStops) {
+  Vm &At = m_Vms.at(Name);
+  if (Until <= At.PausedUntil)
+    return;
+  if (ClockStops)
+    At.ClockLag += Until - std::max(At.PausedUntil, m_Now);
+  At.PausedUntil = Until;
+}
+
+void AccountFleet::drainVm(const VmId &Name) {
+  step(Name, m_Vms.at(Name).Start, [](Vm &At) { At.Duty->drain(); });
+}
+
+void AccountFleet::at(Instant Time, std::function<void()> Run) {
+  m_Queue.emplace(Time, std::move(Run));
+}
+
+void AccountFleet::runUntil(Instant Time) {
+  while (!m_Queue.empty() && m_Queue.begin()->first <= Time) {
+    auto First = m_Queue.begin();
+    m_Now = std::max(m_Now, First->first);
+    std::function<void()> Run = std::move(First->second);
+    m_Queue.erase(First);
+    Run();
+  }
+  m_Now = Time;
+}
+
+void AccountFleet::step(const VmId &Name, Incarnation Start,
+                        const StepHook &Run) {
+  auto Found = m_Vms.find(Name);
+  if (Found == m_Vms.end() || Found->second.Start != Start)
+    return;
+  Vm &At = Found->second;
+  if (m_Now < At.PausedUntil)
+    return this->at(At.PausedUntil,
+                    [this, Name, Start, Run] { step(Name, Start, Run); });
+  ++Steps;
+  Actions Wanted;
+  Instant Clock = m_Now - At.ClockLag;
+  At.Context->begin(Clock, Wanted);
+  At.Context->timers().runDue(Clock);
+  Run(At);
+  auto Next = At.Context->timers().next();
+  if (Next && At.Wake != Next) {
+    At.Wake = Next;
+    Wanted.emplace_back(WakeAt{*Next});
+  }
+  carryOut(Name, At, Wanted);
+}
+
+void AccountFleet::carryOut(const VmId &Name, Vm &From, const Actions &Wanted) {
+  for (const Action &Next : Wanted) {
+    if (const auto *Message = std::get_if<SendPeer>(&Next))
+      sendPeer(Name, From, *Message);
+    if (const auto *Call = std::get_if<CallPlatform>(&Next))
+      callPlatform(Name, From, *Call);
+    if (const auto *Wake = std::get_if<WakeAt>(&Next))
+      wakeAt(Name, From, Wake->Time);
+  }
+}
+
+void AccountFleet::wakeAt(const VmId &Name, Vm &Sleeper, Instant Time) {
+  std::uint64_t Number = ++Sleeper.LastWake;
+  at(std::max(m_Now, Time + Sleeper.ClockLag),
+     [this, Name, Number, Start = Sleeper.Start] {
+       auto Found = m_Vms.find(Name);
+       bool Newest = Found != m_Vms.end() && Found->second.LastWake == Number;
+       if (Newest)
+         step(Name, Start, [](Vm &Woken) { Woken.Wake.reset(); });
+     });
+}
+
+void AccountFleet::sendPeer(const VmId &Name, const Vm &From,
+                            const SendPeer &Wanted) {
+  ++PeerMessages;
+  PeerBytes += Wanted.Message.Payload.size();
+  bool Lost = Peers.Cut && Peers.Cut(Name, Wanted.To);
+  if (Lost || chance(Peers.Lose))
+    return;
+  PeerReceived Received{Name, From.Start, Wanted.Message};
+  int Copies = chance(Peers.Duplicate) ? 2 : 1;
+  for (int Copy = 0; Copy < Copies; ++Copy)
+    at(m_Now + Peers.Delay * (1 + Copy), [this, To = Wanted.To, Received] {
+      auto Found = m_Vms.find(To);
+      if (Found != m_Vms.end())
+        step(To, Found->second.Start,
+             [Received](Vm &At) { At.Duty->peerReceived(Received); });
+    });
+}
+
+void AccountFleet::callPlatform(const VmId &Name, const Vm &From,
+                                const CallPlatform &Call) {
+  auto Answer = [this, Name, Start = From.Start,
+                 Id = Call.Call](const PlatformAnswer &Given, Duration After) {
+    at(m_Now + After, [this, Name, Start, Id, Given] {
+      step(Name, Start, [Id, Given](Vm &At) {
+        At.Context->platformAnswered({Id, Given});
+      });
+    });
+  };
+  bool Unreachable = Platform.Cut && Platform.Cut(Name);
+  if (Unreachable)
+    return Answer(PlatformFailed{false, "no answer"}, Call.Timeout);
+  Duration Delay = Platform.Delay;
+  at(m_Now + Delay,
+     [this, Answer, Delay, Request = Call.Request, Timeout = Call.Timeout] {
+       PlatformAnswer Given = answer(Request);
+       bool Late = Timeout <= Delay * 2;
+       if (Late || chance(Platform.LoseAnswer))
+         return Answer(PlatformFailed{true, "no answer"}, Timeout);
+       Answer(Given, Delay);
+     });
+}
+
+PlatformAnswer AccountFleet::answer(const PlatformRequest &Request) {
+  const auto *Write = std::get_if<ConditionalWrite>(&Request);
+  ++(Write != nullptr ? StoreWrites : StoreReads);
+  if (Platform.Down)
+    return PlatformFailed{false, "store down"};
+  if (Write != nullptr)
+    return m_Store.write(*Write);
+  if (const auto *Read = std::get_if<ReadRows>(&Request))
+    return m_Store.read(*Read);
+  return PlatformFailed{false, "not part of this fake"};
+}
+
+void AccountFleet::request(const VmId &Name, const AccountId &Account,
+                           std::function<void(bool Admitted)> Done) {
+  step(Name, m_Vms.at(Name).Start, [Account, Done](Vm &At) {
+    At.Duty->admit(
+        Account, [Done](const Admitted &Result) { Done(Result.has_value()); });
+  });
+}
+
+} // namespace bergamotstage::standin
--- /dev/null
+++ b/src/standin/RateCheck.h
@@ -0,0 +1,66 @@
+#ifndef BERGAMOTSTAGE_STANDIN_RATECHECK_H
+#define BERGAMOTSTAGE_STANDIN_RATECHECK_H
+
+#include "bergamotstage/account/TokenCount.h"
+#include "bergamotstage/core/Time.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace bergamotstage::standin {
+
+/// @brief Checks admissions against burst + rate * window in every window.
+///
+/// A bucket that starts full and pays for each admission goes below zero
+/// exactly if some window that ends at this admission holds too many; so one
+/// pass covers all windows, exactly and in constant time for each admission.
+class RateCheck {
+public:
+  explicit RateCheck(const TokenContract &Contract)
+      : m_Contract(Contract), m_Level(Contract.Burst) {}
+
+  /// @brief Counts one admission; times must not go back.
+  void admitted(Instant Now) {
+    earn(Now);
+    m_Level = m_Level - OneToken;
+    m_Lowest = std::min(m_Lowest, m_Level);
+    ++m_Count;
+  }
+
+  /// @brief Takes over another contract from now on.
+  ///
+  /// Windows that begin earlier stay bounded by the greater contract; those
+  /// that begin now are checked by the new one from a full burst.
+  void change(const TokenContract &Contract, Instant Now) {
+    earn(Now);
+    m_Contract = Contract;
+    m_Level = Contract.Burst;
+  }
+
+  /// @brief Most admissions beyond the contract in any window so far.
+  double excess() const {
+    return static_cast<double>(std::max<std::int64_t>(0, -m_Lowest.Pico)) /
+           static_cast<double>(TokenCount::PicoPerToken);
+  }
+  std::uint64_t count() const { return m_Count; }
+
+private:
+  void earn(Instant Now) {
+    std::int64_t Elapsed = (Now - m_Last).count();
+    std::int64_t Missing = (m_Contract.Burst - m_Level).Pico;
+    std::int64_t Rate = m_Contract.Rate.MicroPerSecond;
+    bool Full = Rate > 0 && Elapsed > Missing / Rate;
+    m_Level.Pico += Full ? Missing : Elapsed * Rate;
+    m_Last = Now;
+  }
+
+  TokenContract m_Contract;
+  TokenCount m_Level;
+  TokenCount m_Lowest;
+  Instant m_Last{};
+  std::uint64_t m_Count = 0;
+};
+
+} // namespace bergamotstage::standin
+
+#endif // BERGAMOTSTAGE_STANDIN_RATECHECK_H
