--- a/include/bergamotstage/node/NodeContext.h
+++ b/include/bergamotstage/node/NodeContext.h
@@ -4,6 +4,7 @@
 #include "bergamotstage/core/TimerQueue.h"
 #include "bergamotstage/fleet/Currency.h"
 #include "bergamotstage/fleet/MemberState.h"
+#include "bergamotstage/metrics/Registry.h"
 #include "bergamotstage/node/Action.h"
 #include "bergamotstage/node/Event.h"
 #include "bergamotstage/node/NodeSettings.h"
@@ -42,6 +43,8 @@
   const NodeSettings &settings() const { return m_Settings; }
   Instant now() const { return m_Now; }
   TimerQueue &timers() { return m_Timers; }
+  metrics::Registry &metrics() { return m_Metrics; }
+  const metrics::Registry &metrics() const { return m_Metrics; }
   std::mt19937_64 &random() { return m_Random; }
 
   /// @brief The rules in force on this VM; revision 0 before the first.
@@ -115,6 +118,7 @@
   Instant m_Now{};
   Actions *m_Out = nullptr;
   TimerQueue m_Timers;
+  metrics::Registry m_Metrics;
   std::mt19937_64 m_Random;
   std::shared_ptr<const RuleBook> m_Rules;
   Instant m_LastKnownCurrent = NeverKnown;
