--- a/bench/Cases.h
+++ b/bench/Cases.h
@@ -7,6 +7,8 @@
 
 /// @brief Each runs one measurement and returns its rows.
 std::vector<BenchRow> benchStep();
+std::vector<BenchRow> benchRefusals();
+std::vector<BenchRow> benchMetrics();
 std::vector<BenchRow> benchCore();
 
 } // namespace bergamotstage::bench
--- a/src/metrics/Registry.cpp
+++ b/src/metrics/Registry.cpp
@@ -44,18 +44,17 @@
 
 std::string textLine(const SeriesKey &Key, const Series &Of) {
   char Line[256];
-  std::snprintf(Line, sizeof Line,
-                "%-16.16s %-11s %-10.10s %9llu %6llu %7llu %9llu %8llu %7.1f "
-                "%8.2f %8.2f %8.2f\n",
-                Key.Account.value().c_str(), statementClassName(Key.Class),
-                Key.Arm.value().c_str(),
-                static_cast<unsigned long long>(Of.Completed),
-                static_cast<unsigned long long>(Of.Failed),
-                static_cast<unsigned long long>(Of.Unknown),
-                static_cast<unsigned long long>(Of.OverRate),
-                static_cast<unsigned long long>(Of.WithinContract),
-                replicaShare(Of), Of.Latency.median(), Of.Latency.p99(),
-                Of.Latency.maxMilliseconds());
+  std::snprintf(
+      Line, sizeof Line,
+      "%-16.16s %-11s %-10.10s %9llu %6llu %7llu %9llu %8llu %7.1f "
+      "%8.2f %8.2f %8.2f\n",
+      Key.Account.value().c_str(), statementClassName(Key.Class),
+      Key.Arm.value().c_str(), static_cast<unsigned long long>(Of.Completed),
+      static_cast<unsigned long long>(Of.Failed),
+      static_cast<unsigned long long>(Of.Unknown),
+      static_cast<unsigned long long>(Of.OverRate),
+      static_cast<unsigned long long>(Of.WithinContract), replicaShare(Of),
+      Of.Latency.median(), Of.Latency.p99(), Of.Latency.maxMilliseconds());
   return Line;
 }
 
@@ -120,10 +119,11 @@
     At.Statements += Of.Completed + Of.Failed + Of.Unknown + Of.WithinContract;
     At.P99 = std::max(At.P99, Of.Latency.p99());
   }
-  auto Worst = std::max_element(
-      Accounts.begin(), Accounts.end(), [](const auto &Left, const auto &Right) {
-        return Left.second.badness() < Right.second.badness();
-      });
+  auto Worst =
+      std::max_element(Accounts.begin(), Accounts.end(),
+                       [](const auto &Left, const auto &Right) {
+                         return Left.second.badness() < Right.second.badness();
+                       });
   if (Worst == Accounts.end())
     return std::nullopt;
   return Worst->first;
