--- a/bench/Cases.h
+++ b/bench/Cases.h
@@ -8,6 +8,8 @@
 /// @brief Each runs one measurement and returns its rows.
 std::vector<BenchRow> benchStep();
 std::vector<BenchRow> benchProxy();
+std::vector<BenchRow> benchRefusals();
+std::vector<BenchRow> benchMetrics();
 std::vector<BenchRow> benchCore();
 std::vector<BenchRow> benchReads();
 std::vector<BenchRow> benchOnce();
--- a/include/bergamotstage/request/CallerState.h
+++ b/include/bergamotstage/request/CallerState.h
@@ -23,8 +23,10 @@
 struct Execution {
   StatementId Statement;
   StatementKind Kind = StatementKind::Empty;
+  Instant Arrived{};
   Instant Deadline{};
   SharedBody Body;
+  bool Admitted = false;      ///< It took a token of its client account.
   TimerId Timer;              ///< Gives the statement up at its deadline.
   std::optional<LinkId> Link; ///< Lent to it; not set while it waits.
   bool Sent = false;          ///< Handed to a link: it may have begun to run.
--- a/include/bergamotstage/request/CallerTable.h
+++ b/include/bergamotstage/request/CallerTable.h
@@ -19,9 +19,16 @@
 /// up, there is none.
 class CallerTable {
 public:
+  /// @brief Gets each statement as it ends, before its caller may go.
+  using FinishedHook =
+      std::function<void(const CallerState &Caller, const Execution &Done,
+                         const AnswerStatement &Answer)>;
+
   CallerTable(NodeContext &Context, LinkPool &Links)
       : m_Context(Context), m_Links(Links) {}
 
+  void setFinishedHook(FinishedHook Hook) { m_Finished = std::move(Hook); }
+
   std::size_t size() const { return m_Callers.size(); }
 
   /// @brief The caller of the given number, or null.
@@ -60,6 +67,7 @@
 private:
   NodeContext &m_Context;
   LinkPool &m_Links;
+  FinishedHook m_Finished;
   std::unordered_map<CallerId, CallerState> m_Callers;
 };
 
--- a/include/bergamotstage/request/StatementDuty.h
+++ b/include/bergamotstage/request/StatementDuty.h
@@ -73,6 +73,9 @@
   CallerState &forwardedCaller(const ForwardArrived &Event);
   void runHere(const WorkId &Work, const CallerState &Caller);
   void timedOut(const WorkId &Work);
+  void finished(const CallerState &Caller, const Execution &Done,
+                const AnswerStatement &Answer);
+  ArmId armOf(const CallerState &Caller) const;
   void dropAll(const std::vector<CallerId> &Callers, const Refusal &Reason);
 
   NodeContext &m_Context;
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -160,7 +160,10 @@
 void Node::checkDrained() {
   m_Statements.closeIdle(shutdownRefusal());
   bool GraceOver = m_Context.now() - *m_DrainingSince >= LeaveGrace;
-  if (GraceOver && !m_Statements.busy())
+  bool Quiet = GraceOver && !m_Statements.busy();
+  if (Quiet)
+    m_Accounts.drain();
+  if (Quiet && m_Accounts.drained())
     return exit();
   m_Context.timers().schedule(m_Context.now() + DrainCheckInterval,
                               [this] { checkDrained(); });
--- a/src/request/CallerTable.cpp
+++ b/src/request/CallerTable.cpp
@@ -59,6 +59,8 @@
   Execution Done = std::move(*Caller->Running);
   Caller->Running.reset();
   m_Context.timers().cancel(Done.Timer);
+  if (m_Finished)
+    m_Finished(*Caller, Done, Answer);
   bool Ended = Caller->Transaction == TransactionState::None;
   if (Ended) {
     Caller->Wrote = false;
--- a/src/request/StatementDuty.cpp
+++ b/src/request/StatementDuty.cpp
@@ -3,6 +3,7 @@
 #include "bergamotstage/account/KeyCheck.h"
 #include "bergamotstage/core/Parse.h"
 #include "bergamotstage/request/Refusals.h"
+#include "bergamotstage/rules/PolicyChoice.h"
 
 #include <utility>
 
@@ -33,7 +34,42 @@
       m_Callers(Context, Targets.links()),
       m_Check(Context, Targets.monitors(), m_Positions),
       m_Reads(Context, Targets, m_Callers, m_Check, m_Positions),
-      m_Primary(Context, Targets, m_Callers, m_Check, m_Positions) {}
+      m_Primary(Context, Targets, m_Callers, m_Check, m_Positions) {
+  m_Callers.setFinishedHook([this](const CallerState &Caller,
+                                   const Execution &Done,
+                                   const AnswerStatement &Answer) {
+    finished(Caller, Done, Answer);
+  });
+}
+
+void StatementDuty::finished(const CallerState &Caller, const Execution &Done,
+                             const AnswerStatement &Answer) {
+  metrics::Sample Ended;
+  Ended.State = Answer.Error ? Answer.Error->State : RunState::Completed;
+  if (Done.Admitted && Ended.State == RunState::NotRun)
+    m_Accounts.refund(Caller.Account);
+  // The VM that a caller is connected to counts its statements.
+  if (Caller.Remote)
+    return;
+  bool Transaction = Caller.Transaction != TransactionState::None ||
+                     Done.Kind == StatementKind::Begin ||
+                     endsTransaction(Done.Kind);
+  Ended.Account = Caller.Account;
+  Ended.Class = Transaction ? metrics::StatementClass::Transaction
+                : Done.Kind == StatementKind::Read
+                    ? metrics::StatementClass::Read
+                    : metrics::StatementClass::Write;
+  Ended.Arm = armOf(Caller);
+  Ended.SqlState = Answer.Error ? Answer.Error->SqlState : "";
+  Ended.Latency = m_Context.now() - Done.Arrived;
+  m_Context.metrics().record(Ended);
+}
+
+ArmId StatementDuty::armOf(const CallerState &Caller) const {
+  return choosePolicy(m_Context.rules(), "reads", "default",
+                      Caller.Token.SessionId)
+      .Arm;
+}
 
 void StatementDuty::opened(const CallerOpened &Event) {
   const RuleBook &Rules = m_Context.rules();
@@ -58,6 +94,9 @@
       m_Context.act(AskForKey{Event.Caller});
       return;
     }
+    if (!m_Context.rulesAreCurrent())
+      return Close(sqlstate::CannotConnectNow,
+                   "this VM cannot tell whether the key still stands");
     Caller.Key = findKey(Rules, Event.Account, *Event.Key);
     if (!Caller.Key)
       return Close(sqlstate::InvalidPassword, "the key is not valid");
@@ -176,6 +215,7 @@
   Execution Run;
   Run.Statement = Event.Statement;
   Run.Kind = kindOf(*Event.Body);
+  Run.Arrived = m_Context.now();
   Run.Deadline = Deadline;
   Run.Body = Event.Body;
   Run.Timer =
@@ -193,6 +233,10 @@
   if (Caller->Key && !keyStands(m_Context.rules(), *Caller->Key))
     return m_Callers.refuse(
         Work, closing(sqlstate::InvalidAuthorization, "the key was withdrawn"));
+  if (Caller->Key && !m_Context.rulesAreCurrent())
+    return m_Callers.refuse(
+        Work, refusal(sqlstate::CannotConnectNow, RunState::NotRun,
+                      "this VM cannot tell whether the key still stands"));
   if (answerOwn(Work, *Caller))
     return;
   if (Caller->Pinned)
@@ -206,6 +250,7 @@
                        return;
                      if (!Admitted)
                        return m_Callers.refuse(Work, Admitted.error());
+                     Known->Running->Admitted = true;
                      route(Work, *Known);
                    });
 }
--- /dev/null
+++ b/test/unit-metrics.cpp
@@ -0,0 +1,57 @@
+#include "bergamotstage/metrics/Registry.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bergamotstage;
+using namespace bergamotstage::metrics;
+
+namespace {
+
+Sample sample(const char *Account, RunState State, Duration Latency) {
+  Sample Ended;
+  Ended.Account = AccountId(Account);
+  Ended.State = State;
+  Ended.Latency = Latency;
+  return Ended;
+}
+
+} // namespace
+
+TEST_GROUP(Metrics){};
+
+TEST(Metrics, QuantilesOfUniformLatencies) {
+  LatencyHistogram Histogram;
+  for (int At = 0; At < 10000; ++At)
+    Histogram.record(microseconds((At * 7919) % 10000));
+  DOUBLES_EQUAL(5, Histogram.median(), 0.5);
+  DOUBLES_EQUAL(9.9, Histogram.p99(), 0.3);
+  CHECK_EQUAL(10000U, Histogram.count());
+}
+
+TEST(Metrics, RefusalsForTheRateAreToldFromOthers) {
+  Registry Metrics;
+  Sample Refused = sample("ward-1", RunState::NotRun, {});
+  Refused.SqlState = sqlstate::TooManyRequests;
+  Metrics.record(Refused);
+  Refused.SqlState = sqlstate::CannotConnectNow;
+  Metrics.record(Refused);
+  const Series &Of = Metrics.series().begin()->second;
+  CHECK_EQUAL(1U, Of.OverRate);
+  CHECK_EQUAL(1U, Of.WithinContract);
+}
+
+TEST(Metrics, WorstAccountIsTheOneRefusedWithinItsContract) {
+  Registry Metrics;
+  Metrics.record(sample("slow", RunState::Completed, seconds(9)));
+  Metrics.record(sample("refused", RunState::Completed, milliseconds(1)));
+  Metrics.record(sample("refused", RunState::NotRun, {}));
+  STRCMP_EQUAL("refused", Metrics.worstAccount()->value().c_str());
+}
+
+TEST(Metrics, MemoryIsBoundedByTheNumberOfSeries) {
+  Registry Metrics;
+  for (int At = 0; At < 6000; ++At)
+    Metrics.record(sample(std::to_string(At).c_str(), RunState::Completed, {}));
+  CHECK(Metrics.series().size() <= Registry::MaxSeries + 3);
+  CHECK(renderText(Metrics).find(Registry::OtherAccounts) != std::string::npos);
+}
