Refuse a forwarded statement whose transaction the home does not hold

A home that restarted between two statements had no trace of the transaction, and ran the second one on its own; ruled out: links lent twice (the pool asserts that) and a lost commit (the rows stood in separate entries). Change: the origin says whether it knows of an open transaction; the home that does not hold it answers 25P02 until it is ended, and drops one that the origin does not know.

--- a/bench/BenchRefusals.cpp
+++ b/bench/BenchRefusals.cpp
@@ -50,8 +50,8 @@
     Instant Replace = m_Fleet.now() + ReplaceInterval;
     std::exponential_distribution<double> Gap(Rate * LoadShare);
     while (m_Fleet.now() < End) {
-      auto Wait = Duration(
-          static_cast<Duration::rep>(Gap(m_Fleet.random()) * 1e6) + 1);
+      auto Wait =
+          Duration(static_cast<Duration::rep>(Gap(m_Fleet.random()) * 1e6) + 1);
       m_Fleet.runUntil(m_Fleet.now() + Wait);
       if (m_Chosen.Replace && Replace <= m_Fleet.now()) {
         Replace += ReplaceInterval;
--- a/include/bergamotstage/node/Forward.h
+++ b/include/bergamotstage/node/Forward.h
@@ -35,7 +35,8 @@
   std::optional<Duration> MaxAge;
   std::string RequestId;
   bool Idempotent = false;
-  bool Explain = false; ///< The answer says how it was routed.
+  bool Explain = false;       ///< The answer says how it was routed.
+  bool InTransaction = false; ///< The origin knows of an open transaction.
 };
 
 /// @brief Action at the origin: runs a statement through a database's home.
--- a/include/bergamotstage/request/StatementDuty.h
+++ b/include/bergamotstage/request/StatementDuty.h
@@ -70,6 +70,7 @@
   bool answerOwn(const WorkId &Work, CallerState &Caller);
   void route(const WorkId &Work, CallerState &Caller);
   void forward(const WorkId &Work, CallerState &Caller, const VmId &Home);
+  bool agreesOnTransaction(const ForwardArrived &Event);
   CallerState &forwardedCaller(const ForwardArrived &Event);
   void runHere(const WorkId &Work, const CallerState &Caller);
   void timedOut(const WorkId &Work);
--- a/src/request/StatementForwarding.cpp
+++ b/src/request/StatementForwarding.cpp
@@ -27,6 +27,7 @@
   Session.RequestId = Caller.RequestId;
   Session.Idempotent = Caller.Idempotent;
   Session.Explain = Caller.Explain;
+  Session.InTransaction = Caller.Transaction != TransactionState::None;
   return Session;
 }
 
@@ -144,10 +145,23 @@
   return Caller;
 }
 
+/// @brief Whether origin and home agree on an open transaction. Where they do
+/// not, its link or the messages about it were lost.
+bool StatementDuty::agreesOnTransaction(const ForwardArrived &Event) {
+  CallerState *Known = m_Callers.find(Event.Caller);
+  bool Here = Known != nullptr && Known->Transaction != TransactionState::None;
+  if (Here && !Event.Session.InTransaction) {
+    m_Callers.drop(*Known);
+    return true;
+  }
+  return Here == Event.Session.InTransaction;
+}
+
 void StatementDuty::forwardArrived(const ForwardArrived &Event) {
   const CallerState *Before = m_Callers.find(Event.Caller);
   if (Before != nullptr && Before->Running)
     return;
+  bool Agrees = agreesOnTransaction(Event);
   CallerState &Caller = forwardedCaller(Event);
   WorkId Work =
       begin(Caller, StatementArrived{Event.Caller, Event.Statement, Event.Body},
@@ -160,6 +174,8 @@
         Work, refusal(sqlstate::InvalidAuthorization, RunState::NotRun,
                       "the route is not open to this client account"));
   Caller.Route = Route->second;
+  if (!Agrees)
+    Caller.Transaction = TransactionState::Failed;
   if (answerOwn(Work, Caller))
     return;
   if (Caller.Pinned)
--- a/src/runtime/ForwardFrames.cpp
+++ b/src/runtime/ForwardFrames.cpp
@@ -18,6 +18,7 @@
   Out.set_request_id(Session.RequestId);
   Out.set_idempotent(Session.Idempotent);
   Out.set_explain(Session.Explain);
+  Out.set_in_transaction(Session.InTransaction);
 }
 
 void writeBody(const StatementBody &Body, wire::peer::ForwardStatement &Out) {
@@ -50,6 +51,7 @@
   Session.RequestId = Message.request_id();
   Session.Idempotent = Message.idempotent();
   Session.Explain = Message.explain();
+  Session.InTransaction = Message.in_transaction();
   return Session;
 }
 
--- a/test/unit-random-config.cpp
+++ b/test/unit-random-config.cpp
@@ -110,12 +110,13 @@
       std::string Id = std::to_string(m_Edit) + "-" + std::to_string(Operator);
       std::string Text = smallSiteRules() + "account a" + Id +
                          " rate=1 burst=1 # Ledger office\n";
-      m_Fleet.deliver(name(someVm()),
-                      OperatorAsked{OperatorCallId(++m_LastCall),
-                                    "apply",
-                                    {{"text", Text},
-                                     {"expect", std::to_string(m_Expected.value())},
-                                     {"edit-id", Id}}});
+      m_Fleet.deliver(
+          name(someVm()),
+          OperatorAsked{OperatorCallId(++m_LastCall),
+                        "apply",
+                        {{"text", Text},
+                         {"expect", std::to_string(m_Expected.value())},
+                         {"edit-id", Id}}});
     }
   }
 
@@ -194,9 +195,10 @@
     std::printf("%s=%u\n", Name.c_str(), Count);
   for (const char *Name :
        {"edit", "edit repeated", "answer accepted", "answer conflict",
-        "answer unavailable", "answer unknown", "answer unconfirmed", "cut from both", "cut from the store",
-        "cut from peers", "restart", "pause", "regions parted", "store down",
-        "write answers lost", "fleet restarted, store down",
-        "half of the VMs restarted", "behind, not serving"})
+        "answer unavailable", "answer unknown", "answer unconfirmed",
+        "cut from both", "cut from the store", "cut from peers", "restart",
+        "pause", "regions parted", "store down", "write answers lost",
+        "fleet restarted, store down", "half of the VMs restarted",
+        "behind, not serving"})
     CHECK(Found[Name] > 0);
 }
