--- a/test/unit-forward.cpp
+++ b/test/unit-forward.cpp
@@ -160,3 +160,19 @@
   Site.Fleet.runUntil(Site.Fleet.now() + seconds(1));
   CHECK(Refused);
 }
+
+TEST(Forward, HomeThatRestartsBetweenStatementsLosesTheWholeTransaction) {
+  TwoVms Site;
+  CHECK(Site.run("BEGIN"));
+  CHECK(Site.run("INSERT INTO offers VALUES ('plot-9', 'family-5')"));
+  Site.Fleet.killVm(Site.Home);
+  Site.Fleet.runUntil(Site.Fleet.now() + milliseconds(10));
+  Site.Fleet.startVm(smallSiteVm(Site.Home.value(), "hoan-kiem"));
+  Site.Fleet.runUntil(Site.Fleet.now() + seconds(2));
+  CHECK(Site.run("INSERT INTO offers VALUES ('plot-10', 'family-5')"));
+  CHECK(Site.Last.Error.has_value());
+  CHECK(Site.Last.Error->State != RunState::Completed);
+  CHECK(Site.run("ROLLBACK"));
+  CHECK(Site.run("SELECT * FROM offers"));
+  CHECK_EQUAL(0U, Site.Rows.size());
+}
