Show status, count reads on replicas, and follow idempotent rules

Cause: metrics were counted but no command showed them; rules of idempotent statements were parsed but not asked. Change: status [--json] with revision, VMs, targets, parts of rates and metrics with arms side by side; the share on replicas is counted also for forwarded reads; a statement that a rule calls idempotent takes no claim and may be repeated.

--- a/include/bergamotstage/node/Action.h
+++ b/include/bergamotstage/node/Action.h
@@ -50,6 +50,7 @@
   std::optional<Refusal> Error;
   std::string Tag;            ///< Completion tag; empty for an empty query.
   std::string Notice;         ///< Sent before completion unless empty.
+  bool OnReplica = false;     ///< A replica served it.
   bool InTransaction = false; ///< What readiness says of the transaction.
   bool TransactionFailed = false;
 };
--- a/include/bergamotstage/node/Forward.h
+++ b/include/bergamotstage/node/Forward.h
@@ -81,7 +81,8 @@
   std::optional<Refusal> Error;
   std::string Tag;
   std::string Notice;
-  std::string Token; ///< New session token; empty: unchanged.
+  std::string Token;      ///< New session token; empty: unchanged.
+  bool OnReplica = false; ///< A replica served it.
   bool InTransaction = false;
   bool TransactionFailed = false;
 };
--- a/include/bergamotstage/node/Node.h
+++ b/include/bergamotstage/node/Node.h
@@ -68,6 +68,7 @@
   void rulesChanged();
   void callerOpened(const CallerOpened &Opened);
   void operatorAsked(const OperatorAsked &Asked);
+  void showStatus(const OperatorAsked &Asked);
   void shutdown();
   void exit();
   void checkDrained();
--- /dev/null
+++ b/include/bergamotstage/node/Status.h
@@ -0,0 +1,27 @@
+#ifndef BERGAMOTSTAGE_NODE_STATUS_H
+#define BERGAMOTSTAGE_NODE_STATUS_H
+
+#include "bergamotstage/account/AccountDuty.h"
+#include "bergamotstage/node/NodeContext.h"
+#include "bergamotstage/target/TargetDuty.h"
+
+#include <string>
+
+namespace bergamotstage {
+
+/// @brief What one VM knows and has counted, as text for operators.
+///
+/// Revision, VMs, groups with their targets, parts of the accounts' rates, and
+/// the metrics of each client account, class and arm of a policy.
+std::string renderStatusText(const NodeContext &Context,
+                             const TargetDuty &Targets,
+                             const AccountDuty &Accounts);
+
+/// @brief The same as one JSON object.
+std::string renderStatusJson(const NodeContext &Context,
+                             const TargetDuty &Targets,
+                             const AccountDuty &Accounts);
+
+} // namespace bergamotstage
+
+#endif // BERGAMOTSTAGE_NODE_STATUS_H
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -22,6 +22,7 @@
 void addExplain(CLI::App &App, int &Code);
 void addRules(CLI::App &App, int &Code);
 void addMembers(CLI::App &App, int &Code);
+void addStatus(CLI::App &App, int &Code);
 void addDrain(CLI::App &App, int &Code);
 void addKeys(CLI::App &App, int &Code);
 void addStandIn(CLI::App &App, int &Code);
--- a/src/cli/Main.cpp
+++ b/src/cli/Main.cpp
@@ -17,6 +17,7 @@
   addExplain(App, Code);
   addRules(App, Code);
   addMembers(App, Code);
+  addStatus(App, Code);
   addDrain(App, Code);
   addKeys(App, Code);
   addStandIn(App, Code);
--- a/src/cli/Rules.cpp
+++ b/src/cli/Rules.cpp
@@ -109,6 +109,19 @@
              Code);
 }
 
+void addStatus(CLI::App &App, int &Code) {
+  auto Vm = std::make_shared<std::string>();
+  auto AsJson = std::make_shared<bool>(false);
+  CLI::App *Command = App.add_subcommand(
+      "status", "Print what a VM knows and has counted, arms side by side.");
+  Command->add_option("--vm", *Vm, "Peer address of the VM.")->required();
+  Command->add_flag("--json", *AsJson, "As one JSON object.");
+  Command->callback([Vm, AsJson, &Code] {
+    Code = printAnswer(*Vm, "status",
+                       *AsJson ? Arguments{{"json", "on"}} : Arguments{});
+  });
+}
+
 void addDrain(CLI::App &App, int &Code) {
   addVmQuery(App, "drain", "Ask one VM to shut down without cutting requests.",
              "drain", Code);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -1,6 +1,7 @@
 #include "bergamotstage/node/Node.h"
 
 #include "bergamotstage/forward/HomeMap.h"
+#include "bergamotstage/node/Status.h"
 #include "bergamotstage/rules/PolicyChoice.h"
 
 #include <utility>
@@ -130,7 +131,17 @@
     m_Statements.opened(Opened);
 }
 
+void Node::showStatus(const OperatorAsked &Asked) {
+  bool AsJson = Asked.Arguments.count("json") > 0;
+  m_Context.act(AnswerOperator{
+      Asked.Call, true,
+      AsJson ? renderStatusJson(m_Context, m_Targets, m_Accounts)
+             : renderStatusText(m_Context, m_Targets, m_Accounts)});
+}
+
 void Node::operatorAsked(const OperatorAsked &Asked) {
+  if (Asked.Verb == "status")
+    return showStatus(Asked);
   if (Asked.Verb != "drain")
     return m_Fleet.operatorAsked(Asked);
   m_Context.act(AnswerOperator{Asked.Call, true, "draining"});
--- a/src/request/PrimaryRunner.cpp
+++ b/src/request/PrimaryRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "bergamotstage/core/Invariant.h"
 #include "bergamotstage/request/Refusals.h"
+#include "bergamotstage/rules/PolicyChoice.h"
 #include "bergamotstage/session/ReadPolicy.h"
 
 #include <utility>
@@ -23,9 +24,17 @@
   return {};
 }
 
-bool needsClaim(const CallerState &Caller) {
+/// @brief Whether the caller or a rule says that repeats are harmless.
+bool isIdempotent(const CallerState &Caller, const RuleBook &Rules) {
+  return Caller.Idempotent ||
+         idempotentBy(Rules, Caller.Route.Id, Caller.Running->Body->Text) !=
+             nullptr;
+}
+
+bool needsClaim(const CallerState &Caller, const RuleBook &Rules) {
   return Caller.Running->Kind == StatementKind::Write &&
-         !Caller.RequestId.empty() && !Caller.Idempotent && !Caller.Claimed;
+         !Caller.RequestId.empty() && !Caller.Claimed &&
+         !isIdempotent(Caller, Rules);
 }
 
 } // namespace
@@ -123,7 +132,7 @@
   Caller->Running->Link = Link;
   if (Caller->Running->Kind == StatementKind::Write)
     m_Callers.reportUnsettled(*Caller);
-  if (!needsClaim(*Caller))
+  if (!needsClaim(*Caller, m_Context.rules()))
     return runOn(Work, Link);
   Instant SentAt = m_Context.now();
   m_Claims.run(Work, Link, [this, Work, SentAt](const ClaimEnd &End) {
@@ -135,7 +144,7 @@
   CallerState *Caller = m_Callers.running(Work);
   LinkId Link = *Caller->Pinned;
   Caller->Running->Link = Link;
-  if (!needsClaim(*Caller))
+  if (!needsClaim(*Caller, m_Context.rules()))
     return runOn(Work, Link);
   Instant SentAt = m_Context.now();
   m_Claims.claimInTransaction(
@@ -194,8 +203,9 @@
 }
 
 bool PrimaryRunner::repeatable(const CallerState &Caller) const {
-  return Caller.Idempotent && Caller.Transaction == TransactionState::None &&
+  return Caller.Transaction == TransactionState::None &&
          Caller.Running->Kind == StatementKind::Write &&
+         isIdempotent(Caller, m_Context.rules()) &&
          m_Context.now() + HoldInterval < Caller.Running->Deadline;
 }
 
--- a/src/request/ReadRunner.cpp
+++ b/src/request/ReadRunner.cpp
@@ -232,6 +232,8 @@
   AnswerStatement Done;
   Done.Chunks = Answer.Chunks;
   Done.Tag = Answer.Tag;
+  const GroupState *Group = m_Targets.group(Caller.Route.Database);
+  Done.OnReplica = Group != nullptr && Group->Primary != Target;
   if (Run.AgeUnknown)
     Done.Notice = AgeUnknownNotice;
   bool WasUnsettled = !Caller.Token.settled(Caller.Route.Database);
--- a/src/request/StatementDuty.cpp
+++ b/src/request/StatementDuty.cpp
@@ -62,6 +62,7 @@
   Ended.Arm = armOf(Caller);
   Ended.SqlState = Answer.Error ? Answer.Error->SqlState : "";
   Ended.Latency = m_Context.now() - Done.Arrived;
+  Ended.OnReplica = Answer.OnReplica;
   m_Context.metrics().record(Ended);
 }
 
--- a/src/request/StatementForwarding.cpp
+++ b/src/request/StatementForwarding.cpp
@@ -91,6 +91,7 @@
   Answer.Error = Event.Error;
   Answer.Tag = Event.Tag;
   Answer.Notice = Event.Notice;
+  Answer.OnReplica = Event.OnReplica;
   m_Callers.finish(Work, std::move(Answer));
 }
 
--- a/src/runtime/ForwardFrames.cpp
+++ b/src/runtime/ForwardFrames.cpp
@@ -133,6 +133,7 @@
     writeRefusal(*Answer.Error, *Message.mutable_error());
   Message.set_tag(Answer.Tag);
   Message.set_notice(Answer.Notice);
+  Message.set_on_replica(Answer.OnReplica);
   Message.set_token(std::move(Token));
   Message.set_in_transaction(Answer.InTransaction);
   Message.set_transaction_failed(Answer.TransactionFailed);
@@ -146,6 +147,7 @@
     Answered.Error = readRefusal(Message.error());
   Answered.Tag = Message.tag();
   Answered.Notice = Message.notice();
+  Answered.OnReplica = Message.on_replica();
   Answered.Token = Message.token();
   Answered.InTransaction = Message.in_transaction();
   Answered.TransactionFailed = Message.transaction_failed();
--- a/src/standin/LoopbackFleet.cpp
+++ b/src/standin/LoopbackFleet.cpp
@@ -525,6 +525,7 @@
   Given.Error = Answer.Error;
   Given.Tag = Answer.Tag;
   Given.Notice = Answer.Notice;
+  Given.OnReplica = Answer.OnReplica;
   Given.Token = On.Token;
   Given.InTransaction = Answer.InTransaction;
   Given.TransactionFailed = Answer.TransactionFailed;
