--- a/bench/BenchCore.cpp
+++ b/bench/BenchCore.cpp
@@ -1,11 +1,14 @@
 #include "bench/Cases.h"
 #include "standin/SmallSite.h"
 
+#include "bergamotstage/forward/HomeMap.h"
 #include "bergamotstage/rules/RuleBook.h"
 
 #include <malloc.h>
 
+#include <algorithm>
 #include <chrono>
+#include <map>
 #include <string>
 
 namespace bergamotstage::bench {
@@ -33,7 +36,8 @@
     for (int Replica = 0; Replica < 3; ++Replica) {
       Text += "target " + Name + "-" + std::to_string(Replica);
       Text += " database=" + Name + " data-centre=" + Centres[Replica];
-      Text += " address=127.0.0.1:5432 slots=3 connections=25";
+      Text += " address=127.0.0.1:" + std::to_string(5432 + Replica);
+      Text += " slots=3 connections=25";
       Text += " # Ledger office\n";
     }
     Text += "route " + Name + " database=" + Name;
@@ -81,12 +85,35 @@
                   Took * 1e3 / Callers, "us"});
 }
 
+/// @brief Databases of which one VM is the home, at the letter's size.
+void measureHomes(std::vector<BenchRow> &Rows) {
+  constexpr int Vms = 420;
+  constexpr int Databases = 600;
+  const char *const Centres[] = {"east-1", "east-2", "west-1", "west-2"};
+  MemberMap Members;
+  for (int At = 0; At < Vms; ++At) {
+    VmId Name("vm-" + std::to_string(At));
+    Members[Name].Vm = Name;
+    Members[Name].DataCentre = DataCentreId(Centres[At % 4]);
+  }
+  std::map<VmId, int> Homes;
+  int Most = 0;
+  for (int At = 0; At < Databases; ++At) {
+    DatabaseId Database("db-" + std::to_string(At));
+    auto Home = homeOf(Database, DataCentreId(Centres[At % 3]), Members);
+    Most = std::max(Most, ++Homes[*Home]);
+  }
+  Rows.push_back({"homes-most", "vms=420 databases=600",
+                  static_cast<double>(Most), "databases"});
+}
+
 } // namespace
 
 std::vector<BenchRow> benchCore() {
   std::vector<BenchRow> Rows;
   measureRules(Rows);
   measureCallers(Rows);
+  measureHomes(Rows);
   return Rows;
 }
 
--- a/src/rules/PolicyKinds.cpp
+++ b/src/rules/PolicyKinds.cpp
@@ -29,7 +29,8 @@
        true},
       {"acknowledge", {"confirmed", "immediate"}, {}, false},
       {"queue", {"fair", "fifo"}, {}, false},
-      {"allocation", {"loans", "static"}, {}, false},
+      {"rate", {"loans", "split"}, {}, false},
+      {"failover", {"vote", "fixed"}, {durationParameter("timeout")}, false},
       {"home", {"rendezvous", "none"}, {}, false},
   };
   return Kinds;
--- a/test/unit-rules.cpp
+++ b/test/unit-rules.cpp
@@ -108,3 +108,17 @@
   STRCMP_CONTAINS("policy reads: primary-only (line 13, D)", Text.c_str());
   STRCMP_CONTAINS("policy queue: fair (default)", Text.c_str());
 }
+
+TEST(Rules, EveryPolicyThatTheProgramAsksForCanBeSet) {
+  const char *const Lines[] = {
+      "policy reads earliest-finish wait=20ms",
+      "policy acknowledge immediate",
+      "policy queue fifo",
+      "policy rate split",
+      "policy home none",
+      "policy failover fixed timeout=3s",
+  };
+  for (const char *Line : Lines)
+    CHECK(parseRules(Revision(1), std::string(Line) + " # Platform team\n")
+              .has_value());
+}
