--- a/src/target/TargetDuty.cpp
+++ b/src/target/TargetDuty.cpp
@@ -3,6 +3,7 @@
 #include "bergamotstage/forward/HomeMap.h"
 #include "bergamotstage/rules/PolicyChoice.h"
 
+#include <utility>
 #include <variant>
 
 namespace bergamotstage {
@@ -208,7 +209,7 @@
   TargetId Asked = Group->Primary;
   m_Links.acquire(Asked, Account, Deadline,
                   [this, Asked, Database, Account, Deadline,
-                   Callback](const LinkPool::Lent &Lent) {
+                   Callback = std::move(Callback)](const LinkPool::Lent &Lent) {
                     const GroupState *Later = group(Database);
                     bool Moved = Later != nullptr && Later->Primary != Asked;
                     if (Lent || !Moved || m_Context.now() >= Deadline)
