--- a/include/bergamotstage/fleet/MemberTable.h
+++ b/include/bergamotstage/fleet/MemberTable.h
@@ -28,7 +28,7 @@
   };
   using Map = std::map<VmId, Entry>;
 
-  explicit MemberTable(MemberRecord Self);
+  explicit MemberTable(const MemberRecord &Self);
 
   const MemberRecord &self() const { return m_Entries.at(m_Self).Record; }
   const Map &entries() const { return m_Entries; }
--- a/src/fleet/MemberTable.cpp
+++ b/src/fleet/MemberTable.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-MemberTable::MemberTable(MemberRecord Self) : m_Self(Self.Vm) {
+MemberTable::MemberTable(const MemberRecord &Self) : m_Self(Self.Vm) {
   Entry &Own = m_Entries[m_Self];
   Own.Listed = true;
   put(Own, Self);
--- a/src/runtime/TargetLink.cpp
+++ b/src/runtime/TargetLink.cpp
@@ -210,6 +210,7 @@
 
 void TargetLink::takeDescription(const PGresult *Result) {
   std::vector<std::uint32_t> Types;
+  Types.reserve(static_cast<std::size_t>(PQnparams(Result)));
   for (int At = 0; At < PQnparams(Result); ++At)
     Types.push_back(PQparamtype(Result, At));
   wire::BackendWriter(m_Unpassed).parameterDescription(Types);
