--- a/src/metrics/LatencyHistogram.cpp
+++ b/src/metrics/LatencyHistogram.cpp
@@ -1,5 +1,7 @@
 #include "bergamotstage/metrics/LatencyHistogram.h"
 
+#include <cstddef>
+
 namespace bergamotstage::metrics {
 namespace {
 
@@ -40,7 +42,7 @@
   constexpr std::size_t Markers = 2 * Probabilities.size() + 3;
   if (count() < Markers)
     return maxMilliseconds();
-  return acc::extended_p_square(m_Summary)[Place];
+  return acc::extended_p_square(m_Summary)[static_cast<std::ptrdiff_t>(Place)];
 }
 
 } // namespace bergamotstage::metrics
--- a/src/rules/PolicyKinds.cpp
+++ b/src/rules/PolicyKinds.cpp
@@ -60,7 +60,11 @@
                                 return Entry.Name == Name;
                               });
     if (Known == Kind->Parameters.end())
-      return "policy '" + KindName + "' has no parameter '" + Name + "'";
+      return std::string("policy '")
+          .append(KindName)
+          .append("' has no parameter '")
+          .append(Name)
+          .append("'");
     if (!Known->Valid(Value))
       return Name + " must be " + Known->Meaning;
   }
