--- a/bench/BenchCore.cpp
+++ b/bench/BenchCore.cpp
@@ -40,7 +40,7 @@
       Text += " slots=3 connections=25";
       Text += " # Ledger office\n";
     }
-    Text += "route " + Name + " database=" + Name;
+    Text.append("route ").append(Name).append(" database=").append(Name);
     Text += " access=keyed # Ledger office\n";
     Text += "account ward-" + std::to_string(At);
     Text += " rate=100 burst=200 # Ward office\n";
@@ -57,7 +57,8 @@
   double Took = elapsedMilliseconds(Started);
   double Held = heapBytes() - HeapBefore;
   bool Valid = Parsed.has_value();
-  Rows.push_back({"rules-size", "databases=600", Text.size() / 1e3, "KB"});
+  Rows.push_back({"rules-size", "databases=600",
+                  static_cast<double>(Text.size()) / 1e3, "KB"});
   Rows.push_back({"rules-parse", "databases=600", Took, "ms"});
   Rows.push_back({"rules-memory", "databases=600", Held / 1e6, "MB"});
   Rows.push_back({"rules-valid", "databases=600", Valid ? 1.0 : 0.0, "1=yes"});
--- a/src/standin/AccountFleet.cpp
+++ b/src/standin/AccountFleet.cpp
@@ -181,7 +181,7 @@
 }
 
 void AccountFleet::request(const VmId &Name, const AccountId &Account,
-                           std::function<void(bool Admitted)> Done) {
+                           const std::function<void(bool Admitted)> &Done) {
   step(Name, m_Vms.at(Name).Start, [Account, Done](Vm &At) {
     At.Duty->admit(
         Account, [Done](const Admitted &Result) { Done(Result.has_value()); });
--- a/src/standin/AccountFleet.h
+++ b/src/standin/AccountFleet.h
@@ -57,7 +57,7 @@
 
   /// @brief Asks a VM to admit one statement of an account.
   void request(const VmId &Vm, const AccountId &Account,
-               std::function<void(bool Admitted)> Done);
+               const std::function<void(bool Admitted)> &Done);
 
   void runUntil(Instant Time);
   void at(Instant Time, std::function<void()> Run);
--- a/src/standin/Deployments.cpp
+++ b/src/standin/Deployments.cpp
@@ -18,11 +18,14 @@
   const std::string Salt = "0123456789abcdef";
   std::string Text;
   for (const std::string &Account : Site.Accounts) {
-    Text += "account " + Account + " rate=" + std::to_string(Site.Rate);
-    Text += " burst=" + std::to_string(Site.Burst) + " # Office of " + Account;
-    Text += "\nkey " + Account + " desk salt=" + Salt + " digest=";
+    Text.append("account ").append(Account);
+    Text += " rate=" + std::to_string(Site.Rate);
+    Text += " burst=" + std::to_string(Site.Burst);
+    Text.append(" # Office of ").append(Account).append("\nkey ");
+    Text.append(Account).append(" desk salt=").append(Salt);
+    Text += " digest=";
     Text += keyDigest(Salt, keyOf(Account)).value_or("");
-    Text += " # Office of " + Account + "\n";
+    Text.append(" # Office of ").append(Account).append("\n");
   }
   return Text;
 }
