Mend the linter's findings in tests

Change: parameters by reference, a reserve, a named string; no check is changed. Conclusion: none of behaviour.

--- a/test/unit-failover.cpp
+++ b/test/unit-failover.cpp
@@ -40,7 +40,7 @@
   void rest(Duration Span) { Fleet.runUntil(Fleet.now() + Span); }
 
   /// @brief Cuts a target off from all but the given VMs.
-  void cut(const TargetId &Target, std::vector<std::string> Kept = {}) {
+  void cut(const TargetId &Target, const std::vector<std::string> &Kept = {}) {
     Fleet.group(Crews).find(Target)->Cut = true;
     std::string Party = "target:" + Target.value();
     Fleet.Blocked = [Party, Kept](const std::string &From,
--- a/test/unit-random-failover.cpp
+++ b/test/unit-random-failover.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+const char *const OtherOrderFirst =
+    "order: another order or a later term came first";
+
 constexpr int StepsOfARun = 50000;
 constexpr Duration StepTime = milliseconds(2);
 constexpr unsigned Vms = 5;
@@ -403,8 +406,7 @@
                                   "fault: write answers lost",
                                   "fault: replicas far behind",
                                   "order: promoted",
-                                  "order: another order or a later term came "
-                                  "first",
+                                  OtherOrderFirst,
                                   "order: too few targets answer the fence",
                                   "log:primary_kept",
                                   "primaries",
--- a/test/unit-runtime-sockets.cpp
+++ b/test/unit-runtime-sockets.cpp
@@ -64,7 +64,7 @@
   PGconn *m_Connection = nullptr;
 };
 
-std::unique_ptr<LocalSite> startSite(LocalSiteOptions Options = {}) {
+std::unique_ptr<LocalSite> startSite(const LocalSiteOptions &Options = {}) {
   auto Site = LocalSite::start(Options);
   if (!Site)
     FAIL(Site.error().c_str());
--- a/test/unit-session-reads.cpp
+++ b/test/unit-session-reads.cpp
@@ -143,6 +143,7 @@
 TEST(SessionReads, CancelledWaiterIsNotRun) {
   SessionSite Site(milliseconds(20));
   std::vector<LoopbackCaller *> Clerks;
+  Clerks.reserve(5);
   for (int Number = 0; Number < 5; ++Number)
     Clerks.push_back(&Site.connect());
   for (int Number = 0; Number < 4; ++Number) {
