--- a/include/bergamotstage/core/PlatformApi.h
+++ b/include/bergamotstage/core/PlatformApi.h
@@ -68,6 +68,8 @@
   TargetId Candidate;
   Term NewTerm;
   std::string OrderId; ///< Repeats of one order are idempotent.
+  /// Raised with every change of who orders; 0 where the platform checks none.
+  std::uint64_t Fence = 0;
 };
 
 /// @brief A call to the platform.
--- a/include/bergamotstage/forward/HomeMap.h
+++ b/include/bergamotstage/forward/HomeMap.h
@@ -14,7 +14,7 @@
 /// only the databases that it gains or loses move.
 /// @param Near data centre of the primary; empty if none is known
 /// @return the home, or nothing while no VM is fit
-/// Complexity: linear in the VMs.
+/// Complexity: linearithmic in the VMs.
 std::optional<VmId> homeOf(const DatabaseId &Database, const DataCentreId &Near,
                            const MemberMap &Members);
 
--- /dev/null
+++ b/include/bergamotstage/pooling/Context.h
@@ -0,0 +1,78 @@
+#ifndef BERGAMOTSTAGE_POOLING_CONTEXT_H
+#define BERGAMOTSTAGE_POOLING_CONTEXT_H
+
+#include "bergamotstage/core/Ids.h"
+#include "bergamotstage/core/Time.h"
+#include "bergamotstage/core/TimerQueue.h"
+#include "bergamotstage/node/Action.h"
+
+#include <functional>
+#include <initializer_list>
+#include <random>
+#include <string>
+#include <utility>
+
+namespace bergamotstage::pooling {
+
+/// @brief What all duties of one VM share: time, timers, random numbers, log.
+///
+/// Time and seed come from outside, so that the same events at the same times
+/// bring about the same decisions.
+class Context {
+public:
+  using LogHook = std::function<void(WriteLog &&)>;
+
+  Context(VmId Self, DataCentreId Zone, std::uint64_t Seed)
+      : m_Self(std::move(Self)), m_DataCentre(std::move(Zone)), m_Random(Seed) {
+  }
+
+  const VmId &self() const { return m_Self; }
+  const DataCentreId &dataCentre() const { return m_DataCentre; }
+
+  Instant now() const { return m_Now; }
+  /// @brief Sets the time of what follows; it never goes back.
+  void setNow(Instant Now) { m_Now = Now > m_Now ? Now : m_Now; }
+
+  TimerQueue &timers() { return m_Timers; }
+  std::mt19937_64 &random() { return m_Random; }
+
+  /// @brief Runs a callback after a span of time.
+  TimerId after(Duration Span, TimerQueue::Callback Run) {
+    return m_Timers.schedule(m_Now + Span, std::move(Run));
+  }
+
+  LinkId newLink() { return LinkId(++m_LastLink); }
+
+  void setLog(LogHook Hook) { m_Log = std::move(Hook); }
+  /// @brief Logs one event; pairs hold no keys and no values of statements.
+  void log(WriteLog::Level Severity, std::string EventName,
+           std::initializer_list<std::pair<std::string, std::string>> Pairs) {
+    if (m_Log)
+      m_Log(WriteLog{Severity, std::move(EventName), Pairs});
+  }
+
+private:
+  VmId m_Self;
+  DataCentreId m_DataCentre;
+  Instant m_Now{};
+  TimerQueue m_Timers;
+  std::mt19937_64 m_Random;
+  LogHook m_Log;
+  std::uint64_t m_LastLink = 0;
+};
+
+/// @brief A span as text for the log, in whole milliseconds.
+inline std::string inMilliseconds(Duration Span) {
+  return std::to_string(
+      std::chrono::duration_cast<milliseconds>(Span).count());
+}
+
+/// @brief A position as text for the log.
+inline std::string inText(const HistoryPoint &Point) {
+  return std::to_string(Point.AtTerm.value()) + "." +
+         std::to_string(Point.Position.value());
+}
+
+} // namespace bergamotstage::pooling
+
+#endif // BERGAMOTSTAGE_POOLING_CONTEXT_H
--- /dev/null
+++ b/include/bergamotstage/pooling/FleetRows.h
@@ -0,0 +1,107 @@
+#ifndef BERGAMOTSTAGE_POOLING_FLEETROWS_H
+#define BERGAMOTSTAGE_POOLING_FLEETROWS_H
+
+#include "bergamotstage/core/PlatformApi.h"
+#include "bergamotstage/fleet/MemberState.h"
+#include "bergamotstage/pooling/Context.h"
+#include "bergamotstage/pooling/RatePlan.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bergamotstage::pooling {
+
+/// @brief Who may order promotions in a group.
+struct LeadDuty {
+  VmId Holder;
+  std::uint64_t Fence = 0;   ///< Raised with every change of the holder.
+  std::uint64_t Version = 0; ///< Of the row.
+};
+
+/// @brief The rows that the fleet keeps in the platform's store: one for each
+/// VM, one with the parts of the rates, one for the duty of each group.
+///
+/// A VM spends its part only while its own row is no older than SpendTime, and
+/// another one takes the part over only after the row has not changed for
+/// TakeOverTime, in one transaction that requires the row to be unchanged.
+class FleetRows {
+public:
+  using PlatformCallback = std::function<void(const PlatformAnswer &)>;
+  struct Hooks {
+    std::function<void(PlatformRequest, PlatformCallback)> Call;
+    std::function<void(double)> PartChanged; ///< From 0 to 1.
+    std::function<void(const std::vector<MemberState> &)> Listed;
+  };
+
+  static constexpr Duration SpendTime = seconds(45);
+  static constexpr Duration TakeOverTime = seconds(60);
+
+  FleetRows(Context &Shared, MemberState Self, Hooks Ask)
+      : m_Context(Shared), m_Self(std::move(Self)), m_Hooks(std::move(Ask)) {}
+
+  /// @brief Writes this VM's row, then follows the rows of all.
+  void start();
+
+  /// @brief Reads the rows again soon, for example after a VM has joined.
+  void readSoon();
+
+  /// @brief The duty of a group as it was last read.
+  std::optional<LeadDuty> duty(const DatabaseId &Group) const;
+
+  /// @brief Makes this VM the holder of a duty under a higher fence.
+  /// @param Done gets the fence, or nothing if another VM came first or the
+  /// store does not answer
+  void acquire(const DatabaseId &Group,
+               std::function<void(std::optional<std::uint64_t>)> Done);
+
+  bool known() const { return m_Read; }
+  /// @brief Last time that the store answered.
+  Instant lastAnswer() const { return m_LastAnswer; }
+
+private:
+  struct SeenRow {
+    MemberState Member;
+    std::uint64_t Version = 0;
+    Instant Since{}; ///< When this version was first seen.
+  };
+
+  void renew();
+  void read();
+  void schedule(Duration Span);
+  void taken(const RowsRead &Rows, Instant AskedAt);
+  void applyPart();
+  void createPlan();
+  void balance();
+  bool takeOverSilent();
+  void giveToPoorest();
+  void writePlan(RatePlan Next, std::optional<SeenRow> Removed);
+
+  Context &m_Context;
+  MemberState m_Self;
+  Hooks m_Hooks;
+  bool m_Read = false;
+  bool m_Reading = false;
+  bool m_Writing = false;
+  bool m_Confirmed = false; ///< The plan was read after the last renewal.
+  Instant m_StartedAt{};
+  std::optional<Instant> m_RenewedAt; ///< When the last renewal was sent.
+  Instant m_LastAnswer{};
+  std::map<VmId, SeenRow> m_Rows;
+  std::optional<RatePlan> m_Plan;
+  std::uint64_t m_PlanVersion = 0;
+  std::optional<std::uint64_t> m_Ceiling; ///< Part that may be spent while a
+                                          ///< change of the plan is undecided.
+  static constexpr std::uint64_t NoVersion = ~std::uint64_t{0};
+  std::uint64_t m_WroteOver = NoVersion; ///< Version that an undecided write
+                                         ///< expects; NoVersion for none.
+  Instant m_WroteAt{};
+  std::map<DatabaseId, LeadDuty> m_Duties;
+  std::optional<TimerId> m_Timer;
+};
+
+} // namespace bergamotstage::pooling
+
+#endif // BERGAMOTSTAGE_POOLING_FLEETROWS_H
--- /dev/null
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -0,0 +1,200 @@
+#ifndef BERGAMOTSTAGE_POOLING_POOLNODE_H
+#define BERGAMOTSTAGE_POOLING_POOLNODE_H
+
+#include "bergamotstage/core/PlatformApi.h"
+#include "bergamotstage/metrics/Registry.h"
+#include "bergamotstage/pooling/Context.h"
+#include "bergamotstage/pooling/FleetMessage.h"
+#include "bergamotstage/pooling/FleetRows.h"
+#include "bergamotstage/pooling/PeerHealth.h"
+#include "bergamotstage/pooling/PromotionDuty.h"
+#include "bergamotstage/pooling/RateShare.h"
+#include "bergamotstage/pooling/Sessions.h"
+#include "bergamotstage/pooling/SiteConfig.h"
+#include "bergamotstage/pooling/TargetChoice.h"
+#include "bergamotstage/pooling/TargetPool.h"
+#include "bergamotstage/pooling/TargetTable.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bergamotstage::pooling {
+
+/// @brief All decisions of one VM before targets that speak for themselves.
+///
+/// It reads no clock and opens no socket: every entry point takes the time,
+/// and what is to be done goes out through hooks. The same events at the same
+/// times under the same seed bring about the same calls of hooks.
+class PoolNode {
+public:
+  using PlatformCallback = std::function<void(const PlatformAnswer &)>;
+  struct Hooks {
+    std::function<void(CallerId, CallerReply &&)> Answer;
+    std::function<void(CallerId)> CloseCaller;
+    std::function<void(LinkId, const LinkTarget &)> OpenLink;
+    std::function<void(LinkId)> CloseLink;
+    std::function<void(LinkId, const LinkRequest &)> SendLink;
+    /// Sends on the stream that this VM opened to a VM, opening it if needed.
+    std::function<void(const MemberState &, const FleetMessage &)> SendPeer;
+    /// Sends on the stream that a VM opened to this one.
+    std::function<void(const VmId &, const FleetMessage &)> ReplyPeer;
+    /// Closes the stream to a VM.
+    std::function<void(const VmId &)> DropPeer;
+    std::function<void(PlatformRequest, PlatformCallback)> CallPlatform;
+    /// Reads the configuration from the store now.
+    std::function<void()> ReadConfig;
+    /// The configuration in force, as the operator wrote it.
+    std::function<std::string()> ConfigText;
+    /// Takes a configuration that another VM had.
+    std::function<void(const std::string &)> TakeConfigText;
+    std::function<void()> StopAccepting;
+    std::function<void()> Exit;
+  };
+  /// @brief What the VM is told when its process starts.
+  struct Settings {
+    MemberState Self;
+    Duration Grace = seconds(6); ///< From the signal to the forced end.
+  };
+
+  PoolNode(Settings Chosen, std::uint64_t Seed, Hooks Ask);
+  PoolNode(const PoolNode &) = delete;
+  PoolNode &operator=(const PoolNode &) = delete;
+
+  void setLog(Context::LogHook Hook) { m_Context.setLog(std::move(Hook)); }
+
+  /// @brief Starts to follow the rows of the fleet.
+  void start(Instant Now);
+
+  // Callers.
+  void callerOpened(Instant Now, CallerId Caller, std::string Database,
+                    std::string Key);
+  void callerSent(Instant Now, CallerId Caller, Statement Call);
+  void callerClosed(Instant Now, CallerId Caller);
+
+  // Links to targets.
+  void linkOpened(Instant Now, LinkId Link,
+                  const std::optional<HistoryPoint> &Position);
+  void linkRefused(Instant Now, LinkId Link, ErrorCode Code);
+  void linkFailed(Instant Now, LinkId Link, const std::string &Reason);
+  void linkReplied(Instant Now, LinkId Link, LinkReply Reply);
+
+  // Other VMs.
+  void peerReceived(Instant Now, const VmId &From, FleetMessage Message);
+  /// @brief The stream that this VM opened to another one broke.
+  void peerLost(Instant Now, const VmId &Vm);
+  /// @brief The stream that another VM opened to this one ended.
+  void originLost(Instant Now, const VmId &Vm);
+
+  // The platform.
+  void platformAnswered(Instant Now, const PlatformCallback &Callback,
+                        const PlatformAnswer &Answer);
+  /// @brief A configuration was read; an older one than known is ignored.
+  void configRead(Instant Now, const SharedConfig &Config);
+  void targetListed(Instant Now, const TargetEntry &Entry);
+  void targetGone(Instant Now, const TargetId &Id);
+  /// @brief The whole list was read: targets that are not in it are gone.
+  void targetsListed(Instant Now, const std::vector<TargetEntry> &All);
+
+  /// @brief Runs all timers that are due.
+  void wake(Instant Now);
+  std::optional<Instant> nextWake() { return m_Context.timers().next(); }
+
+  /// @brief The process is to end within the grace period.
+  void terminate(Instant Now);
+
+  /// @brief Changes the time that an ordered stop may take.
+  void setGrace(Duration Grace) { m_Settings.Grace = Grace; }
+
+  /// @brief Whether callers may be sent here.
+  bool ready() const;
+  std::uint64_t configVersion() const { return m_Config->Version; }
+  const metrics::Registry &metrics() const { return m_Metrics; }
+  const Sessions &sessions() const { return m_Sessions; }
+  std::size_t links() const;
+  double ratePart() const { return m_Rates.part(); }
+
+private:
+  struct Local {
+    VmId From;
+    FleetMessage Message;
+  };
+
+  Sessions::Hooks sessionHooks();
+  TargetPool::Hooks poolHooks();
+  PromotionDuty::Hooks promotionHooks();
+  FleetRows::Hooks rowHooks();
+
+  void begin(Instant Now);
+  /// @brief Handles messages of this VM to itself until none are left.
+  void settle();
+  void send(const VmId &To, FleetMessage &&Message);
+  void answerPeer(const VmId &To, FleetMessage &&Message);
+  void tellAll(const FleetMessage &Message);
+  void handle(const VmId &From, FleetMessage &&Message);
+
+  void take(const VmId &From, Hello &&Body);
+  void take(const VmId &From, Ping &&Body);
+  void take(const VmId &From, Pong &&Body);
+  void take(const VmId &From, StartWork &&Body);
+  void take(const VmId &From, NextWork &&Body);
+  void take(const VmId &From, AbandonWork &&Body);
+  void take(const VmId &From, WorkReply &&Body);
+  void take(const VmId &From, ProofAsk &&Body);
+  void take(const VmId &From, ProofReply &&Body);
+  void take(const VmId &From, TokenAsk &&Body);
+  void take(const VmId &From, TokenGrant &&Body);
+  void take(const VmId &From, PrimarySuspected &&Body);
+  void take(const VmId &From, TargetAlive &&Body);
+  void take(const VmId &From, Promoted &&Body);
+  void take(const VmId &From, ConfigAsk &&Body);
+  void take(const VmId &From, ConfigText &&Body);
+
+  TargetPool *pool(const TargetId &Id);
+  TargetPool *poolOf(LinkId Link);
+  void limitPools();
+  void dropPool(const TargetId &Id, const std::string &Reason);
+  std::vector<VmId> owners(const TargetId &Id) const;
+  std::vector<VmId> peers() const;
+  AccountId anyAccount() const;
+  void targetReachable(const TargetId &Id, bool Reachable);
+  bool holdsDuty(const DatabaseId &Group) const;
+  void acquireDuties();
+  void acquireIfFirst(const DatabaseId &Group);
+  void compareVersion(const VmId &From, std::uint64_t Version);
+  void listed(const std::vector<MemberState> &Members);
+  void losePeer(const VmId &Vm, const char *Reason);
+  void setReachable(const VmId &Vm, bool Reachable);
+  void checkPeers();
+  void housekeep();
+  void drain();
+
+  Settings m_Settings;
+  Hooks m_Hooks;
+  Context m_Context;
+  SharedConfig m_Config;
+  metrics::Registry m_Metrics;
+  TargetTable m_Targets;
+  MemberMap m_Members;
+  PeerHealth m_Health;
+  TargetChoice m_Choice;
+  RateShare m_Rates;
+  FleetRows m_Rows;
+  PromotionDuty m_Promotion;
+  Sessions m_Sessions;
+  std::map<TargetId, std::unique_ptr<TargetPool>> m_Pools;
+  std::map<LinkId, TargetId> m_LinkTargets;
+  std::map<VmId, Incarnation> m_Origins; ///< VMs that opened a stream to this.
+  std::map<DatabaseId, Instant> m_AcquiringSince;
+  std::deque<Local> m_Local;
+  bool m_Settling = false;
+  std::optional<Instant> m_LeavingSince;
+  bool m_Exited = false;
+};
+
+} // namespace bergamotstage::pooling
+
+#endif // BERGAMOTSTAGE_POOLING_POOLNODE_H
--- /dev/null
+++ b/include/bergamotstage/pooling/Session.h
@@ -0,0 +1,77 @@
+#ifndef BERGAMOTSTAGE_POOLING_SESSION_H
+#define BERGAMOTSTAGE_POOLING_SESSION_H
+
+#include "bergamotstage/pooling/SiteConfig.h"
+#include "bergamotstage/pooling/Work.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace bergamotstage::pooling {
+
+/// @brief What a caller is told of one statement.
+struct CallerReply {
+  std::vector<std::string> Rows;
+  std::optional<ErrorCode> Error;
+  std::string ErrorText;
+  std::string Signature; ///< Empty where the proxy itself answered.
+  SessionState State = SessionState::Idle;
+  std::optional<HistoryPoint> Position;
+  bool Greeting = false; ///< Answers the start of a session.
+};
+
+/// @brief One operation of a session: a statement or a transaction.
+struct Operation {
+  std::uint64_t Number = 0;
+  RouteConfig Route; ///< As it stood when the operation began.
+  AccountId Account;
+  Access How = Access::Leader;
+  Instant Arrived{};
+  Statement Current;  ///< The statement that waits for an answer.
+  bool Waits = false; ///< Current is not answered yet.
+  bool Admitted = false;
+  bool Placed = false; ///< An owner has it.
+  bool Served = false; ///< A statement of it has been answered.
+  bool Broken = false; ///< Its transaction is lost; it can only be ended.
+  bool Wrote = false;
+  bool AnyTarget = false;  ///< Followers may serve it.
+  bool LeaderOnly = false; ///< Followers turned out to be behind.
+  VmId Owner;
+  TargetId Target;
+  Instant SentAt{};  ///< When the owner was given Current.
+  Instant HoldUntil{}; ///< Longest wait for a target.
+  unsigned Attempts = 0;
+  std::set<std::pair<VmId, TargetId>> Avoid; ///< Owners that failed it.
+  std::set<TargetId> AvoidTargets;
+  SharedValues SentValues; ///< Session values that the owner knows.
+  std::string HeldFor;     ///< Why it has no target yet; for the log.
+};
+
+/// @brief One caller's connection.
+struct Session {
+  CallerId Id;
+  std::string Database; ///< Name of the route as the caller gave it.
+  std::string Key;      ///< Never logged or passed on.
+  SharedValues Values;
+  std::map<std::string, Shape> Prepared;
+  std::optional<HistoryPoint> LastCommit;
+  DatabaseId LastCommitGroup;
+  std::optional<Operation> Op;
+  std::deque<Statement> Backlog; ///< Sent before the last one was answered.
+  bool Served = false; ///< Has had an answer to a statement.
+
+  SessionState state() const {
+    bool Transaction = Op && isTransaction(Op->How);
+    if (!Transaction)
+      return SessionState::Idle;
+    return Op->Broken ? SessionState::Failed : SessionState::InTransaction;
+  }
+};
+
+} // namespace bergamotstage::pooling
+
+#endif // BERGAMOTSTAGE_POOLING_SESSION_H
--- /dev/null
+++ b/include/bergamotstage/pooling/Work.h
@@ -0,0 +1,91 @@
+#ifndef BERGAMOTSTAGE_POOLING_WORK_H
+#define BERGAMOTSTAGE_POOLING_WORK_H
+
+#include "bergamotstage/core/HistoryPoint.h"
+#include "bergamotstage/core/Ids.h"
+#include "bergamotstage/core/Time.h"
+#include "bergamotstage/pooling/ErrorCode.h"
+#include "bergamotstage/pooling/Statement.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bergamotstage::pooling {
+
+/// @brief Names one operation: the VM that its caller is connected to, and a
+/// number that this VM never gives twice.
+struct WorkId {
+  VmId Origin;
+  std::uint64_t Number = 0;
+
+  friend bool operator<(const WorkId &Left, const WorkId &Right) {
+    return Left.Number != Right.Number ? Left.Number < Right.Number
+                                       : Left.Origin < Right.Origin;
+  }
+};
+
+/// @brief How an operation uses its target.
+enum class Access : std::uint8_t {
+  Leader,            ///< One statement; the target must prove that it leads.
+  LeaderTransaction, ///< A transaction; the target must lead throughout.
+  Follower,          ///< One read, on any target that holds a position.
+  FollowerTransaction ///< Reads only, on any target that holds a position.
+};
+
+inline bool isTransaction(Access How) {
+  return How == Access::LeaderTransaction ||
+         How == Access::FollowerTransaction;
+}
+inline bool needsLeader(Access How) {
+  return How == Access::Leader || How == Access::LeaderTransaction;
+}
+
+/// @brief An operation that is handed to the VM that owns a target's links.
+struct Work {
+  WorkId Id;
+  TargetId Target;
+  AccountId Account;
+  Access How = Access::Leader;
+  std::optional<HistoryPoint> After; ///< Position that a follower must hold.
+  unsigned Priority = 0;             ///< 0 is served first.
+  Duration QueueTime{};        ///< Longest wait before the target gets it.
+  Duration StatementTimeout{}; ///< Of each statement at the target.
+  SharedValues Values;         ///< Session values that it must see.
+  Statement First;
+};
+
+/// @brief Why an operation was not passed to its target.
+enum class NotRunReason : std::uint8_t {
+  Overloaded,  ///< No slot or link in time.
+  Unreachable, ///< The target does not answer this VM.
+  Leaving,     ///< The VM or the target takes no new work.
+  UnknownTarget
+};
+
+const char *notRunName(NotRunReason Reason);
+
+/// @brief How a statement of an operation ended.
+struct WorkResult {
+  enum class Kind : std::uint8_t {
+    Answered, ///< The target answered, perhaps with an error.
+    NotRun,   ///< The target never got the statement.
+    Lost      ///< The target got it, and no answer came.
+  };
+  Kind What = Kind::NotRun;
+  NotRunReason Reason = NotRunReason::Overloaded; ///< Of NotRun.
+  std::optional<ErrorCode> Error;                 ///< Of Answered.
+  std::string ErrorText;
+  std::vector<std::string> Rows;
+  std::string Signature;
+  SessionState State = SessionState::Idle;
+  std::optional<HistoryPoint> Position;
+  bool LeaderProven = false; ///< The target led after it got the statement.
+  unsigned Queued = 0;       ///< Operations that wait for the target.
+  Duration RetryAfter{};     ///< Of NotRun: when capacity is expected.
+};
+
+} // namespace bergamotstage::pooling
+
+#endif // BERGAMOTSTAGE_POOLING_WORK_H
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -17,6 +17,7 @@
 
 /// @brief Each adds one subcommand, which sets the exit code when it runs.
 void addServe(CLI::App &App, int &Code);
+void addSite(CLI::App &App, int &Code);
 void addCheck(CLI::App &App, int &Code);
 void addApply(CLI::App &App, int &Code);
 void addExplain(CLI::App &App, int &Code);
--- a/src/cli/Main.cpp
+++ b/src/cli/Main.cpp
@@ -12,6 +12,7 @@
              "--rules site.rules\n");
   int Code = ExitSuccess;
   addServe(App, Code);
+  addSite(App, Code);
   addCheck(App, Code);
   addApply(App, Code);
   addExplain(App, Code);
--- /dev/null
+++ b/src/pooling/FleetRows.cpp
@@ -0,0 +1,322 @@
+#include "bergamotstage/pooling/FleetRows.h"
+
+#include "bergamotstage/core/Parse.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+#include <variant>
+
+namespace bergamotstage::pooling {
+namespace {
+
+/// Rows are read this often, give or take a fifth: calls are paid for.
+constexpr Duration ReadInterval = seconds(10);
+constexpr Duration RenewInterval = seconds(20);
+/// After a failure, so that a VM that starts serves soon.
+constexpr Duration RetryInterval = milliseconds(400);
+/// All VMs of a first start write their rows within this time.
+constexpr Duration SettleTime = milliseconds(1500);
+/// A write without an answer may still be carried out for so long.
+constexpr Duration LateWriteTime = seconds(15);
+/// Parts closer to the mean than this are left as they are.
+constexpr double Uneven = 0.15;
+
+const char *const AllRows = "fleet/";
+const char *const MemberPrefix = "fleet/vm/";
+const char *const DutyPrefix = "fleet/duty/";
+const char *const PlanKey = "fleet/rate";
+
+bool startsWith(const std::string &Text, const std::string &Prefix) {
+  return Text.compare(0, Prefix.size(), Prefix) == 0;
+}
+
+std::string formatMember(const MemberState &Member) {
+  return Member.DataCentre.value() + " " + Member.PeerAddress + " " +
+         std::to_string(Member.Start.value());
+}
+
+std::optional<MemberState> parseMember(const VmId &Vm,
+                                       const std::string &Text) {
+  std::istringstream In(Text);
+  std::string DataCentre;
+  std::string Address;
+  std::uint64_t Start = 0;
+  if (!(In >> DataCentre >> Address >> Start))
+    return std::nullopt;
+  return MemberState{Vm,   DataCentreId(DataCentre), Address,
+                     Incarnation(Start), true, false};
+}
+
+std::optional<LeadDuty> parseDuty(const std::string &Text) {
+  std::istringstream In(Text);
+  std::string Holder;
+  LeadDuty Duty;
+  if (!(In >> Holder >> Duty.Fence))
+    return std::nullopt;
+  Duty.Holder = VmId(Holder);
+  return Duty;
+}
+
+} // namespace
+
+void FleetRows::start() {
+  m_StartedAt = m_Context.now();
+  renew();
+}
+
+void FleetRows::schedule(Duration Span) {
+  if (m_Timer)
+    m_Context.timers().cancel(*m_Timer);
+  m_Timer = m_Context.after(Span, [this] {
+    m_Timer.reset();
+    applyPart();
+    bool Due = !m_RenewedAt || *m_RenewedAt + RenewInterval <= m_Context.now();
+    if (Due)
+      renew();
+    else
+      read();
+  });
+}
+
+void FleetRows::readSoon() {
+  if (!m_Reading && m_Read)
+    schedule(RetryInterval);
+}
+
+void FleetRows::renew() {
+  ConditionalWrite Write;
+  Write.Changes.push_back(
+      {MemberPrefix + m_Self.Vm.value(), formatMember(m_Self)});
+  Instant SentAt = m_Context.now();
+  m_Hooks.Call(std::move(Write), [this, SentAt](const PlatformAnswer &Answer) {
+    const auto *Decided = std::get_if<WriteDecided>(&Answer);
+    if (Decided == nullptr || !Decided->Applied) {
+      m_Context.log(WriteLog::Level::Warning, "member_row_not_written", {});
+      return schedule(RetryInterval);
+    }
+    m_LastAnswer = m_Context.now();
+    // Another VM may have taken the part over before this renewal.
+    if (m_RenewedAt && *m_RenewedAt + SpendTime < SentAt)
+      m_Confirmed = false;
+    m_RenewedAt = SentAt;
+    read();
+  });
+}
+
+void FleetRows::read() {
+  if (m_Reading)
+    return;
+  m_Reading = true;
+  Instant AskedAt = m_Context.now();
+  m_Hooks.Call(ReadRows{AllRows}, [this, AskedAt](const PlatformAnswer &Got) {
+    m_Reading = false;
+    const auto *Rows = std::get_if<RowsRead>(&Got);
+    if (Rows == nullptr)
+      return schedule(RetryInterval);
+    m_LastAnswer = m_Context.now();
+    taken(*Rows, AskedAt);
+    bool Settling = !m_Plan;
+    std::uniform_real_distribution<double> Jitter(0.8, 1.2);
+    auto Span = Duration(static_cast<Duration::rep>(
+        static_cast<double>(ReadInterval.count()) *
+        Jitter(m_Context.random())));
+    schedule(Settling ? SettleTime : Span);
+  });
+}
+
+void FleetRows::taken(const RowsRead &Read, Instant AskedAt) {
+  std::map<VmId, SeenRow> Rows;
+  std::vector<MemberState> Listed;
+  m_Plan.reset();
+  m_PlanVersion = 0;
+  for (const TableRow &Row : Read.Rows) {
+    if (Row.Key == PlanKey) {
+      m_Plan = RatePlan::parse(Row.Value);
+      m_PlanVersion = Row.Version;
+      if (!m_Plan)
+        m_Context.log(WriteLog::Level::Error, "rate_row_malformed", {});
+    } else if (startsWith(Row.Key, MemberPrefix)) {
+      VmId Vm(Row.Key.substr(std::string(MemberPrefix).size()));
+      auto Member = parseMember(Vm, Row.Value);
+      if (!Member) {
+        m_Context.log(WriteLog::Level::Error, "member_row_malformed",
+                      {{"vm", Vm.value()}});
+        continue;
+      }
+      auto Known = m_Rows.find(Vm);
+      bool Same =
+          Known != m_Rows.end() && Known->second.Version == Row.Version;
+      Rows[Vm] = {*Member, Row.Version,
+                  Same ? Known->second.Since : m_Context.now()};
+      Listed.push_back(*Member);
+    } else if (startsWith(Row.Key, DutyPrefix)) {
+      DatabaseId Group(Row.Key.substr(std::string(DutyPrefix).size()));
+      if (auto Duty = parseDuty(Row.Value)) {
+        Duty->Version = Row.Version;
+        m_Duties[Group] = *Duty;
+      }
+    }
+  }
+  m_Rows = std::move(Rows);
+  m_Read = true;
+  if (m_RenewedAt && *m_RenewedAt <= AskedAt)
+    m_Confirmed = true;
+  bool Undecided = m_Writing || AskedAt < m_WroteAt ||
+                   (m_PlanVersion == m_WroteOver &&
+                    m_Context.now() < m_WroteAt + LateWriteTime);
+  if (!Undecided)
+    m_Ceiling.reset();
+  m_Hooks.Listed(Listed);
+  applyPart();
+  balance();
+}
+
+void FleetRows::applyPart() {
+  bool Renewed =
+      m_RenewedAt && m_Context.now() < *m_RenewedAt + SpendTime && m_Confirmed;
+  std::uint64_t Part = m_Plan && Renewed ? m_Plan->part(m_Self.Vm) : 0;
+  if (m_Ceiling)
+    Part = std::min(Part, *m_Ceiling);
+  m_Hooks.PartChanged(static_cast<double>(Part) /
+                      static_cast<double>(RatePlan::Whole));
+}
+
+void FleetRows::balance() {
+  if (m_Writing)
+    return;
+  bool Create = !m_Plan && m_PlanVersion == 0;
+  if (Create) {
+    if (m_Context.now() >= m_StartedAt + SettleTime)
+      createPlan();
+    return;
+  }
+  if (!m_Plan || takeOverSilent())
+    return;
+  giveToPoorest();
+}
+
+void FleetRows::createPlan() {
+  std::vector<VmId> Vms;
+  for (const auto &[Vm, Row] : m_Rows)
+    Vms.push_back(Vm);
+  writePlan(RatePlan::equal(Vms), std::nullopt);
+}
+
+/// @brief Inherits the part of a VM whose row has not changed for long.
+bool FleetRows::takeOverSilent() {
+  for (const auto &[Vm, Part] : m_Plan->parts()) {
+    auto Row = m_Rows.find(Vm);
+    if (Vm == m_Self.Vm || Row == m_Rows.end())
+      continue;
+    if (Row->second.Since + TakeOverTime > m_Context.now())
+      continue;
+    RatePlan Next = *m_Plan;
+    Next.inherit(Vm, m_Self.Vm);
+    m_Context.log(WriteLog::Level::Info, "rate_part_inherited",
+                  {{"vm", Vm.value()}, {"millionths", std::to_string(Part)}});
+    writePlan(std::move(Next), Row->second);
+    return true;
+  }
+  return false;
+}
+
+void FleetRows::giveToPoorest() {
+  if (m_Rows.empty())
+    return;
+  std::uint64_t Fair = RatePlan::Whole / m_Rows.size();
+  std::uint64_t Own = m_Plan->part(m_Self.Vm);
+  double Slack = Uneven * static_cast<double>(Fair);
+  if (static_cast<double>(Own) < static_cast<double>(Fair) + Slack)
+    return;
+  std::optional<VmId> Poorest;
+  for (const auto &[Vm, Row] : m_Rows)
+    if (Vm != m_Self.Vm &&
+        (!Poorest || m_Plan->part(Vm) < m_Plan->part(*Poorest)))
+      Poorest = Vm;
+  bool Worthwhile =
+      Poorest && static_cast<double>(m_Plan->part(*Poorest)) + Slack <
+                     static_cast<double>(Fair);
+  if (!Worthwhile)
+    return;
+  RatePlan Next = *m_Plan;
+  Next.move(m_Self.Vm, *Poorest,
+            std::min(Own - Fair, Fair - m_Plan->part(*Poorest)));
+  writePlan(std::move(Next), std::nullopt);
+}
+
+void FleetRows::writePlan(RatePlan Next, std::optional<SeenRow> Removed) {
+  ConditionalWrite Write;
+  Write.Conditions.push_back({PlanKey, m_PlanVersion});
+  Write.Changes.push_back({PlanKey, Next.format()});
+  if (Removed) {
+    std::string Key = MemberPrefix + Removed->Member.Vm.value();
+    Write.Conditions.push_back({Key, Removed->Version});
+    Write.Changes.push_back({Key, std::nullopt});
+  }
+  m_Writing = true;
+  // Until the outcome is read back the smaller of both parts counts.
+  std::uint64_t Now = m_Plan ? m_Plan->part(m_Self.Vm) : 0;
+  m_Ceiling = std::min(Now, Next.part(m_Self.Vm));
+  applyPart();
+  m_WroteOver = m_PlanVersion;
+  m_Hooks.Call(std::move(Write), [this](const PlatformAnswer &Answer) {
+    m_Writing = false;
+    m_WroteAt = m_Context.now();
+    // A write that was refused has not changed the row and never will.
+    if (std::holds_alternative<WriteDecided>(Answer))
+      m_WroteOver = NoVersion;
+    read();
+  });
+}
+
+std::optional<LeadDuty> FleetRows::duty(const DatabaseId &Group) const {
+  auto Found = m_Duties.find(Group);
+  if (Found == m_Duties.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+void FleetRows::acquire(
+    const DatabaseId &Group,
+    std::function<void(std::optional<std::uint64_t>)> Done) {
+  LeadDuty Known;
+  if (auto Read = duty(Group))
+    Known = *Read;
+  std::string Key = DutyPrefix + Group.value();
+  std::uint64_t Fence = Known.Fence + 1;
+  ConditionalWrite Write;
+  Write.Conditions.push_back({Key, Known.Version});
+  Write.Changes.push_back(
+      {Key, m_Self.Vm.value() + " " + std::to_string(Fence)});
+  m_Hooks.Call(std::move(Write), [this, Group, Fence, Done = std::move(Done)](
+                                     const PlatformAnswer &Answer) {
+    const auto *Decided = std::get_if<WriteDecided>(&Answer);
+    bool Won = Decided != nullptr && Decided->Applied;
+    m_Context.log(WriteLog::Level::Info, "duty_acquired",
+                  {{"group", Group.value()},
+                   {"fence", std::to_string(Fence)},
+                   {"won", Won ? "yes" : "no"}});
+    // Also after a lost answer the row tells who holds the duty.
+    m_Hooks.Call(
+        ReadRows{DutyPrefix + Group.value()},
+        [this, Group, Fence, Done](const PlatformAnswer &Got) {
+          const auto *Rows = std::get_if<RowsRead>(&Got);
+          bool Found = Rows != nullptr && !Rows->Rows.empty() &&
+                       Rows->Rows.front().Key == DutyPrefix + Group.value();
+          if (!Found)
+            return Done(std::nullopt);
+          auto Duty = parseDuty(Rows->Rows.front().Value);
+          if (!Duty)
+            return Done(std::nullopt);
+          Duty->Version = Rows->Rows.front().Version;
+          m_Duties[Group] = *Duty;
+          bool Mine = Duty->Holder == m_Self.Vm && Duty->Fence == Fence;
+          if (!Mine)
+            return Done(std::nullopt);
+          Done(Fence);
+        });
+  });
+}
+
+} // namespace bergamotstage::pooling
--- /dev/null
+++ b/src/pooling/PositionProofs.cpp
@@ -0,0 +1,44 @@
+#include "bergamotstage/pooling/PositionProofs.h"
+
+#include <algorithm>
+
+namespace bergamotstage::pooling {
+
+void PositionProofs::add(Instant AskedAt, const HistoryPoint &Position) {
+  if (Position.AtTerm < m_HighestTerm)
+    return;
+  // A promotion may have rolled back what the earlier proofs speak of.
+  bool RolledBack = !m_Proofs.empty() && Position < m_Proofs.back().Position &&
+                    m_Proofs.back().AskedAt < AskedAt;
+  if (m_HighestTerm < Position.AtTerm || RolledBack)
+    m_Proofs.clear();
+  m_HighestTerm = Position.AtTerm;
+  // An earlier question may be answered later: it proves less.
+  if (!m_Proofs.empty() && AskedAt <= m_Proofs.back().AskedAt)
+    return;
+  bool Close = m_Proofs.size() >= 2 &&
+               AskedAt - m_Proofs[m_Proofs.size() - 2].AskedAt < Spacing;
+  if (Close)
+    m_Proofs.pop_back();
+  m_Proofs.push_back({AskedAt, Position});
+  if (m_Proofs.size() > MaxKept)
+    m_Proofs.pop_front();
+}
+
+std::optional<HistoryPoint>
+PositionProofs::oldestSince(Instant NotBefore) const {
+  auto Found = std::find_if(
+      m_Proofs.begin(), m_Proofs.end(),
+      [&](const Proof &Known) { return Known.AskedAt >= NotBefore; });
+  if (Found == m_Proofs.end())
+    return std::nullopt;
+  return Found->Position;
+}
+
+std::optional<Instant> PositionProofs::newest() const {
+  if (m_Proofs.empty())
+    return std::nullopt;
+  return m_Proofs.back().AskedAt;
+}
+
+} // namespace bergamotstage::pooling
--- /dev/null
+++ b/src/pooling/Sessions.cpp
@@ -0,0 +1,665 @@
+#include "bergamotstage/pooling/Sessions.h"
+
+#include "bergamotstage/core/Invariant.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace bergamotstage::pooling {
+namespace {
+
+/// Operations without a target are looked at again this often.
+constexpr Duration HoldInterval = milliseconds(20);
+/// A statement waits in a queue for at most so many latency targets: later it
+/// would be of little use to its caller, who may as well come back.
+constexpr double QueueTargets = 1.2;
+/// A statement of an open transaction has more at stake than a new one.
+constexpr double TransactionQueueTargets = 2.5;
+/// Times that an operation is handed to an owner.
+constexpr unsigned MaxAttempts = 4;
+/// When a caller is told to come back after a primary was not in reach.
+constexpr Duration NoTargetRetryAfter = milliseconds(200);
+constexpr Duration BusyRetryAfter = milliseconds(50);
+/// An ask for a proof that is not answered by then is repeated.
+constexpr Duration ProofTimeout = milliseconds(250);
+/// Statements that a caller may send ahead of answers.
+constexpr std::size_t MaxBacklog = 64;
+/// One of so many plain successes is logged.
+constexpr std::uint64_t SuccessSample = 256;
+
+Duration scaled(Duration Span, double Factor) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(Span.count()) * Factor));
+}
+
+std::string withRetry(const std::string &Cause, Duration RetryAfter) {
+  return Cause + "; retry_after_ms=" + inMilliseconds(RetryAfter);
+}
+
+} // namespace
+
+Session *Sessions::find(CallerId Caller) {
+  auto Found = m_Sessions.find(Caller);
+  return Found == m_Sessions.end() ? nullptr : &Found->second;
+}
+
+void Sessions::reject(CallerId Caller, ErrorCode Code, const char *Text) {
+  CallerReply Reply;
+  Reply.Error = Code;
+  Reply.ErrorText = Text;
+  Reply.Greeting = true;
+  m_Context.log(WriteLog::Level::Info, "session_rejected",
+                {{"caller", std::to_string(Caller.value())},
+                 {"error", errorName(Code)},
+                 {"config", std::to_string(m_Config->Version)}});
+  m_Hooks.Answer(Caller, std::move(Reply));
+  m_Hooks.Close(Caller);
+}
+
+void Sessions::opened(CallerId Caller, std::string Database, std::string Key) {
+  auto Route = m_Config->Routes.find(Database);
+  if (Route == m_Config->Routes.end())
+    return reject(Caller, ErrorCode::NoDatabase, "no such database");
+  if (!Route->second.Open && m_Config->Keys.count(Key) == 0)
+    return reject(Caller, ErrorCode::NoKey, "the key is not in force");
+  Session New;
+  New.Id = Caller;
+  New.Database = std::move(Database);
+  New.Key = std::move(Key);
+  m_Sessions.emplace(Caller, std::move(New));
+  CallerReply Reply;
+  Reply.Greeting = true;
+  m_Hooks.Answer(Caller, std::move(Reply));
+}
+
+void Sessions::arrived(CallerId Caller, Statement Call) {
+  Session *Of = find(Caller);
+  if (Of == nullptr)
+    return;
+  bool Waits = Of->Op && Of->Op->Waits;
+  if (!Waits)
+    return take(*Of, std::move(Call));
+  if (Of->Backlog.size() >= MaxBacklog) {
+    m_Context.log(WriteLog::Level::Warning, "backlog_full",
+                  {{"caller", std::to_string(Caller.value())}});
+    m_Hooks.Close(Caller);
+    return closed(Caller);
+  }
+  Of->Backlog.push_back(std::move(Call));
+}
+
+void Sessions::closed(CallerId Caller) {
+  Session *Of = find(Caller);
+  if (Of == nullptr)
+    return;
+  if (Of->Op) {
+    if (Of->Op->Placed)
+      m_Hooks.Send(Of->Op->Owner, AbandonWork{Of->Op->Number});
+    endOperation(*Of);
+  }
+  m_Sessions.erase(Caller);
+}
+
+void Sessions::take(Session &Of, Statement Call) {
+  if (Of.Op && Of.Op->Broken)
+    return endBroken(Of, Call);
+  switch (Call.Kind) {
+  case Verb::SetValue:
+  case Verb::Prepare:
+  case Verb::Deallocate:
+    return answerLocally(Of, Call);
+  case Verb::Begin:
+  case Verb::BeginReadOnly:
+    return begin(Of, Call);
+  case Verb::Rollback: {
+    if (Of.Op) {
+      if (Of.Op->Placed)
+        m_Hooks.Send(Of.Op->Owner, AbandonWork{Of.Op->Number});
+      endOperation(Of);
+    }
+    return finish(Of, {});
+  }
+  case Verb::Unknown: {
+    CallerReply Reply;
+    Reply.Error = ErrorCode::Malformed;
+    Reply.ErrorText = "not a statement";
+    return finish(Of, std::move(Reply));
+  }
+  default:
+    return runStatement(Of, std::move(Call));
+  }
+}
+
+void Sessions::answerLocally(Session &Of, const Statement &Call) {
+  CallerReply Reply;
+  if (Call.Kind == Verb::SetValue) {
+    auto Values = Of.Values ? std::make_shared<SessionValues>(*Of.Values)
+                            : std::make_shared<SessionValues>();
+    (*Values)[Call.Name] = Call.Value;
+    Of.Values = std::move(Values);
+  } else if (Call.Kind == Verb::Prepare) {
+    Of.Prepared[Call.Name] = Call.Prepared;
+  } else if (Of.Prepared.erase(Call.Name) == 0) {
+    Reply.Error = ErrorCode::NoSuchName;
+    Reply.ErrorText = "no such prepared statement";
+  }
+  finish(Of, std::move(Reply));
+}
+
+void Sessions::endBroken(Session &Of, const Statement &Call) {
+  CallerReply Reply;
+  if (Call.Kind == Verb::Rollback || Call.Kind == Verb::Commit) {
+    if (Of.Op->Placed)
+      m_Hooks.Send(Of.Op->Owner, AbandonWork{Of.Op->Number});
+    endOperation(Of);
+    if (Call.Kind == Verb::Commit) {
+      Reply.Error = ErrorCode::Aborted;
+      Reply.ErrorText = "the transaction was rolled back";
+    }
+  } else {
+    Reply.Error = ErrorCode::Malformed;
+    Reply.ErrorText = "the transaction has failed; end it first";
+  }
+  finish(Of, std::move(Reply));
+}
+
+bool Sessions::startOperation(Session &Of, const Statement &Call, Access How) {
+  CallerReply Reply;
+  auto Route = m_Config->Routes.find(Of.Database);
+  auto Key = m_Config->Keys.find(Of.Key);
+  if (Route == m_Config->Routes.end()) {
+    Reply.Error = ErrorCode::NoDatabase;
+    Reply.ErrorText = "the database was removed";
+  } else if (!Route->second.Open && Key == m_Config->Keys.end()) {
+    Reply.Error = ErrorCode::NoKey;
+    Reply.ErrorText = "the key is not in force any more";
+  }
+  if (Reply.Error) {
+    m_Context.log(WriteLog::Level::Info, "operation_rejected",
+                  {{"request", Call.RequestId},
+                   {"error", errorName(*Reply.Error)},
+                   {"config", std::to_string(m_Config->Version)}});
+    finish(Of, std::move(Reply));
+    return false;
+  }
+  Operation Op;
+  Op.Number = ++m_LastNumber;
+  Op.Route = Route->second;
+  Op.Account =
+      Key == m_Config->Keys.end() ? AccountId("-") : AccountId(Key->second);
+  Op.How = How;
+  Op.AnyTarget = !needsLeader(How);
+  Op.Arrived = m_Context.now();
+  m_ByNumber[Op.Number] = Of.Id;
+  Of.Op = std::move(Op);
+  return true;
+}
+
+void Sessions::begin(Session &Of, const Statement &Call) {
+  if (Of.Op) {
+    CallerReply Reply;
+    Reply.Error = ErrorCode::Malformed;
+    Reply.ErrorText = "a transaction is open already";
+    return finish(Of, std::move(Reply));
+  }
+  auto Route = m_Config->Routes.find(Of.Database);
+  bool Follows = Call.Kind == Verb::BeginReadOnly &&
+                 Route != m_Config->Routes.end() &&
+                 Route->second.Reads != Consistency::Primary;
+  Access How =
+      Follows ? Access::FollowerTransaction : Access::LeaderTransaction;
+  if (startOperation(Of, Call, How))
+    finish(Of, {});
+}
+
+void Sessions::runStatement(Session &Of, Statement Call) {
+  if (Call.Kind == Verb::Execute) {
+    auto Known = Of.Prepared.find(Call.Name);
+    if (Known == Of.Prepared.end()) {
+      CallerReply Reply;
+      Reply.Error = ErrorCode::NoSuchName;
+      Reply.ErrorText = "no such prepared statement";
+      return finish(Of, std::move(Reply));
+    }
+    Call.Prepared = Known->second;
+  }
+  if (!Of.Op) {
+    if (Call.Kind == Verb::Commit) {
+      CallerReply Reply;
+      Reply.Error = ErrorCode::Malformed;
+      Reply.ErrorText = "no transaction is open";
+      return finish(Of, std::move(Reply));
+    }
+    auto Route = m_Config->Routes.find(Of.Database);
+    bool Follows = !Call.writes() && Route != m_Config->Routes.end() &&
+                   Route->second.Reads != Consistency::Primary;
+    if (!startOperation(Of, Call, Follows ? Access::Follower : Access::Leader))
+      return;
+  }
+  Operation &Op = *Of.Op;
+  Op.Current = std::move(Call);
+  Op.Waits = true;
+  Op.HoldUntil = m_Context.now() + Op.Route.LatencyTarget;
+  if (Op.Placed)
+    return sendNext(Of);
+  if (Op.Admitted)
+    return place(Of);
+  admit(Of);
+}
+
+void Sessions::admit(Session &Of) {
+  CallerId Caller = Of.Id;
+  std::uint64_t Number = Of.Op->Number;
+  m_Rates.admit(Of.Op->Account, [this, Caller,
+                                 Number](const RateShare::Decision &Made) {
+    Session *Known = find(Caller);
+    bool Waits = Known != nullptr && Known->Op && Known->Op->Number == Number;
+    if (!Waits)
+      return;
+    if (!Made.Admitted)
+      return refuse(*Known, ErrorCode::Busy,
+                    "the client account is over its rate", Made.RetryAfter);
+    Known->Op->Admitted = true;
+    place(*Known);
+  });
+}
+
+void Sessions::place(Session &Of) {
+  Operation &Op = *Of.Op;
+  TargetChoice::Choice Made = m_Choice.choose(Of, Op);
+  switch (Made.What) {
+  case TargetChoice::Choice::Kind::NoPosition:
+    askProof(Op.Route.Group, Op.Account);
+    return hold(Of, "no proven position is young enough");
+  case TargetChoice::Choice::Kind::NoPrimary:
+    return hold(Of, "no primary is known");
+  case TargetChoice::Choice::Kind::NoOwner:
+    // Those that failed it may do better by the time it is tried again.
+    Op.Avoid.clear();
+    Op.AvoidTargets.clear();
+    return hold(Of, "no VM reaches the target");
+  case TargetChoice::Choice::Kind::Chosen:
+    break;
+  }
+  if (!needsLeader(Op.How)) {
+    auto Newest = m_Choice.proofs(Op.Route.Group).newest();
+    bool Old =
+        !Newest || m_Context.now() - *Newest > Op.Route.MaxStaleness / 2;
+    if (Old)
+      askProof(Op.Route.Group, Op.Account);
+  }
+  m_Held.erase(Op.Number);
+  ++Op.Attempts;
+  Op.Placed = true;
+  Op.Owner = Made.Owner;
+  Op.Target = Made.Target;
+  Op.How = Made.How;
+  Op.SentAt = m_Context.now();
+  Op.SentValues = Of.Values;
+  Work Asked;
+  Asked.Id = {m_Context.self(), Op.Number};
+  Asked.Target = Made.Target;
+  Asked.Account = Op.Account;
+  Asked.How = Made.How;
+  Asked.After = Made.After;
+  Asked.Priority = Op.Route.Priority;
+  Asked.QueueTime = std::max(
+      Duration(0), scaled(Op.Route.LatencyTarget, QueueTargets) -
+                       (m_Context.now() - (Op.HoldUntil -
+                                           Op.Route.LatencyTarget)));
+  Asked.StatementTimeout = Op.Route.StatementTimeout;
+  Asked.Values = Of.Values;
+  Asked.First = Op.Current;
+  m_Hooks.Send(Op.Owner, StartWork{std::move(Asked)});
+}
+
+void Sessions::hold(Session &Of, const char *Reason) {
+  Operation &Op = *Of.Op;
+  Op.HeldFor = Reason;
+  if (m_Context.now() >= Op.HoldUntil) {
+    m_Held.erase(Op.Number);
+    return refuse(Of, ErrorCode::Busy, Reason, NoTargetRetryAfter);
+  }
+  m_Held[Op.Number] = Of.Id;
+  if (m_RetryTimer)
+    return;
+  m_RetryTimer = m_Context.after(HoldInterval, [this] {
+    m_RetryTimer.reset();
+    retryHeld();
+  });
+}
+
+void Sessions::retryHeld() {
+  std::map<std::uint64_t, CallerId> Held;
+  Held.swap(m_Held);
+  for (const auto &[Number, Caller] : Held) {
+    Session *Of = find(Caller);
+    bool Waits = Of != nullptr && Of->Op && Of->Op->Number == Number;
+    if (Waits)
+      place(*Of);
+  }
+}
+
+void Sessions::sendNext(Session &Of) {
+  Operation &Op = *Of.Op;
+  Op.SentAt = m_Context.now();
+  NextWork Next;
+  Next.Number = Op.Number;
+  Next.Call = Op.Current;
+  Next.ValuesChanged = Op.SentValues != Of.Values;
+  if (Next.ValuesChanged)
+    Next.Values = Of.Values;
+  Op.SentValues = Of.Values;
+  Next.QueueTime = scaled(Op.Route.LatencyTarget, TransactionQueueTargets);
+  m_Hooks.Send(Op.Owner, std::move(Next));
+}
+
+void Sessions::askProof(const DatabaseId &Group, const AccountId &Account) {
+  auto Asked = m_ProofAskedAt.find(Group);
+  bool Pending = Asked != m_ProofAskedAt.end() &&
+                 Asked->second + ProofTimeout > m_Context.now();
+  if (Pending)
+    return;
+  auto Primary = m_Targets.primary(Group);
+  if (!Primary)
+    return;
+  Operation Any;
+  Any.Route.Group = Group;
+  Session None;
+  TargetChoice::Choice Made = m_Choice.choose(None, Any);
+  if (Made.What != TargetChoice::Choice::Kind::Chosen)
+    return;
+  m_ProofAskedAt[Group] = m_Context.now();
+  m_Hooks.Send(Made.Owner,
+               ProofAsk{Made.Target, Account,
+                        static_cast<std::uint64_t>(
+                            m_Context.now().time_since_epoch().count())});
+}
+
+void Sessions::proven(const ProofReply &Reply) {
+  const TargetEntry *Target = m_Targets.find(Reply.Target);
+  if (Target == nullptr)
+    return;
+  m_ProofAskedAt.erase(Target->Group);
+  // The owner answered no sooner than it was asked, so that the target was
+  // asked no sooner than the proof's age before that.
+  Instant AskedAt(Duration(static_cast<Duration::rep>(Reply.Stamp)));
+  if (Reply.Proven)
+    m_Choice.proofs(Target->Group).add(AskedAt - Reply.Age, Reply.Position);
+  retryHeld();
+}
+
+// Answers of owners.
+
+void Sessions::replied(const VmId &Owner, const WorkReply &Reply) {
+  auto Number = m_ByNumber.find(Reply.Number);
+  if (Number == m_ByNumber.end())
+    return;
+  Session *Of = find(Number->second);
+  bool Expected = Of != nullptr && Of->Op && Of->Op->Number == Reply.Number &&
+                  Of->Op->Placed && Of->Op->Waits && Of->Op->Owner == Owner;
+  if (!Expected)
+    return;
+  learn(*Of->Op, Reply.Result);
+  switch (Reply.Result.What) {
+  case WorkResult::Kind::Answered:
+    return answered(*Of, Reply.Result);
+  case WorkResult::Kind::NotRun:
+    return notRun(*Of, Reply.Result);
+  case WorkResult::Kind::Lost:
+    return lost(*Of, "the target did not answer");
+  }
+}
+
+void Sessions::learn(const Operation &Op, const WorkResult &Result) {
+  m_Choice.learnLoad(Op.Target, Result.Queued);
+  if (Result.LeaderProven && Result.Position)
+    m_Choice.proofs(Op.Route.Group).add(Op.SentAt, *Result.Position);
+  if (Result.Error == ErrorCode::Behind)
+    m_Choice.learnBehind(Op.Target);
+  if (Result.Error == ErrorCode::ReadOnly && needsLeader(Op.How))
+    m_Targets.notLeading(Op.Target);
+  bool Unreachable = Result.What != WorkResult::Kind::Answered &&
+                     Result.Reason == NotRunReason::Unreachable;
+  if (Unreachable)
+    m_Choice.learnUnreachable(Op.Target);
+}
+
+/// @brief Places an operation anew of which certainly nothing was kept.
+bool Sessions::tryElsewhere(Session &Of, const char *Reason) {
+  Operation &Op = *Of.Op;
+  if (Op.Attempts >= MaxAttempts || m_Context.now() >= Op.HoldUntil)
+    return false;
+  m_Context.log(WriteLog::Level::Debug, "rerouted",
+                {{"request", Op.Current.RequestId},
+                 {"target", Op.Target.value()},
+                 {"owner", Op.Owner.value()},
+                 {"reason", Reason}});
+  Op.Placed = false;
+  place(Of);
+  return true;
+}
+
+void Sessions::answered(Session &Of, const WorkResult &Result) {
+  Operation &Op = *Of.Op;
+  bool NotRun = Result.Error && meansNotRun(*Result.Error) &&
+                *Result.Error != ErrorCode::NoSuchName;
+  // A transaction that has had an answer cannot be moved to another target.
+  bool Movable = !isTransaction(Op.How) ||
+                 (!Op.Served && Result.State == SessionState::Idle);
+  if (NotRun && Movable) {
+    Op.AvoidTargets.insert(Op.Target);
+    if (*Result.Error == ErrorCode::Behind)
+      Op.LeaderOnly = Op.AvoidTargets.size() > 1;
+    if (tryElsewhere(Of, errorName(*Result.Error)))
+      return;
+    return refuse(Of, *Result.Error, "not run by the target", BusyRetryAfter);
+  }
+  CallerReply Reply;
+  Reply.Error = Result.Error;
+  Reply.ErrorText = Result.ErrorText;
+  Reply.Rows = Result.Rows;
+  Reply.Signature = Result.Signature;
+  Reply.Position = Result.Position;
+  Reply.State = Result.State;
+  bool Commits = Op.Current.Kind == Verb::Commit;
+  if (!Result.Error && Op.Current.writes())
+    Op.Wrote = true;
+  bool Committed = !Result.Error && Op.Wrote &&
+                   (Commits || !isTransaction(Op.How)) && Result.Position;
+  if (Committed) {
+    Of.LastCommit = Result.Position;
+    Of.LastCommitGroup = Op.Route.Group;
+  }
+  Op.Broken = Result.State == SessionState::Failed;
+  finish(Of, std::move(Reply));
+}
+
+void Sessions::notRun(Session &Of, const WorkResult &Result) {
+  Operation &Op = *Of.Op;
+  bool Started = isTransaction(Op.How) && Op.Served;
+  if (Started) {
+    // The owner has rolled the transaction back.
+    Op.Placed = false;
+    return refuse(Of, ErrorCode::Aborted,
+                  std::string("transaction ended: ") +
+                      notRunName(Result.Reason),
+                  Result.RetryAfter);
+  }
+  if (Result.Reason != NotRunReason::Overloaded) {
+    Op.Avoid.insert({Op.Owner, Op.Target});
+    if (!needsLeader(Op.How))
+      Op.AvoidTargets.insert(Op.Target);
+    if (tryElsewhere(Of, notRunName(Result.Reason)))
+      return;
+  }
+  Op.Placed = false;
+  refuse(Of, ErrorCode::Busy, notRunName(Result.Reason), Result.RetryAfter);
+}
+
+void Sessions::lost(Session &Of, const std::string &Cause) {
+  Operation &Op = *Of.Op;
+  bool Commits = Op.Current.Kind == Verb::Commit;
+  bool MayHaveTakenEffect =
+      isTransaction(Op.How) ? Commits && Op.Wrote : Op.Current.writes();
+  Op.Avoid.insert({Op.Owner, Op.Target});
+  Op.AvoidTargets.insert(Op.Target);
+  bool Repeatable = !isTransaction(Op.How) && !Op.Current.writes();
+  if (Repeatable && tryElsewhere(Of, "no answer"))
+    return;
+  Op.Placed = false;
+  if (MayHaveTakenEffect)
+    return refuse(Of, ErrorCode::OutcomeUnknown, Cause, Duration(0));
+  refuse(Of, ErrorCode::Aborted, Cause, BusyRetryAfter);
+}
+
+void Sessions::ownerLost(const VmId &Owner) {
+  std::vector<CallerId> Affected;
+  for (const auto &[Number, Caller] : m_ByNumber) {
+    Session *Of = find(Caller);
+    if (Of != nullptr && Of->Op && Of->Op->Placed && Of->Op->Owner == Owner)
+      Affected.push_back(Caller);
+  }
+  for (CallerId Caller : Affected) {
+    Session *Of = find(Caller);
+    if (Of == nullptr || !Of->Op || !Of->Op->Placed ||
+        Of->Op->Owner != Owner)
+      continue;
+    if (Of->Op->Waits) {
+      lost(*Of, "the VM that holds the connection is out of reach");
+      continue;
+    }
+    Of->Op->Placed = false;
+    Of->Op->Broken = true;
+  }
+}
+
+// Ends of statements.
+
+void Sessions::refuse(Session &Of, ErrorCode Code, const std::string &Cause,
+                      Duration RetryAfter) {
+  Operation &Op = *Of.Op;
+  bool Promises = Code != ErrorCode::OutcomeUnknown;
+  if (Promises && Op.Admitted && !Op.Served)
+    m_Rates.refund(Op.Account);
+  CallerReply Reply;
+  Reply.Error = Code;
+  Reply.ErrorText = Promises ? withRetry(Cause, RetryAfter) : Cause;
+  bool Ended = !isTransaction(Op.How) || Op.Current.Kind == Verb::Commit;
+  Op.Broken = !Ended;
+  Reply.State = Ended ? SessionState::Idle : SessionState::Failed;
+  finish(Of, std::move(Reply));
+}
+
+void Sessions::finish(Session &Of, CallerReply Reply) {
+  CallerId Caller = Of.Id;
+  bool Ran = Of.Op && Of.Op->Waits;
+  if (Ran) {
+    record(*Of.Op, Reply);
+    logOutcome(Of, Reply);
+    Of.Op->Waits = false;
+    Of.Op->Served = true;
+    bool Over =
+        !isTransaction(Of.Op->How) || Reply.State == SessionState::Idle;
+    if (Over)
+      endOperation(Of);
+  } else {
+    Reply.State = Of.state();
+  }
+  Of.Served = true;
+  m_Hooks.Answer(Caller, std::move(Reply));
+  Session *Known = find(Caller);
+  if (Known == nullptr)
+    return;
+  if (m_Closing && !Known->Op && Known->Backlog.empty()) {
+    m_Hooks.Close(Caller);
+    m_Sessions.erase(Caller);
+    return;
+  }
+  if (Known->Backlog.empty() || (Known->Op && Known->Op->Waits))
+    return;
+  Statement Next = std::move(Known->Backlog.front());
+  Known->Backlog.pop_front();
+  take(*Known, std::move(Next));
+}
+
+void Sessions::endOperation(Session &Of) {
+  m_ByNumber.erase(Of.Op->Number);
+  m_Held.erase(Of.Op->Number);
+  Of.Op.reset();
+}
+
+void Sessions::record(const Operation &Op, const CallerReply &Reply) {
+  metrics::Sample Ended;
+  Ended.Account = Op.Account;
+  Ended.Arm = ArmId(Op.Route.Name.value());
+  Ended.Class = isTransaction(Op.How) ? metrics::StatementClass::Transaction
+                : Op.Current.writes() ? metrics::StatementClass::Write
+                                      : metrics::StatementClass::Read;
+  Ended.Latency = m_Context.now() - (Op.HoldUntil - Op.Route.LatencyTarget);
+  Ended.OnReplica = !needsLeader(Op.How);
+  if (Reply.Error) {
+    bool Unknown = *Reply.Error == ErrorCode::OutcomeUnknown ||
+                   *Reply.Error == ErrorCode::Timeout;
+    bool Ran = *Reply.Error == ErrorCode::Failed;
+    Ended.State = Unknown ? RunState::Unknown
+                  : Ran   ? RunState::Failed
+                          : RunState::NotRun;
+    Ended.SqlState = errorName(*Reply.Error);
+  }
+  m_Metrics.record(Ended);
+}
+
+void Sessions::logOutcome(const Session &Of, const CallerReply &Reply) {
+  const Operation &Op = *Of.Op;
+  Duration Took = m_Context.now() - (Op.HoldUntil - Op.Route.LatencyTarget);
+  bool Plain = !Reply.Error && Took <= Op.Route.LatencyTarget;
+  if (Plain && Op.Number % SuccessSample != 0)
+    return;
+  m_Context.log(
+      Plain ? WriteLog::Level::Info : WriteLog::Level::Warning,
+      Reply.Error ? "statement_failed"
+      : Plain     ? "statement_served"
+                  : "statement_late",
+      {{"request", Op.Current.RequestId},
+       {"verb", verbName(Op.Current.Kind)},
+       {"account", Op.Account.value()},
+       {"route", Op.Route.Name.value()},
+       {"group", Op.Route.Group.value()},
+       {"error", Reply.Error ? errorName(*Reply.Error) : "none"},
+       {"cause", Reply.ErrorText},
+       {"ms", inMilliseconds(Took)},
+       {"owner", Op.Owner.value()},
+       {"target", Op.Target.value()},
+       {"attempts", std::to_string(Op.Attempts)},
+       {"held_for", Op.HeldFor.empty() ? "none" : Op.HeldFor},
+       {"config", std::to_string(m_Config->Version)}});
+}
+
+// Shutdown.
+
+void Sessions::closeIdle(bool Unused) {
+  m_Closing = true;
+  std::vector<CallerId> Idle;
+  for (const auto &[Id, Of] : m_Sessions)
+    if (!Of.Op && Of.Backlog.empty() && (Of.Served || Unused))
+      Idle.push_back(Id);
+  for (CallerId Id : Idle) {
+    m_Hooks.Close(Id);
+    m_Sessions.erase(Id);
+  }
+}
+
+void Sessions::abortTransactions() {
+  std::vector<CallerId> Open;
+  for (const auto &[Id, Of] : m_Sessions)
+    if (Of.Op && isTransaction(Of.Op->How) && !Of.Op->Waits)
+      Open.push_back(Id);
+  for (CallerId Id : Open) {
+    m_Hooks.Close(Id);
+    closed(Id);
+  }
+}
+
+} // namespace bergamotstage::pooling
--- /dev/null
+++ b/src/runtime/site/BootClock.h
@@ -0,0 +1,24 @@
+#ifndef BERGAMOTSTAGE_RUNTIME_SITE_BOOTCLOCK_H
+#define BERGAMOTSTAGE_RUNTIME_SITE_BOOTCLOCK_H
+
+#include "bergamotstage/core/Time.h"
+
+#include <ctime>
+
+namespace bergamotstage::runtime {
+
+/// @brief The time since the machine started, suspended times included.
+///
+/// Ages of positions and of leases are measured by it: the steady clock stands
+/// still while a machine is suspended.
+inline Instant bootTime() {
+  constexpr long NanosPerMicro = 1000;
+  timespec Now{};
+  clock_gettime(CLOCK_BOOTTIME, &Now);
+  return Instant(seconds(Now.tv_sec) + microseconds(Now.tv_nsec /
+                                                    NanosPerMicro));
+}
+
+} // namespace bergamotstage::runtime
+
+#endif // BERGAMOTSTAGE_RUNTIME_SITE_BOOTCLOCK_H
--- /dev/null
+++ b/src/runtime/site/SocketOptions.cpp
@@ -0,0 +1,36 @@
+#include "runtime/site/SocketOptions.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace bergamotstage::runtime {
+namespace {
+
+constexpr int KeepAliveProbes = 2;
+
+void setOption(int Descriptor, int Level, int Name, int Value) {
+  // A refusal only means that a silent far end is noticed later.
+  (void)setsockopt(Descriptor, Level, Name, &Value, sizeof(Value));
+}
+
+} // namespace
+
+void limitSilence(asio::ip::tcp::socket &Socket, Duration Limit) {
+  int Descriptor = Socket.native_handle();
+  auto Milliseconds = static_cast<int>(
+      std::chrono::duration_cast<milliseconds>(Limit).count());
+  int Interval = std::max(
+      1, static_cast<int>(std::chrono::duration_cast<seconds>(Limit).count()) /
+             (KeepAliveProbes + 1));
+  setOption(Descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, Milliseconds);
+  setOption(Descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPIDLE, Interval);
+  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPINTVL, Interval);
+  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+}
+
+} // namespace bergamotstage::runtime
--- /dev/null
+++ b/src/runtime/site/StoreCalls.cpp
@@ -0,0 +1,51 @@
+#include "runtime/site/StoreCalls.h"
+
+#include <asio/post.hpp>
+
+#include <utility>
+
+namespace bergamotstage::runtime {
+namespace {
+
+constexpr std::size_t StoreConnections = 2;
+constexpr std::size_t PromotionConnections = 2;
+/// A usual answer takes a few milliseconds, one of a slow store some hundred.
+constexpr Duration AnswerTime = milliseconds(1200);
+
+std::vector<std::unique_ptr<HttpClient>>
+makeClients(asio::io_context &Io, const std::string &Address,
+            std::size_t Count) {
+  std::vector<std::unique_ptr<HttpClient>> Clients;
+  for (; Count > 0; --Count)
+    Clients.push_back(std::make_unique<HttpClient>(Io, Address));
+  return Clients;
+}
+
+} // namespace
+
+StoreCalls::StoreCalls(asio::io_context &Io, VmId Self,
+                       const std::string &StoreAddress,
+                       const std::string &PromotionAddress)
+    : m_Self(std::move(Self)),
+      m_Store(makeClients(Io, StoreAddress, StoreConnections)),
+      m_Promotion(makeClients(Io, PromotionAddress, PromotionConnections)) {}
+
+HttpClient &
+StoreCalls::leastBusy(std::vector<std::unique_ptr<HttpClient>> &Clients) {
+  for (const auto &Client : Clients)
+    if (!Client->busy())
+      return *Client;
+  return *Clients.front();
+}
+
+void StoreCalls::call(const PlatformRequest &Request, Callback Done) {
+  platform::HttpCall Call = platform::encodeCall(Request, m_Self);
+  HttpClient &Client = leastBusy(Call.ToPromotion ? m_Promotion : m_Store);
+  Client.call(Call, AnswerTime,
+              [Request, Done = std::move(Done)](unsigned Status,
+                                                const std::string &Body) {
+                Done(platform::decodeAnswer(Request, Status, Body));
+              });
+}
+
+} // namespace bergamotstage::runtime
