--- a/include/bergamotstage/fleet/MemberState.h
+++ b/include/bergamotstage/fleet/MemberState.h
@@ -18,6 +18,7 @@
   Incarnation Start;     ///< 0 while not heard of.
   bool Reachable = true; ///< Answered lately, or is too new to tell.
   bool Leaving = false;  ///< Gets no new work.
+  double Cores = 1;      ///< Processors that it may use, also parts of one.
 };
 
 /// @brief All known VMs by name.
--- a/include/bergamotstage/forward/Rendezvous.h
+++ b/include/bergamotstage/forward/Rendezvous.h
@@ -11,8 +11,9 @@
 /// @brief The VMs that are reachable and not leaving, best owner of a subject
 /// first.
 ///
-/// Rendezvous hashing, VMs of one data centre before all others: when a VM
-/// comes or goes, only the subjects that it gains or loses move.
+/// Weighted rendezvous hashing, VMs of one data centre before all others: when
+/// a VM comes or goes, only the subjects that it gains or loses move, and VMs
+/// with more processor own more.
 /// @param Subject name of what is owned
 /// @param Near data centre that goes first; empty for none
 /// Complexity: linearithmic in the VMs.
--- a/include/bergamotstage/pooling/FleetMessage.h
+++ b/include/bergamotstage/pooling/FleetMessage.h
@@ -4,6 +4,7 @@
 #include "bergamotstage/core/HistoryPoint.h"
 #include "bergamotstage/core/Ids.h"
 #include "bergamotstage/core/Time.h"
+#include "bergamotstage/pooling/TargetTable.h"
 #include "bergamotstage/pooling/Work.h"
 
 #include <cstdint>
@@ -11,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace bergamotstage::pooling {
 
@@ -22,6 +24,7 @@
   Incarnation Start;
   std::uint64_t ConfigVersion = 0;
   bool Leaving = false;
+  double Cores = 1;
 };
 
 /// @brief Asks whether the other side still answers.
@@ -106,11 +109,27 @@
   std::string Text;
 };
 
+/// @brief Asks a VM that follows the store for what it has read.
+struct NewsAsk {
+  std::uint64_t ConfigVersion = 0;
+  std::uint64_t TargetsVersion = 0;
+};
+/// @brief What a VM that follows the store has read.
+struct News {
+  Duration StoreAge{}; ///< Since the store last answered the sender.
+  std::uint64_t ConfigVersion = 0;
+  std::uint64_t TargetsBefore = 0; ///< State of the list that Changed builds
+                                   ///< on; 0 where Changed is the whole list.
+  std::uint64_t TargetsVersion = 0;
+  std::vector<TargetEntry> Changed;
+  std::vector<TargetId> Gone;
+};
+
 /// @brief All messages between two VMs.
 using FleetMessage =
     std::variant<Hello, Ping, Pong, StartWork, NextWork, AbandonWork, WorkReply,
                  ProofAsk, ProofReply, TokenAsk, TokenGrant, PrimarySuspected,
-                 TargetAlive, Promoted, ConfigAsk, ConfigText>;
+                 TargetAlive, Promoted, ConfigAsk, ConfigText, NewsAsk, News>;
 
 /// @brief A message as bytes. Complexity: linear in its size.
 std::string encodeMessage(const FleetMessage &Message);
--- a/include/bergamotstage/pooling/FleetRows.h
+++ b/include/bergamotstage/pooling/FleetRows.h
@@ -8,7 +8,9 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,7 +34,10 @@
   using PlatformCallback = std::function<void(const PlatformAnswer &)>;
   struct Hooks {
     std::function<void(PlatformRequest, PlatformCallback)> Call;
-    std::function<void(double)> PartChanged; ///< From 0 to 1.
+    /// Which slots of the rates this VM may spend.
+    std::function<void(std::shared_ptr<const RatePlan>,
+                       const std::set<RatePlan::Slot> &Usable)>
+        PlanChanged;
     std::function<void(const std::vector<MemberState> &)> Listed;
   };
 
@@ -72,7 +77,7 @@
   void read();
   void schedule(Duration Span);
   void taken(const RowsRead &Rows, Instant AskedAt);
-  void applyPart();
+  void applyPlan();
   void createPlan();
   void balance();
   bool takeOverSilent();
@@ -90,10 +95,11 @@
   std::optional<Instant> m_RenewedAt; ///< When the last renewal was sent.
   Instant m_LastAnswer{};
   std::map<VmId, SeenRow> m_Rows;
-  std::optional<RatePlan> m_Plan;
+  std::shared_ptr<const RatePlan> m_Plan; ///< Null before the first.
   std::uint64_t m_PlanVersion = 0;
-  std::optional<std::uint64_t> m_Ceiling; ///< Part that may be spent while a
-                                          ///< change of the plan is undecided.
+  std::optional<std::set<RatePlan::Slot>> m_Certain; ///< Slots that are held
+                                          ///< however an undecided change of
+                                          ///< the plan ends.
   static constexpr std::uint64_t NoVersion = ~std::uint64_t{0};
   std::uint64_t m_WroteOver = NoVersion; ///< Version that an undecided write
                                          ///< expects; NoVersion for none.
--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -11,6 +11,7 @@
 #include "bergamotstage/pooling/RateShare.h"
 #include "bergamotstage/pooling/Sessions.h"
 #include "bergamotstage/pooling/SiteConfig.h"
+#include "bergamotstage/pooling/StoreReaders.h"
 #include "bergamotstage/pooling/TargetChoice.h"
 #include "bergamotstage/pooling/TargetPool.h"
 #include "bergamotstage/pooling/TargetTable.h"
@@ -51,6 +52,8 @@
     std::function<std::string()> ConfigText;
     /// Takes a configuration that another VM had.
     std::function<void(const std::string &)> TakeConfigText;
+    /// Starts or stops to follow the store's tables.
+    std::function<void(bool)> FollowStore;
     std::function<void()> StopAccepting;
     std::function<void()> Exit;
   };
@@ -98,6 +101,8 @@
   void targetGone(Instant Now, const TargetId &Id);
   /// @brief The whole list was read: targets that are not in it are gone.
   void targetsListed(Instant Now, const std::vector<TargetEntry> &All);
+  /// @brief The store answered one of the followers.
+  void storeAnswered(Instant Now);
 
   /// @brief Runs all timers that are due.
   void wake(Instant Now);
@@ -115,7 +120,7 @@
   const metrics::Registry &metrics() const { return m_Metrics; }
   const Sessions &sessions() const { return m_Sessions; }
   std::size_t links() const;
-  double ratePart() const { return m_Rates.part(); }
+  std::size_t rateSlots() const { return m_Rates.slots(); }
 
 private:
   struct Local {
@@ -127,6 +132,7 @@
   TargetPool::Hooks poolHooks();
   PromotionDuty::Hooks promotionHooks();
   FleetRows::Hooks rowHooks();
+  StoreReaders::Hooks readerHooks();
 
   void begin(Instant Now);
   /// @brief Handles messages of this VM to itself until none are left.
@@ -152,6 +158,8 @@
   void take(const VmId &From, Promoted &&Body);
   void take(const VmId &From, ConfigAsk &&Body);
   void take(const VmId &From, ConfigText &&Body);
+  void take(const VmId &From, NewsAsk &&Body);
+  void take(const VmId &From, News &&Body);
 
   TargetPool *pool(const TargetId &Id);
   TargetPool *poolOf(LinkId Link);
@@ -160,6 +168,9 @@
   std::vector<VmId> owners(const TargetId &Id) const;
   std::vector<VmId> peers() const;
   AccountId anyAccount() const;
+  bool applyTarget(const TargetEntry &Entry);
+  void applyTargets(const std::vector<TargetEntry> &All);
+  void removeTarget(const TargetId &Id);
   void targetReachable(const TargetId &Id, bool Reachable);
   bool holdsDuty(const DatabaseId &Group) const;
   void acquireDuties();
@@ -183,6 +194,7 @@
   TargetChoice m_Choice;
   RateShare m_Rates;
   FleetRows m_Rows;
+  StoreReaders m_Readers;
   PromotionDuty m_Promotion;
   Sessions m_Sessions;
   std::map<TargetId, std::unique_ptr<TargetPool>> m_Pools;
--- a/include/bergamotstage/pooling/RatePlan.h
+++ b/include/bergamotstage/pooling/RatePlan.h
@@ -4,39 +4,49 @@
 #include "bergamotstage/core/Ids.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace bergamotstage::pooling {
 
-/// @brief Which VM holds which part of all accounts' rates, in millionths.
+/// @brief Which VM holds which slot of the accounts' rates.
 ///
-/// Every change keeps the sum, so that it never exceeds Whole.
+/// The rate of an account is spread evenly over its slots: over all of them in
+/// a small fleet, over a few that hashing picks in a large one, where most
+/// accounts would otherwise have less than a token on each VM. The number of
+/// slots never changes and each has one holder, so that the parts of an account
+/// sum up to its whole rate whatever moves.
 class RatePlan {
 public:
-  static constexpr std::uint64_t Whole = 1'000'000;
+  using Slot = std::uint32_t;
 
-  /// @brief Equal parts for some VMs; the remainder goes to the first.
+  /// @brief A plan that gives all VMs the same number of slots.
   static RatePlan equal(const std::vector<VmId> &Vms);
 
-  /// @brief Reads what format() wrote; nothing for other text or for parts
-  /// that exceed the whole.
+  /// @brief Reads what format() wrote; nothing for other text.
   static std::optional<RatePlan> parse(std::string_view Text);
   std::string format() const;
 
-  std::uint64_t part(const VmId &Vm) const;
-  const std::map<VmId, std::uint64_t> &parts() const { return m_Parts; }
-
-  /// @brief Moves a part, at most what the giver holds.
-  void move(const VmId &From, const VmId &To, std::uint64_t Amount);
-  /// @brief Gives all that a VM held to another.
-  void inherit(const VmId &From, const VmId &To);
+  std::size_t size() const { return m_Holders.size(); }
+  /// @brief Slots that a VM holds.
+  std::set<Slot> slotsOf(const VmId &Vm) const;
+  /// @brief Slots that the rate of an account is spread over.
+  std::vector<Slot> slotsOf(const AccountId &Account) const;
+  /// @brief Part of an account's rate, from 0 to 1, that some slots carry.
+  double part(const AccountId &Account, const std::set<Slot> &Usable) const;
+  /// @brief VMs that hold slots of an account, each once.
+  std::vector<VmId> holders(const AccountId &Account) const;
+  /// @brief All VMs that hold slots, each once.
+  std::set<VmId> holders() const;
+
+  /// @brief Moves slots from one VM to another, at most what the giver has.
+  void move(const VmId &From, const VmId &To, std::size_t Count);
 
 private:
-  std::map<VmId, std::uint64_t> m_Parts;
+  std::vector<VmId> m_Holders; ///< By slot.
 };
 
 } // namespace bergamotstage::pooling
--- a/include/bergamotstage/pooling/RateShare.h
+++ b/include/bergamotstage/pooling/RateShare.h
@@ -4,12 +4,15 @@
 #include "bergamotstage/account/TokenBucket.h"
 #include "bergamotstage/pooling/Context.h"
 #include "bergamotstage/pooling/FleetMessage.h"
+#include "bergamotstage/pooling/RatePlan.h"
 #include "bergamotstage/pooling/SiteConfig.h"
 
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace bergamotstage::pooling {
@@ -31,15 +34,18 @@
   using SendHook = std::function<void(const VmId &, FleetMessage &&)>;
   using PeersHook = std::function<std::vector<VmId>()>;
 
+  /// @param Peers VMs that are in reach
   RateShare(Context &Shared, SendHook Send, PeersHook Peers)
       : m_Context(Shared), m_Send(std::move(Send)), m_Peers(std::move(Peers)) {}
 
   /// @brief Takes rates and bursts over. Complexity: linear in the accounts.
   void configure(const std::map<AccountId, AccountConfig> &Accounts);
 
-  /// @brief Sets this VM's part of all rates, from 0 to 1.
-  void setPart(double Part);
-  double part() const { return m_Part; }
+  /// @brief Sets the plan, and the slots of it that this VM may spend.
+  void setPlan(std::shared_ptr<const RatePlan> Plan,
+               const std::set<RatePlan::Slot> &Usable);
+  /// @brief Slots that this VM may spend.
+  std::size_t slots() const { return m_Usable.size(); }
 
   /// @brief Takes a token for one operation, now or after a short wait.
   ///
@@ -64,6 +70,7 @@
   struct Account {
     AccountConfig Contract;
     TokenBucket Own;
+    std::vector<VmId> Holders; ///< VMs that have tokens of it.
     TokenCount Borrowed;
     Instant BorrowedAt{};
     std::deque<Waiter> Waiting;
@@ -88,7 +95,8 @@
   Context &m_Context;
   SendHook m_Send;
   PeersHook m_Peers;
-  double m_Part = 0;
+  std::shared_ptr<const RatePlan> m_Plan;
+  std::set<RatePlan::Slot> m_Usable;
   std::map<AccountId, Account> m_Accounts;
 };
 
--- /dev/null
+++ b/include/bergamotstage/pooling/StoreReaders.h
@@ -0,0 +1,78 @@
+#ifndef BERGAMOTSTAGE_POOLING_STOREREADERS_H
+#define BERGAMOTSTAGE_POOLING_STOREREADERS_H
+
+#include "bergamotstage/fleet/MemberState.h"
+#include "bergamotstage/pooling/Context.h"
+#include "bergamotstage/pooling/FleetMessage.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace bergamotstage::pooling {
+
+/// @brief Lets a few VMs follow the platform's store for all.
+///
+/// Calls of the store are paid for. The VMs that rendezvous hashing puts first
+/// follow it; the others ask them for news and are sent changes at once. A VM
+/// follows the store itself whenever none of the readers has lately had an
+/// answer of it, so that what is true of one follower holds for all VMs with a
+/// bounded delay.
+class StoreReaders {
+public:
+  struct Hooks {
+    std::function<void(const VmId &, FleetMessage &&)> Ask;
+    std::function<void(const VmId &, FleetMessage &&)> Answer;
+    std::function<const MemberMap &()> Members;
+    std::function<std::uint64_t()> ConfigVersion;
+    /// All targets that this VM knows of.
+    std::function<std::vector<TargetEntry>()> Targets;
+    /// Starts or stops to follow the store from this VM.
+    std::function<void(bool)> Follow;
+    std::function<void(const VmId &, std::uint64_t Version)> CompareVersion;
+    std::function<void(const News &)> Apply;
+  };
+
+  StoreReaders(Context &Shared, Hooks Ask)
+      : m_Context(Shared), m_Hooks(std::move(Ask)) {}
+
+  /// @brief Starts to follow the store, and to look for others that do.
+  void start();
+
+  /// @brief The store answered this VM.
+  void storeAnswered();
+  /// @brief This VM read from the store that targets changed.
+  void targetsChanged(const std::vector<TargetEntry> &Changed,
+                      const std::vector<TargetId> &Gone);
+  /// @brief This VM read the whole list of targets.
+  void targetsListed();
+  /// @brief A configuration came into force here.
+  void configChanged();
+
+  void received(const VmId &From, const NewsAsk &Ask);
+  void received(const VmId &From, const News &Told);
+
+  bool following() const { return m_Following; }
+
+private:
+  bool isReader() const;
+  std::vector<VmId> readers() const;
+  void tick();
+  void decide();
+  void push(News Told);
+  News headOf() const;
+
+  Context &m_Context;
+  Hooks m_Hooks;
+  bool m_Following = true;
+  Instant m_StoreAnswered{};
+  Instant m_NewsUntil{}; ///< A reader's word is good until then.
+  std::uint64_t m_ListVersion = 0; ///< Of this VM's own list, if it reads.
+  std::map<VmId, std::uint64_t> m_Copied; ///< List of each reader as applied.
+  std::map<VmId, Instant> m_Subscribers;
+  std::size_t m_Turn = 0;
+};
+
+} // namespace bergamotstage::pooling
+
+#endif // BERGAMOTSTAGE_POOLING_STOREREADERS_H
--- a/src/forward/Rendezvous.cpp
+++ b/src/forward/Rendezvous.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 
 namespace bergamotstage {
@@ -11,12 +12,24 @@
 struct Ranked {
   VmId Vm;
   bool IsNear = false;
-  std::uint64_t Weight = 0;
+  double Score = 0;
 };
 
-std::uint64_t rendezvousWeight(std::string_view Subject, const VmId &Vm) {
-  std::string Pair = std::string(Subject) + '\n' + Vm.value();
-  return XXH3_64bits(Pair.data(), Pair.size());
+/// Owners do the work of many callers' VMs: a VM with half the processor is
+/// chosen an eighth as often.
+constexpr double CoresExponent = 3;
+
+/// @brief Weighted rendezvous hashing: a VM is the first of a subject with a
+/// chance in proportion to its weight.
+double rendezvousScore(std::string_view Subject, const MemberState &Member) {
+  constexpr unsigned MantissaBits = 53;
+  constexpr unsigned HashBits = 64;
+  std::string Pair = std::string(Subject) + '\n' + Member.Vm.value();
+  std::uint64_t Hash = XXH3_64bits(Pair.data(), Pair.size());
+  double Uniform =
+      std::ldexp(static_cast<double>(Hash >> (HashBits - MantissaBits)) + 0.5,
+                 -static_cast<int>(MantissaBits));
+  return -std::pow(Member.Cores, CoresExponent) / std::log(Uniform);
 }
 
 } // namespace
@@ -27,11 +40,11 @@
   for (const auto &[Id, Member] : Members)
     if (Member.Reachable && !Member.Leaving)
       Fit.push_back(
-          {Id, Member.DataCentre == Near, rendezvousWeight(Subject, Id)});
+          {Id, Member.DataCentre == Near, rendezvousScore(Subject, Member)});
   std::sort(Fit.begin(), Fit.end(), [](const Ranked &Left, const Ranked &Right) {
     if (Left.IsNear != Right.IsNear)
       return Left.IsNear;
-    return Left.Weight > Right.Weight;
+    return Left.Score > Right.Score;
   });
   std::vector<VmId> Order;
   Order.reserve(Fit.size());
--- a/src/pooling/FleetMessage.cpp
+++ b/src/pooling/FleetMessage.cpp
@@ -14,6 +14,8 @@
 
 /// An optional error code as a byte: this for none.
 constexpr std::uint8_t NoError = 0xFF;
+/// Parts of a processor travel in thousandths.
+constexpr double CoreUnits = 1000;
 /// More rows or values than this are no message of this program.
 constexpr std::uint64_t MaxEntries = 100'000;
 
@@ -156,6 +158,31 @@
   return Result;
 }
 
+void write(ByteWriter &Out, const TargetEntry &Entry) {
+  Out.text(Entry.Id.value());
+  Out.text(Entry.Group.value());
+  Out.text(Entry.Address);
+  Out.text(Entry.DataCentre.value());
+  Out.number(Entry.Slots);
+  Out.byte(Entry.Draining ? 1 : 0);
+  Out.byte(Entry.ClaimsLead ? 1 : 0);
+  Out.number(Entry.Born);
+  Out.number(Entry.Version);
+}
+TargetEntry readEntry(ByteReader &In) {
+  TargetEntry Entry;
+  Entry.Id = TargetId(In.text());
+  Entry.Group = DatabaseId(In.text());
+  Entry.Address = In.text();
+  Entry.DataCentre = DataCentreId(In.text());
+  Entry.Slots = static_cast<unsigned>(In.number());
+  Entry.Draining = In.byte() != 0;
+  Entry.ClaimsLead = In.byte() != 0;
+  Entry.Born = In.number();
+  Entry.Version = In.number();
+  return Entry;
+}
+
 struct Encoder {
   ByteWriter &Out;
 
@@ -166,6 +193,7 @@
     Out.number(Body.Start.value());
     Out.number(Body.ConfigVersion);
     Out.byte(Body.Leaving ? 1 : 0);
+    Out.number(static_cast<std::uint64_t>(Body.Cores * CoreUnits));
   }
   void operator()(const Ping &Body) { Out.number(Body.ConfigVersion); }
   void operator()(const Pong &Body) { Out.number(Body.ConfigVersion); }
@@ -218,6 +246,22 @@
   }
   void operator()(const ConfigAsk &) {}
   void operator()(const ConfigText &Body) { Out.text(Body.Text); }
+  void operator()(const NewsAsk &Body) {
+    Out.number(Body.ConfigVersion);
+    Out.number(Body.TargetsVersion);
+  }
+  void operator()(const News &Body) {
+    write(Out, Body.StoreAge);
+    Out.number(Body.ConfigVersion);
+    Out.number(Body.TargetsBefore);
+    Out.number(Body.TargetsVersion);
+    Out.number(Body.Changed.size());
+    for (const TargetEntry &Entry : Body.Changed)
+      write(Out, Entry);
+    Out.number(Body.Gone.size());
+    for (const TargetId &Id : Body.Gone)
+      Out.text(Id.value());
+  }
 };
 
 Hello readHello(ByteReader &In) {
@@ -228,6 +272,7 @@
   Body.Start = Incarnation(In.number());
   Body.ConfigVersion = In.number();
   Body.Leaving = In.byte() != 0;
+  Body.Cores = static_cast<double>(In.number()) / CoreUnits;
   return Body;
 }
 
@@ -289,6 +334,19 @@
   return Read;
 }
 
+News readNews(ByteReader &In) {
+  News Body;
+  Body.StoreAge = readDuration(In);
+  Body.ConfigVersion = In.number();
+  Body.TargetsBefore = In.number();
+  Body.TargetsVersion = In.number();
+  for (std::uint64_t Count = In.number(); Count > 0 && In.valid(); --Count)
+    Body.Changed.push_back(readEntry(In));
+  for (std::uint64_t Count = In.number(); Count > 0 && In.valid(); --Count)
+    Body.Gone.emplace_back(In.text());
+  return Body;
+}
+
 Promoted readPromoted(ByteReader &In) {
   auto Body = readTargetOf<Promoted>(In);
   Body.NewTerm = Term(In.number());
@@ -338,6 +396,12 @@
     return ConfigAsk{};
   case tagOf<ConfigText>():
     return ConfigText{In.text()};
+  case tagOf<NewsAsk>(): {
+    std::uint64_t ConfigVersion = In.number();
+    return NewsAsk{ConfigVersion, In.number()};
+  }
+  case tagOf<News>():
+    return readNews(In);
   default:
     return std::nullopt;
   }
--- a/src/pooling/FleetRows.cpp
+++ b/src/pooling/FleetRows.cpp
@@ -3,6 +3,7 @@
 #include "bergamotstage/core/Parse.h"
 
 #include <algorithm>
+#include <iterator>
 #include <sstream>
 #include <utility>
 #include <variant>
@@ -10,8 +11,11 @@
 namespace bergamotstage::pooling {
 namespace {
 
-/// Rows are read this often, give or take a fifth: calls are paid for.
+/// Rows are read this often, give or take a fifth: calls are paid for. Large
+/// fleets read less often, so that all VMs together make some four calls a
+/// second.
 constexpr Duration ReadInterval = seconds(10);
+constexpr Duration ReadIntervalPerVm = milliseconds(250);
 constexpr Duration RenewInterval = seconds(20);
 /// After a failure, so that a VM that starts serves soon.
 constexpr Duration RetryInterval = milliseconds(400);
@@ -19,9 +23,6 @@
 constexpr Duration SettleTime = milliseconds(1500);
 /// A write without an answer may still be carried out for so long.
 constexpr Duration LateWriteTime = seconds(15);
-/// Parts closer to the mean than this are left as they are.
-constexpr double Uneven = 0.15;
-
 const char *const AllRows = "fleet/";
 const char *const MemberPrefix = "fleet/vm/";
 const char *const DutyPrefix = "fleet/duty/";
@@ -33,7 +34,8 @@
 
 std::string formatMember(const MemberState &Member) {
   return Member.DataCentre.value() + " " + Member.PeerAddress + " " +
-         std::to_string(Member.Start.value());
+         std::to_string(Member.Start.value()) + " " +
+         std::to_string(Member.Cores);
 }
 
 std::optional<MemberState> parseMember(const VmId &Vm,
@@ -42,10 +44,11 @@
   std::string DataCentre;
   std::string Address;
   std::uint64_t Start = 0;
-  if (!(In >> DataCentre >> Address >> Start))
+  double Cores = 1;
+  if (!(In >> DataCentre >> Address >> Start >> Cores) || !(Cores > 0))
     return std::nullopt;
   return MemberState{Vm,   DataCentreId(DataCentre), Address,
-                     Incarnation(Start), true, false};
+                     Incarnation(Start), true, false, Cores};
 }
 
 std::optional<LeadDuty> parseDuty(const std::string &Text) {
@@ -70,7 +73,7 @@
     m_Context.timers().cancel(*m_Timer);
   m_Timer = m_Context.after(Span, [this] {
     m_Timer.reset();
-    applyPart();
+    applyPlan();
     bool Due = !m_RenewedAt || *m_RenewedAt + RenewInterval <= m_Context.now();
     if (Due)
       renew();
@@ -119,7 +122,9 @@
     bool Settling = !m_Plan;
     std::uniform_real_distribution<double> Jitter(0.8, 1.2);
     auto Span = Duration(static_cast<Duration::rep>(
-        static_cast<double>(ReadInterval.count()) *
+        static_cast<double>(
+            std::max<Duration>(ReadInterval, ReadIntervalPerVm * m_Rows.size())
+                .count()) *
         Jitter(m_Context.random())));
     schedule(Settling ? SettleTime : Span);
   });
@@ -132,9 +137,11 @@
   m_PlanVersion = 0;
   for (const TableRow &Row : Read.Rows) {
     if (Row.Key == PlanKey) {
-      m_Plan = RatePlan::parse(Row.Value);
+      auto Parsed = RatePlan::parse(Row.Value);
       m_PlanVersion = Row.Version;
-      if (!m_Plan)
+      if (Parsed)
+        m_Plan = std::make_shared<const RatePlan>(std::move(*Parsed));
+      else
         m_Context.log(WriteLog::Level::Error, "rate_row_malformed", {});
     } else if (startsWith(Row.Key, MemberPrefix)) {
       VmId Vm(Row.Key.substr(std::string(MemberPrefix).size()));
@@ -166,20 +173,25 @@
                    (m_PlanVersion == m_WroteOver &&
                     m_Context.now() < m_WroteAt + LateWriteTime);
   if (!Undecided)
-    m_Ceiling.reset();
+    m_Certain.reset();
   m_Hooks.Listed(Listed);
-  applyPart();
+  applyPlan();
   balance();
 }
 
-void FleetRows::applyPart() {
+void FleetRows::applyPlan() {
   bool Renewed =
       m_RenewedAt && m_Context.now() < *m_RenewedAt + SpendTime && m_Confirmed;
-  std::uint64_t Part = m_Plan && Renewed ? m_Plan->part(m_Self.Vm) : 0;
-  if (m_Ceiling)
-    Part = std::min(Part, *m_Ceiling);
-  m_Hooks.PartChanged(static_cast<double>(Part) /
-                      static_cast<double>(RatePlan::Whole));
+  std::set<RatePlan::Slot> Usable;
+  if (m_Plan && Renewed)
+    Usable = m_Plan->slotsOf(m_Self.Vm);
+  if (m_Certain) {
+    std::set<RatePlan::Slot> Both;
+    std::set_intersection(Usable.begin(), Usable.end(), m_Certain->begin(),
+                          m_Certain->end(), std::inserter(Both, Both.end()));
+    Usable = std::move(Both);
+  }
+  m_Hooks.PlanChanged(m_Plan, Usable);
 }
 
 void FleetRows::balance() {
@@ -187,7 +199,11 @@
     return;
   bool Create = !m_Plan && m_PlanVersion == 0;
   if (Create) {
-    if (m_Context.now() >= m_StartedAt + SettleTime)
+    // All VMs of a first start see that there is no plan: one of them goes
+    // first, the others only if it does not.
+    bool First = !m_Rows.empty() && m_Rows.begin()->first == m_Self.Vm;
+    Duration Wait = First ? SettleTime : 2 * SettleTime;
+    if (m_Context.now() >= m_StartedAt + Wait)
       createPlan();
     return;
   }
@@ -203,18 +219,18 @@
   writePlan(RatePlan::equal(Vms), std::nullopt);
 }
 
-/// @brief Inherits the part of a VM whose row has not changed for long.
+/// @brief Inherits the slots of a VM whose row has not changed for long.
 bool FleetRows::takeOverSilent() {
-  for (const auto &[Vm, Part] : m_Plan->parts()) {
+  for (const VmId &Vm : m_Plan->holders()) {
     auto Row = m_Rows.find(Vm);
     if (Vm == m_Self.Vm || Row == m_Rows.end())
       continue;
     if (Row->second.Since + TakeOverTime > m_Context.now())
       continue;
     RatePlan Next = *m_Plan;
-    Next.inherit(Vm, m_Self.Vm);
-    m_Context.log(WriteLog::Level::Info, "rate_part_inherited",
-                  {{"vm", Vm.value()}, {"millionths", std::to_string(Part)}});
+    Next.move(Vm, m_Self.Vm, m_Plan->size());
+    m_Context.log(WriteLog::Level::Info, "rate_slots_inherited",
+                  {{"vm", Vm.value()}});
     writePlan(std::move(Next), Row->second);
     return true;
   }
@@ -224,24 +240,23 @@
 void FleetRows::giveToPoorest() {
   if (m_Rows.empty())
     return;
-  std::uint64_t Fair = RatePlan::Whole / m_Rows.size();
-  std::uint64_t Own = m_Plan->part(m_Self.Vm);
-  double Slack = Uneven * static_cast<double>(Fair);
-  if (static_cast<double>(Own) < static_cast<double>(Fair) + Slack)
+  std::size_t Fair = m_Plan->size() / m_Rows.size();
+  std::size_t Own = m_Plan->slotsOf(m_Self.Vm).size();
+  if (Own <= Fair)
     return;
   std::optional<VmId> Poorest;
-  for (const auto &[Vm, Row] : m_Rows)
-    if (Vm != m_Self.Vm &&
-        (!Poorest || m_Plan->part(Vm) < m_Plan->part(*Poorest)))
+  std::size_t Fewest = 0;
+  for (const auto &[Vm, Row] : m_Rows) {
+    std::size_t Held = m_Plan->slotsOf(Vm).size();
+    if (Vm != m_Self.Vm && (!Poorest || Held < Fewest)) {
       Poorest = Vm;
-  bool Worthwhile =
-      Poorest && static_cast<double>(m_Plan->part(*Poorest)) + Slack <
-                     static_cast<double>(Fair);
-  if (!Worthwhile)
+      Fewest = Held;
+    }
+  }
+  if (!Poorest || Fewest + 1 >= Own || Fewest >= Fair)
     return;
   RatePlan Next = *m_Plan;
-  Next.move(m_Self.Vm, *Poorest,
-            std::min(Own - Fair, Fair - m_Plan->part(*Poorest)));
+  Next.move(m_Self.Vm, *Poorest, std::min(Own - Fair, Fair - Fewest));
   writePlan(std::move(Next), std::nullopt);
 }
 
@@ -255,10 +270,9 @@
     Write.Changes.push_back({Key, std::nullopt});
   }
   m_Writing = true;
-  // Until the outcome is read back the smaller of both parts counts.
-  std::uint64_t Now = m_Plan ? m_Plan->part(m_Self.Vm) : 0;
-  m_Ceiling = std::min(Now, Next.part(m_Self.Vm));
-  applyPart();
+  // Until the outcome is read back only what both plans give may be spent.
+  m_Certain = Next.slotsOf(m_Self.Vm);
+  applyPlan();
   m_WroteOver = m_PlanVersion;
   m_Hooks.Call(std::move(Write), [this](const PlatformAnswer &Answer) {
     m_Writing = false;
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -32,6 +32,8 @@
 constexpr Duration AliveAge = milliseconds(300);
 /// The holder of a duty must be lost for so long before another VM takes it.
 constexpr Duration HolderLostTime = seconds(2);
+/// A peer that has a newer configuration sends it within this time.
+constexpr Duration PeerConfigTime = milliseconds(400);
 constexpr Duration AcquireTimeout = seconds(3);
 /// After a signal, connections still come until the platform has noticed:
 /// two probes, a second apart.
@@ -48,7 +50,8 @@
   return std::holds_alternative<StartWork>(Message) ||
          std::holds_alternative<NextWork>(Message) ||
          std::holds_alternative<ProofAsk>(Message) ||
-         std::holds_alternative<TokenAsk>(Message);
+         std::holds_alternative<TokenAsk>(Message) ||
+         std::holds_alternative<NewsAsk>(Message);
 }
 
 } // namespace
@@ -70,6 +73,7 @@
           },
           [this] { return peers(); }),
       m_Rows(m_Context, m_Settings.Self, rowHooks()),
+      m_Readers(m_Context, readerHooks()),
       m_Promotion(m_Context, m_Targets, promotionHooks()),
       m_Sessions(m_Context, m_Targets, m_Choice, m_Rates, m_Metrics,
                  sessionHooks()) {
@@ -158,11 +162,14 @@
 FleetRows::Hooks PoolNode::rowHooks() {
   FleetRows::Hooks Ask;
   Ask.Call = m_Hooks.CallPlatform;
-  Ask.PartChanged = [this](double Part) {
-    if (Part != m_Rates.part())
-      m_Context.log(WriteLog::Level::Info, "rate_part_changed",
-                    {{"part", std::to_string(Part)}});
-    m_Rates.setPart(Part);
+  Ask.PlanChanged = [this](std::shared_ptr<const RatePlan> Plan,
+                           const std::set<RatePlan::Slot> &Usable) {
+    if (Usable.size() != m_Rates.slots())
+      m_Context.log(
+          WriteLog::Level::Info, "rate_slots_changed",
+          {{"slots", std::to_string(Usable.size())},
+           {"of", std::to_string(Plan ? Plan->size() : 0)}});
+    m_Rates.setPlan(std::move(Plan), Usable);
   };
   Ask.Listed = [this](const std::vector<MemberState> &Members) {
     listed(Members);
@@ -170,11 +177,43 @@
   return Ask;
 }
 
+StoreReaders::Hooks PoolNode::readerHooks() {
+  StoreReaders::Hooks Ask;
+  Ask.Ask = [this](const VmId &To, FleetMessage &&Message) {
+    send(To, std::move(Message));
+  };
+  Ask.Answer = [this](const VmId &To, FleetMessage &&Message) {
+    answerPeer(To, std::move(Message));
+  };
+  Ask.Members = [this]() -> const MemberMap & { return m_Members; };
+  Ask.ConfigVersion = [this] { return m_Config->Version; };
+  Ask.Targets = [this] {
+    std::vector<TargetEntry> All;
+    for (const auto &[Id, Entry] : m_Targets.entries())
+      All.push_back(Entry);
+    return All;
+  };
+  Ask.Follow = m_Hooks.FollowStore;
+  Ask.CompareVersion = [this](const VmId &From, std::uint64_t Version) {
+    compareVersion(From, Version);
+  };
+  Ask.Apply = [this](const News &Told) {
+    if (Told.TargetsBefore == 0)
+      return applyTargets(Told.Changed);
+    for (const TargetEntry &Entry : Told.Changed)
+      applyTarget(Entry);
+    for (const TargetId &Id : Told.Gone)
+      removeTarget(Id);
+  };
+  return Ask;
+}
+
 void PoolNode::begin(Instant Now) { m_Context.setNow(Now); }
 
 void PoolNode::start(Instant Now) {
   begin(Now);
   m_Rows.start();
+  m_Readers.start();
   m_Context.after(PeerCheckInterval, [this] { checkPeers(); });
   m_Context.after(HousekeepInterval, [this] { housekeep(); });
   settle();
@@ -256,7 +295,7 @@
   m_Origins[From] = Body.Start;
   bool Unknown = m_Members.count(From) == 0;
   m_Members[From] = {From, Body.DataCentre, Body.Address, Body.Start, true,
-                     Body.Leaving};
+                     Body.Leaving, Body.Cores};
   if (Unknown || Body.Leaving || NewLife) {
     m_Context.log(WriteLog::Level::Info, "vm_seen",
                   {{"vm", From.value()},
@@ -276,8 +315,12 @@
                 {{"vm", From.value()},
                  {"version", std::to_string(Version)},
                  {"own", std::to_string(m_Config->Version)}});
-  m_Hooks.ReadConfig();
   send(From, ConfigAsk{});
+  // The store is asked only where the peer does not deliver: calls are paid.
+  m_Context.after(PeerConfigTime, [this, Version] {
+    if (m_Config->Version < Version)
+      m_Hooks.ReadConfig();
+  });
 }
 
 void PoolNode::take(const VmId &From, Ping &&Body) {
@@ -382,6 +425,14 @@
   m_Hooks.TakeConfigText(Body.Text);
 }
 
+void PoolNode::take(const VmId &From, NewsAsk &&Body) {
+  m_Readers.received(From, Body);
+}
+
+void PoolNode::take(const VmId &From, News &&Body) {
+  m_Readers.received(From, Body);
+}
+
 // Callers.
 
 void PoolNode::callerOpened(Instant Now, CallerId Caller, std::string Database,
@@ -518,9 +569,34 @@
 
 void PoolNode::targetListed(Instant Now, const TargetEntry &Entry) {
   begin(Now);
+  if (applyTarget(Entry))
+    m_Readers.targetsChanged({Entry}, {});
+  settle();
+}
+
+void PoolNode::targetGone(Instant Now, const TargetId &Id) {
+  begin(Now);
+  removeTarget(Id);
+  m_Readers.targetsChanged({}, {Id});
+  settle();
+}
+
+void PoolNode::targetsListed(Instant Now, const std::vector<TargetEntry> &All) {
+  begin(Now);
+  applyTargets(All);
+  m_Readers.targetsListed();
+  settle();
+}
+
+void PoolNode::storeAnswered(Instant Now) {
+  begin(Now);
+  m_Readers.storeAnswered();
+}
+
+bool PoolNode::applyTarget(const TargetEntry &Entry) {
   TargetTable::Change Made = m_Targets.apply(Entry, m_Context.now());
   if (Made == TargetTable::Change::None)
-    return;
+    return false;
   m_Context.log(WriteLog::Level::Info, "target_listed",
                 {{"target", Entry.Id.value()},
                  {"group", Entry.Group.value()},
@@ -532,27 +608,28 @@
   limitPools();
   m_Promotion.checkGroups({Entry.Group});
   m_Sessions.retryHeld();
-  settle();
+  return true;
 }
 
-void PoolNode::targetGone(Instant Now, const TargetId &Id) {
-  begin(Now);
+void PoolNode::removeTarget(const TargetId &Id) {
   m_Targets.remove(Id, m_Context.now());
   m_Context.log(WriteLog::Level::Info, "target_unlisted",
                 {{"target", Id.value()}});
-  settle();
 }
 
-void PoolNode::targetsListed(Instant Now, const std::vector<TargetEntry> &All) {
+void PoolNode::applyTargets(const std::vector<TargetEntry> &All) {
+  std::vector<TargetId> Gone;
   for (const auto &[Id, Known] : m_Targets.entries()) {
     bool Listed = std::any_of(
         All.begin(), All.end(),
         [Id = Id](const TargetEntry &Entry) { return Entry.Id == Id; });
     if (!Listed)
-      m_Targets.remove(Id, Now);
+      Gone.push_back(Id);
   }
+  for (const TargetId &Id : Gone)
+    m_Targets.remove(Id, m_Context.now());
   for (const TargetEntry &Entry : All)
-    targetListed(Now, Entry);
+    applyTarget(Entry);
 }
 
 void PoolNode::targetReachable(const TargetId &Id, bool Reachable) {
@@ -638,6 +715,7 @@
                  {"accounts", std::to_string(Config->Accounts.size())}});
   m_Sessions.setConfig(Config);
   m_Rates.configure(Config->Accounts);
+  m_Readers.configChanged();
   limitPools();
   settle();
 }
@@ -761,7 +839,7 @@
                  {"operations", std::to_string(m_Sessions.busy())}});
   Hello Word{m_Context.self(),         m_Settings.Self.DataCentre,
              m_Settings.Self.PeerAddress, m_Settings.Self.Start,
-             m_Config->Version,        true};
+             m_Config->Version,        true, m_Settings.Self.Cores};
   tellAll(Word);
   limitPools();
   drain();
--- a/src/pooling/RatePlan.cpp
+++ b/src/pooling/RatePlan.cpp
@@ -1,20 +1,33 @@
 #include "bergamotstage/pooling/RatePlan.h"
 
-#include "bergamotstage/core/Parse.h"
+#include <xxhash.h>
 
 #include <algorithm>
 #include <sstream>
 
 namespace bergamotstage::pooling {
+namespace {
+
+/// Slots for each VM of the first start: later VMs can be given some.
+constexpr std::size_t SlotsPerVm = 4;
+/// The plan is one row: with names of 30 bytes this stays below 64 KiB.
+constexpr std::size_t MaxSlots = 1024;
+/// With more slots than this an account has AccountSlots of them.
+constexpr std::size_t SpreadOverAll = 64;
+/// Few enough that each carries whole tokens of a small account, enough that
+/// the loss of one VM leaves three quarters of the rate.
+constexpr std::size_t AccountSlots = 4;
+
+} // namespace
 
 RatePlan RatePlan::equal(const std::vector<VmId> &Vms) {
   RatePlan Plan;
   if (Vms.empty())
     return Plan;
-  std::uint64_t Each = Whole / Vms.size();
-  for (const VmId &Vm : Vms)
-    Plan.m_Parts[Vm] = Each;
-  Plan.m_Parts[Vms.front()] += Whole - Each * Plan.m_Parts.size();
+  std::size_t Rounds =
+      std::max<std::size_t>(1, std::min(SlotsPerVm, MaxSlots / Vms.size()));
+  for (; Rounds > 0; --Rounds)
+    Plan.m_Holders.insert(Plan.m_Holders.end(), Vms.begin(), Vms.end());
   return Plan;
 }
 
@@ -22,41 +35,77 @@
   RatePlan Plan;
   std::istringstream In{std::string(Text)};
   std::string Name;
-  std::string Amount;
-  std::uint64_t Sum = 0;
-  while (In >> Name >> Amount) {
-    auto Part = parseCount(Amount);
-    if (!Part || *Part > Whole || Plan.m_Parts.count(VmId(Name)) > 0)
-      return std::nullopt;
-    Sum += *Part;
-    Plan.m_Parts[VmId(Name)] = *Part;
-  }
-  if (Sum > Whole || Plan.m_Parts.empty())
+  while (In >> Name)
+    Plan.m_Holders.emplace_back(Name);
+  if (Plan.m_Holders.empty())
     return std::nullopt;
   return Plan;
 }
 
 std::string RatePlan::format() const {
   std::string Text;
-  for (const auto &[Vm, Part] : m_Parts)
-    Text += Vm.value() + " " + std::to_string(Part) + "\n";
+  for (const VmId &Holder : m_Holders)
+    Text += Holder.value() + "\n";
   return Text;
 }
 
-std::uint64_t RatePlan::part(const VmId &Vm) const {
-  auto Found = m_Parts.find(Vm);
-  return Found == m_Parts.end() ? 0 : Found->second;
+std::set<RatePlan::Slot> RatePlan::slotsOf(const VmId &Vm) const {
+  std::set<Slot> Held;
+  for (Slot At = 0; At < m_Holders.size(); ++At)
+    if (m_Holders[At] == Vm)
+      Held.insert(At);
+  return Held;
+}
+
+std::vector<RatePlan::Slot> RatePlan::slotsOf(const AccountId &Account) const {
+  std::vector<Slot> Chosen;
+  if (m_Holders.size() <= SpreadOverAll) {
+    for (Slot At = 0; At < m_Holders.size(); ++At)
+      Chosen.push_back(At);
+    return Chosen;
+  }
+  for (std::uint64_t Seed = 0; Chosen.size() < AccountSlots; ++Seed) {
+    auto At = static_cast<Slot>(
+        XXH3_64bits_withSeed(Account.value().data(), Account.value().size(),
+                             Seed) %
+        m_Holders.size());
+    if (std::find(Chosen.begin(), Chosen.end(), At) == Chosen.end())
+      Chosen.push_back(At);
+  }
+  return Chosen;
+}
+
+double RatePlan::part(const AccountId &Account,
+                      const std::set<Slot> &Usable) const {
+  std::vector<Slot> Slots = slotsOf(Account);
+  auto Held = std::count_if(Slots.begin(), Slots.end(), [&](Slot At) {
+    return Usable.count(At) > 0;
+  });
+  return Slots.empty() ? 0
+                       : static_cast<double>(Held) /
+                             static_cast<double>(Slots.size());
 }
 
-void RatePlan::move(const VmId &From, const VmId &To, std::uint64_t Amount) {
-  std::uint64_t Moved = std::min(Amount, part(From));
-  m_Parts[From] -= Moved;
-  m_Parts[To] += Moved;
+std::vector<VmId> RatePlan::holders(const AccountId &Account) const {
+  std::set<VmId> Found;
+  for (Slot At : slotsOf(Account))
+    Found.insert(m_Holders[At]);
+  return {Found.begin(), Found.end()};
 }
 
-void RatePlan::inherit(const VmId &From, const VmId &To) {
-  move(From, To, part(From));
-  m_Parts.erase(From);
+std::set<VmId> RatePlan::holders() const {
+  return {m_Holders.begin(), m_Holders.end()};
+}
+
+void RatePlan::move(const VmId &From, const VmId &To, std::size_t Count) {
+  for (VmId &Holder : m_Holders) {
+    if (Count == 0)
+      return;
+    if (Holder != From)
+      continue;
+    Holder = To;
+    --Count;
+  }
 }
 
 } // namespace bergamotstage::pooling
--- a/src/pooling/RateShare.cpp
+++ b/src/pooling/RateShare.cpp
@@ -19,6 +19,9 @@
 /// Demand that a VM keeps for itself and that a borrower asks for.
 constexpr double ReserveSeconds = 0.15;
 constexpr double BorrowSeconds = 0.3;
+/// Below so many operations a second tokens are not borrowed ahead of need:
+/// most would lapse before they are used.
+constexpr double AheadDemand = 4;
 /// The window over which demand is counted, and the weight of the newest.
 constexpr Duration DemandWindow = milliseconds(250);
 constexpr double DemandWeight = 0.4;
@@ -59,16 +62,20 @@
     }
 }
 
-void RateShare::setPart(double Part) {
-  m_Part = Part;
+void RateShare::setPlan(std::shared_ptr<const RatePlan> Plan,
+                        const std::set<RatePlan::Slot> &Usable) {
+  m_Plan = std::move(Plan);
+  m_Usable = Usable;
   for (auto &[Id, Of] : m_Accounts)
     apply(Of);
 }
 
 void RateShare::apply(Account &Of) {
   double Burst = Of.Contract.Burst + ExtraBurstSeconds * Of.Contract.Rate;
-  Of.Own.configure(makeContract(Of.Contract.Rate * m_Part, Burst * m_Part),
+  double Part = m_Plan ? m_Plan->part(Of.Contract.Id, m_Usable) : 0;
+  Of.Own.configure(makeContract(Of.Contract.Rate * Part, Burst * Part),
                    m_Context.now());
+  Of.Holders = m_Plan ? m_Plan->holders(Of.Contract.Id) : std::vector<VmId>();
 }
 
 TokenCount RateShare::available(Account &Of) {
@@ -106,7 +113,9 @@
   bool Taken = Of.Waiting.empty() && take(Of);
   if (Taken) {
     // Borrowed ahead of need, tokens cost no operation a wait.
-    if (available(Of) < tokens(Of.Demand * ReserveSeconds))
+    bool Ahead = Of.Demand >= AheadDemand &&
+                 available(Of) < tokens(Of.Demand * ReserveSeconds);
+    if (Ahead)
       borrow(Id, Of);
     return Done({true, {}});
   }
@@ -130,7 +139,11 @@
   std::vector<VmId> Fit;
   std::optional<VmId> Richest;
   std::uint64_t Most = 0;
-  for (const VmId &Peer : m_Peers()) {
+  std::vector<VmId> Reachable = m_Peers();
+  for (const VmId &Peer : Of.Holders) {
+    bool InReach = std::binary_search(Reachable.begin(), Reachable.end(), Peer);
+    if (!InReach)
+      continue;
     auto Known = Of.Lenders.find(Peer);
     if (Known == Of.Lenders.end()) {
       Fit.push_back(Peer);
@@ -162,8 +175,8 @@
   auto Lender = chooseLender(Of);
   if (!Lender)
     return;
-  double Needed =
-      static_cast<double>(Of.Waiting.size()) + 1 + Of.Demand * BorrowSeconds;
+  double Ahead = Of.Demand >= AheadDemand ? Of.Demand * BorrowSeconds : 0;
+  double Needed = static_cast<double>(Of.Waiting.size()) + Ahead;
   Of.Asked = Lender;
   Of.AskedAt = m_Context.now();
   m_Send(*Lender,
--- /dev/null
+++ b/src/pooling/StoreReaders.cpp
@@ -0,0 +1,147 @@
+#include "bergamotstage/pooling/StoreReaders.h"
+
+#include "bergamotstage/forward/Rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bergamotstage::pooling {
+namespace {
+
+/// VMs that follow the store, and how many VMs bring one more: an answer to
+/// each of fifty VMs a second is next to nothing for a reader.
+constexpr std::size_t FewestReaders = 2;
+constexpr std::size_t VmsPerReader = 50;
+/// A VM asks one reader after the other this often.
+constexpr Duration AskInterval = milliseconds(500);
+/// Who has not asked for so long gets no more changes.
+constexpr Duration SubscriptionLife = seconds(3);
+/// A reader's feed answers at least every two seconds. With a reader that last heard
+/// the store so long ago, a change could be missed for longer than the three
+/// seconds in which it must be in force.
+constexpr Duration MaxStoreAge = milliseconds(2800);
+/// After a word of a reader, the next one is due within this time.
+constexpr Duration NewsLife = milliseconds(1300);
+
+/// A VM that has just read all tables waits so long for the first word of a
+/// reader before it follows the store itself.
+constexpr Duration FirstNewsTime = milliseconds(2500);
+
+const char *const Subject = "store reader";
+
+} // namespace
+
+void StoreReaders::start() {
+  m_NewsUntil = m_Context.now() + FirstNewsTime;
+  m_Context.after(AskInterval, [this] { tick(); });
+}
+
+std::vector<VmId> StoreReaders::readers() const {
+  const MemberMap &Members = m_Hooks.Members();
+  std::vector<VmId> Order = rankOwners(Subject, DataCentreId(), Members);
+  std::size_t Count = FewestReaders + Members.size() / VmsPerReader;
+  if (Order.size() > Count)
+    Order.resize(Count);
+  return Order;
+}
+
+bool StoreReaders::isReader() const {
+  std::vector<VmId> Readers = readers();
+  return std::find(Readers.begin(), Readers.end(), m_Context.self()) !=
+         Readers.end();
+}
+
+void StoreReaders::tick() {
+  m_Context.after(AskInterval, [this] { tick(); });
+  std::vector<VmId> Readers = readers();
+  Readers.erase(std::remove(Readers.begin(), Readers.end(), m_Context.self()),
+                Readers.end());
+  bool Reader = isReader();
+  if (!Readers.empty() && !Reader) {
+    const VmId &Next = Readers[m_Turn++ % Readers.size()];
+    m_Hooks.Ask(Next, NewsAsk{m_Hooks.ConfigVersion(), m_Copied[Next]});
+  }
+  decide();
+}
+
+void StoreReaders::decide() {
+  bool Wanted = isReader() || m_Context.now() >= m_NewsUntil;
+  if (Wanted == m_Following)
+    return;
+  m_Following = Wanted;
+  m_Context.log(WriteLog::Level::Info, "follows_store",
+                {{"follows", Wanted ? "yes" : "no"},
+                 {"reader", isReader() ? "yes" : "no"}});
+  m_Hooks.Follow(Wanted);
+}
+
+void StoreReaders::storeAnswered() { m_StoreAnswered = m_Context.now(); }
+
+News StoreReaders::headOf() const {
+  News Told;
+  Told.StoreAge = m_Context.now() - m_StoreAnswered;
+  Told.ConfigVersion = m_Hooks.ConfigVersion();
+  Told.TargetsBefore = m_ListVersion;
+  Told.TargetsVersion = m_ListVersion;
+  return Told;
+}
+
+void StoreReaders::push(News Told) {
+  for (auto Entry = m_Subscribers.begin(); Entry != m_Subscribers.end();) {
+    if (Entry->second + SubscriptionLife < m_Context.now()) {
+      Entry = m_Subscribers.erase(Entry);
+      continue;
+    }
+    m_Hooks.Answer(Entry->first, FleetMessage(Told));
+    ++Entry;
+  }
+}
+
+void StoreReaders::targetsChanged(const std::vector<TargetEntry> &Changed,
+                                  const std::vector<TargetId> &Gone) {
+  News Told = headOf();
+  Told.TargetsVersion = ++m_ListVersion;
+  Told.Changed = Changed;
+  Told.Gone = Gone;
+  if (m_ListVersion > 1)
+    push(std::move(Told));
+}
+
+void StoreReaders::targetsListed() { ++m_ListVersion; }
+
+void StoreReaders::configChanged() { push(headOf()); }
+
+void StoreReaders::received(const VmId &From, const NewsAsk &Ask) {
+  m_Subscribers[From] = m_Context.now();
+  News Told = headOf();
+  // Without a list of its own this VM has none to pass on.
+  if (Ask.TargetsVersion != m_ListVersion && m_ListVersion > 0) {
+    Told.TargetsBefore = 0;
+    Told.Changed = m_Hooks.Targets();
+  }
+  m_Hooks.Answer(From, std::move(Told));
+}
+
+void StoreReaders::received(const VmId &From, const News &Told) {
+  m_Hooks.CompareVersion(From, Told.ConfigVersion);
+  std::uint64_t &Copied = m_Copied[From];
+  bool Whole = Told.TargetsBefore == 0 && Told.TargetsVersion > 0;
+  bool Follows = Told.TargetsBefore == Copied && Copied > 0;
+  if (Whole || Follows) {
+    if (Told.TargetsVersion != Copied)
+      m_Hooks.Apply(Told);
+    Copied = Told.TargetsVersion;
+  } else if (Told.TargetsVersion > 0) {
+    // A change was missed: the next ask brings the whole list.
+    Copied = 0;
+    m_Hooks.Ask(From, NewsAsk{m_Hooks.ConfigVersion(), 0});
+  }
+  bool Current = Told.TargetsVersion > 0 && Copied == Told.TargetsVersion &&
+                 Told.ConfigVersion <= m_Hooks.ConfigVersion() &&
+                 Told.StoreAge <= MaxStoreAge;
+  if (Current)
+    m_NewsUntil = m_Context.now() + NewsLife;
+  decide();
+}
+
+} // namespace bergamotstage::pooling
--- a/src/runtime/site/SiteDaemon.cpp
+++ b/src/runtime/site/SiteDaemon.cpp
@@ -33,7 +33,7 @@
 
 /// The configuration must be in force three seconds after it was accepted, and
 /// the connection that tells of it may have gone silent before.
-constexpr Duration ConfigWait = milliseconds(2400);
+constexpr Duration ConfigWait = seconds(2);
 /// Targets that leave must get nothing new after seven seconds.
 constexpr Duration TargetsWait = seconds(5);
 /// The settings file may change without a signal.
@@ -120,7 +120,8 @@
   PoolNode::Settings nodeSettings() const {
     PoolNode::Settings Made;
     Made.Self = {m_Boot.Vm, m_Boot.DataCentre, m_Boot.PeerAddress,
-                 m_Start,   true,              false};
+                 m_Start,   true,              false,
+                 m_Boot.Cores};
     Made.Grace = m_Boot.Grace;
     return Made;
   }
@@ -156,6 +157,10 @@
     Ask.ReadConfig = [this] { m_Config.readNow(); };
     Ask.ConfigText = [this] { return m_ConfigText; };
     Ask.TakeConfigText = [this](const std::string &Text) { takeConfig(Text); };
+    Ask.FollowStore = [this](bool Follow) {
+      m_Config.setActive(Follow);
+      m_Targets.setActive(Follow);
+    };
     Ask.StopAccepting = [this] { m_Callers->stopAccepting(); };
     Ask.Exit = [this] { m_Io.stop(); };
     return Ask;
@@ -221,7 +226,8 @@
                             m_Boot.PeerAddress,
                             m_Start,
                             m_Node.configVersion(),
-                            m_Leaving};
+                            m_Leaving,
+                            m_Boot.Cores};
     };
     Ask.Refused = [this](const std::string &Reason) {
       log({WriteLog::Level::Warning, "peer_refused", {{"reason", Reason}}});
@@ -241,6 +247,7 @@
     Ask.Reachable = [this](bool Reachable, const std::string &Reason) {
       logStore(platform::ConfigTable, Reachable, Reason);
     };
+    Ask.Answered = [this] { m_Node.storeAnswered(bootTime()); };
     return Ask;
   }
 
@@ -264,6 +271,7 @@
     Ask.Reachable = [this](bool Reachable, const std::string &Reason) {
       logStore(platform::TargetTableName, Reachable, Reason);
     };
+    Ask.Answered = [] {};
     return Ask;
   }
 
@@ -346,7 +354,7 @@
     Text += metrics::gauge("bergamotstage_links_opened_total", m_LinksOpened);
     Text += metrics::gauge("bergamotstage_config_version",
                            m_Node.configVersion());
-    Text += metrics::gauge("bergamotstage_rate_part", m_Node.ratePart());
+    Text += metrics::gauge("bergamotstage_rate_slots", m_Node.rateSlots());
     return {HttpOk, Text};
   }
 
--- a/src/runtime/site/TableFollower.cpp
+++ b/src/runtime/site/TableFollower.cpp
@@ -21,7 +21,16 @@
       m_Extra(std::make_unique<HttpClient>(Io, Address)),
       m_Table(std::move(Table)), m_Wait(Wait), m_Hooks(std::move(Ask)) {}
 
+void TableFollower::setActive(bool Active) {
+  m_Active = Active;
+  if (Active && !m_Waiting)
+    step();
+}
+
 void TableFollower::step() {
+  m_Waiting = m_Active;
+  if (!m_Active)
+    return;
   if (m_Whole)
     return follow();
   m_Pages.clear();
@@ -50,6 +59,7 @@
     m_Hooks.Reachable(true, "answered");
   m_Reachable = true;
   m_Failures = 0;
+  m_Hooks.Answered();
 }
 
 void TableFollower::readWhole(const std::string &AfterKey) {
@@ -71,7 +81,7 @@
         m_Whole = true;
         m_Hooks.Listed(m_Pages);
         m_Pages.clear();
-        follow();
+        step();
       });
 }
 
@@ -93,7 +103,7 @@
         m_Version = std::max(m_Version, Read->Version);
         for (const platform::ListedRow &Row : Read->Rows)
           m_Hooks.Changed(Row);
-        follow();
+        step();
       });
 }
 
--- a/src/runtime/site/TableFollower.h
+++ b/src/runtime/site/TableFollower.h
@@ -23,6 +23,8 @@
     std::function<void(const platform::ListedRow &)> Changed;
     /// The store was lost or regained.
     std::function<void(bool Reachable, const std::string &Reason)> Reachable;
+    /// The store answered.
+    std::function<void()> Answered;
   };
 
   /// @param Wait longest time that the store holds an answer back
@@ -30,6 +32,8 @@
                 std::string Table, Duration Wait, Hooks Ask);
 
   void start() { step(); }
+  /// @brief Goes on where it was, or waits for an answer and then stops.
+  void setActive(bool Active);
   /// @brief Reads the whole table as soon as possible.
   void readNow();
 
@@ -49,6 +53,8 @@
   Hooks m_Hooks;
   std::uint64_t m_Version = 0;
   bool m_Whole = false; ///< The table was read and m_Version holds.
+  bool m_Active = true;
+  bool m_Waiting = false; ///< A call or a timer will go on.
   bool m_Reachable = true;
   bool m_ReadingNow = false;
   unsigned m_Failures = 0;
