--- a/include/bergamotstage/pooling/Context.h
+++ b/include/bergamotstage/pooling/Context.h
@@ -63,8 +63,7 @@
 
 /// @brief A span as text for the log, in whole milliseconds.
 inline std::string inMilliseconds(Duration Span) {
-  return std::to_string(
-      std::chrono::duration_cast<milliseconds>(Span).count());
+  return std::to_string(std::chrono::duration_cast<milliseconds>(Span).count());
 }
 
 /// @brief A position as text for the log.
--- a/include/bergamotstage/pooling/FleetRows.h
+++ b/include/bergamotstage/pooling/FleetRows.h
@@ -97,9 +97,10 @@
   std::map<VmId, SeenRow> m_Rows;
   std::shared_ptr<const RatePlan> m_Plan; ///< Null before the first.
   std::uint64_t m_PlanVersion = 0;
-  std::optional<std::set<RatePlan::Slot>> m_Certain; ///< Slots that are held
-                                          ///< however an undecided change of
-                                          ///< the plan ends.
+  std::optional<std::set<RatePlan::Slot>>
+      m_Certain; ///< Slots that are held
+                 ///< however an undecided change of
+                 ///< the plan ends.
   static constexpr std::uint64_t NoVersion = ~std::uint64_t{0};
   std::uint64_t m_WroteOver = NoVersion; ///< Version that an undecided write
                                          ///< expects; NoVersion for none.
--- a/include/bergamotstage/pooling/PoolLink.h
+++ b/include/bergamotstage/pooling/PoolLink.h
@@ -36,9 +36,7 @@
   Instant UsedAt{};
 
   /// @brief Whether the next operation of its account may have it.
-  bool free() const {
-    return Open && !Job && !Own && Unanswered.empty();
-  }
+  bool free() const { return Open && !Job && !Own && Unanswered.empty(); }
 };
 
 } // namespace bergamotstage::pooling
--- a/include/bergamotstage/pooling/PromotionDuty.h
+++ b/include/bergamotstage/pooling/PromotionDuty.h
@@ -87,8 +87,7 @@
   void awaitCatchUp(const DatabaseId &Group, std::uint64_t Number,
                     Instant Until);
   void order(const DatabaseId &Group, std::uint64_t Number);
-  void call(const DatabaseId &Group, std::uint64_t Number,
-            std::uint64_t Fence);
+  void call(const DatabaseId &Group, std::uint64_t Number, std::uint64_t Fence);
   void confirm(const DatabaseId &Group, std::uint64_t Number);
   void raiseFence(const DatabaseId &Group, std::uint64_t Number);
   void again(const DatabaseId &Group, std::uint64_t Number,
--- a/include/bergamotstage/pooling/Session.h
+++ b/include/bergamotstage/pooling/Session.h
@@ -42,7 +42,7 @@
   bool LeaderOnly = false; ///< Followers turned out to be behind.
   VmId Owner;
   TargetId Target;
-  Instant SentAt{};  ///< When the owner was given Current.
+  Instant SentAt{};    ///< When the owner was given Current.
   Instant HoldUntil{}; ///< Longest wait for a target.
   unsigned Attempts = 0;
   std::set<std::pair<VmId, TargetId>> Avoid; ///< Owners that failed it.
@@ -62,7 +62,7 @@
   DatabaseId LastCommitGroup;
   std::optional<Operation> Op;
   std::deque<Statement> Backlog; ///< Sent before the last one was answered.
-  bool Served = false; ///< Has had an answer to a statement.
+  bool Served = false;           ///< Has had an answer to a statement.
 
   SessionState state() const {
     bool Transaction = Op && isTransaction(Op->How);
--- a/include/bergamotstage/pooling/Sessions.h
+++ b/include/bergamotstage/pooling/Sessions.h
@@ -29,8 +29,8 @@
 
   Sessions(Context &Shared, TargetTable &Targets, TargetChoice &Choice,
            RateShare &Rates, metrics::Registry &Metrics, Hooks Ask)
-      : m_Context(Shared), m_Targets(Targets), m_Choice(Choice),
-        m_Rates(Rates), m_Metrics(Metrics), m_Hooks(std::move(Ask)),
+      : m_Context(Shared), m_Targets(Targets), m_Choice(Choice), m_Rates(Rates),
+        m_Metrics(Metrics), m_Hooks(std::move(Ask)),
         m_Config(std::make_shared<SiteConfig>()) {}
 
   void setConfig(SharedConfig Config) { m_Config = std::move(Config); }
--- a/include/bergamotstage/pooling/StoreReaders.h
+++ b/include/bergamotstage/pooling/StoreReaders.h
@@ -66,7 +66,7 @@
   Hooks m_Hooks;
   bool m_Following = true;
   Instant m_StoreAnswered{};
-  Instant m_NewsUntil{}; ///< A reader's word is good until then.
+  Instant m_NewsUntil{};           ///< A reader's word is good until then.
   std::uint64_t m_ListVersion = 0; ///< Of this VM's own list, if it reads.
   std::map<VmId, std::uint64_t> m_Copied; ///< List of each reader as applied.
   std::map<VmId, Instant> m_Subscribers;
--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -33,8 +33,7 @@
     /// Called when the target stops or starts answering this VM.
     std::function<void(const TargetId &, bool Reachable)> Reachable;
     /// The target led when it was asked, and its log holds the position.
-    std::function<void(const TargetId &, Instant AskedAt,
-                       const HistoryPoint &)>
+    std::function<void(const TargetId &, Instant AskedAt, const HistoryPoint &)>
         Proven;
   };
 
@@ -174,7 +173,7 @@
   std::uint64_t m_LastOwn = 0;
   double m_MeanService; ///< Seconds that a statement holds a slot.
   Instant m_LastHeard{};
-  Instant m_OpenAfter{};     ///< No link is opened before.
+  Instant m_OpenAfter{};       ///< No link is opened before.
   unsigned m_OpenFailures = 0; ///< Since the target last sent anything.
   bool m_Silent = false;
   std::optional<LinkId> m_Probe;
--- a/include/bergamotstage/pooling/Work.h
+++ b/include/bergamotstage/pooling/Work.h
@@ -28,15 +28,14 @@
 
 /// @brief How an operation uses its target.
 enum class Access : std::uint8_t {
-  Leader,            ///< One statement; the target must prove that it leads.
-  LeaderTransaction, ///< A transaction; the target must lead throughout.
-  Follower,          ///< One read, on any target that holds a position.
+  Leader,             ///< One statement; the target must prove that it leads.
+  LeaderTransaction,  ///< A transaction; the target must lead throughout.
+  Follower,           ///< One read, on any target that holds a position.
   FollowerTransaction ///< Reads only, on any target that holds a position.
 };
 
 inline bool isTransaction(Access How) {
-  return How == Access::LeaderTransaction ||
-         How == Access::FollowerTransaction;
+  return How == Access::LeaderTransaction || How == Access::FollowerTransaction;
 }
 inline bool needsLeader(Access How) {
   return How == Access::Leader || How == Access::LeaderTransaction;
--- a/src/forward/Rendezvous.cpp
+++ b/src/forward/Rendezvous.cpp
@@ -41,11 +41,12 @@
     if (Member.Reachable && !Member.Leaving)
       Fit.push_back(
           {Id, Member.DataCentre == Near, rendezvousScore(Subject, Member)});
-  std::sort(Fit.begin(), Fit.end(), [](const Ranked &Left, const Ranked &Right) {
-    if (Left.IsNear != Right.IsNear)
-      return Left.IsNear;
-    return Left.Score > Right.Score;
-  });
+  std::sort(Fit.begin(), Fit.end(),
+            [](const Ranked &Left, const Ranked &Right) {
+              if (Left.IsNear != Right.IsNear)
+                return Left.IsNear;
+              return Left.Score > Right.Score;
+            });
   std::vector<VmId> Order;
   Order.reserve(Fit.size());
   for (const Ranked &Entry : Fit)
--- a/src/metrics/Prometheus.cpp
+++ b/src/metrics/Prometheus.cpp
@@ -54,8 +54,8 @@
         << toSeconds(LatencyHistogram::bucketBound(Bucket)) << "\"} " << Below
         << "\n";
   }
-  Out << Latency << "_bucket{" << Labels << ",le=\"+Inf\"} "
-      << Measured.count() << "\n";
+  Out << Latency << "_bucket{" << Labels << ",le=\"+Inf\"} " << Measured.count()
+      << "\n";
   double Sum = Measured.meanMilliseconds() / MillisecondsPerSecond *
                static_cast<double>(Measured.count());
   Out << Latency << "_sum{" << Labels << "} "
--- a/src/pooling/FleetRows.cpp
+++ b/src/pooling/FleetRows.cpp
@@ -47,8 +47,9 @@
   double Cores = 1;
   if (!(In >> DataCentre >> Address >> Start >> Cores) || !(Cores > 0))
     return std::nullopt;
-  return MemberState{Vm,   DataCentreId(DataCentre), Address,
-                     Incarnation(Start), true, false, Cores};
+  return MemberState{
+      Vm,   DataCentreId(DataCentre), Address, Incarnation(Start), true, false,
+      Cores};
 }
 
 std::optional<LeadDuty> parseDuty(const std::string &Text) {
@@ -152,8 +153,7 @@
         continue;
       }
       auto Known = m_Rows.find(Vm);
-      bool Same =
-          Known != m_Rows.end() && Known->second.Version == Row.Version;
+      bool Same = Known != m_Rows.end() && Known->second.Version == Row.Version;
       Rows[Vm] = {*Member, Row.Version,
                   Same ? Known->second.Since : m_Context.now()};
       Listed.push_back(*Member);
@@ -312,24 +312,25 @@
                    {"fence", std::to_string(Fence)},
                    {"won", Won ? "yes" : "no"}});
     // Also after a lost answer the row tells who holds the duty.
-    m_Hooks.Call(
-        ReadRows{DutyPrefix + Group.value()},
-        [this, Group, Fence, Done](const PlatformAnswer &Got) {
-          const auto *Rows = std::get_if<RowsRead>(&Got);
-          bool Found = Rows != nullptr && !Rows->Rows.empty() &&
+    m_Hooks.Call(ReadRows{DutyPrefix + Group.value()},
+                 [this, Group, Fence, Done](const PlatformAnswer &Got) {
+                   const auto *Rows = std::get_if<RowsRead>(&Got);
+                   bool Found =
+                       Rows != nullptr && !Rows->Rows.empty() &&
                        Rows->Rows.front().Key == DutyPrefix + Group.value();
-          if (!Found)
-            return Done(std::nullopt);
-          auto Duty = parseDuty(Rows->Rows.front().Value);
-          if (!Duty)
-            return Done(std::nullopt);
-          Duty->Version = Rows->Rows.front().Version;
-          m_Duties[Group] = *Duty;
-          bool Mine = Duty->Holder == m_Self.Vm && Duty->Fence == Fence;
-          if (!Mine)
-            return Done(std::nullopt);
-          Done(Fence);
-        });
+                   if (!Found)
+                     return Done(std::nullopt);
+                   auto Duty = parseDuty(Rows->Rows.front().Value);
+                   if (!Duty)
+                     return Done(std::nullopt);
+                   Duty->Version = Rows->Rows.front().Version;
+                   m_Duties[Group] = *Duty;
+                   bool Mine =
+                       Duty->Holder == m_Self.Vm && Duty->Fence == Fence;
+                   if (!Mine)
+                     return Done(std::nullopt);
+                   Done(Fence);
+                 });
   });
 }
 
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -132,8 +132,7 @@
       return Done(std::nullopt);
     At->command(anyAccount(), std::move(Request), std::move(Done));
   };
-  Ask.CallPromote = [this](Promote Order,
-                           PromotionDuty::PromoteCallback Done) {
+  Ask.CallPromote = [this](Promote Order, PromotionDuty::PromoteCallback Done) {
     m_Hooks.CallPlatform(std::move(Order), std::move(Done));
   };
   Ask.IsHolder = [this](const DatabaseId &Group) { return holdsDuty(Group); };
@@ -165,10 +164,9 @@
   Ask.PlanChanged = [this](std::shared_ptr<const RatePlan> Plan,
                            const std::set<RatePlan::Slot> &Usable) {
     if (Usable.size() != m_Rates.slots())
-      m_Context.log(
-          WriteLog::Level::Info, "rate_slots_changed",
-          {{"slots", std::to_string(Usable.size())},
-           {"of", std::to_string(Plan ? Plan->size() : 0)}});
+      m_Context.log(WriteLog::Level::Info, "rate_slots_changed",
+                    {{"slots", std::to_string(Usable.size())},
+                     {"of", std::to_string(Plan ? Plan->size() : 0)}});
     m_Rates.setPlan(std::move(Plan), Usable);
   };
   Ask.Listed = [this](const std::vector<MemberState> &Members) {
@@ -294,8 +292,8 @@
       At->abandonAll(From);
   m_Origins[From] = Body.Start;
   bool Unknown = m_Members.count(From) == 0;
-  m_Members[From] = {From, Body.DataCentre, Body.Address, Body.Start, true,
-                     Body.Leaving, Body.Cores};
+  m_Members[From] = {From, Body.DataCentre, Body.Address, Body.Start,
+                     true, Body.Leaving,    Body.Cores};
   if (Unknown || Body.Leaving || NewLife) {
     m_Context.log(WriteLog::Level::Info, "vm_seen",
                   {{"vm", From.value()},
@@ -370,8 +368,7 @@
 void PoolNode::take(const VmId &From, ProofAsk &&Body) {
   TargetPool *At = pool(Body.Target);
   if (At == nullptr)
-    return answerPeer(From,
-                      ProofReply{Body.Target, false, {}, {}, Body.Stamp});
+    return answerPeer(From, ProofReply{Body.Target, false, {}, {}, Body.Stamp});
   At->prove(Body.Account, SharedProofAge,
             [this, From, Target = Body.Target, Stamp = Body.Stamp](
                 std::optional<HistoryPoint> Position, Instant AskedAt) {
@@ -522,8 +519,8 @@
     unsigned Cap = Group == m_Config->Groups.end() ? OtherLinks * 2
                                                    : Group->second.MaxLinks;
     std::vector<VmId> Order = owners(Id);
-    auto Place = std::find(Order.begin(), Order.end(), m_Context.self()) -
-                 Order.begin();
+    auto Place =
+        std::find(Order.begin(), Order.end(), m_Context.self()) - Order.begin();
     TargetPool::Limits Limits;
     Limits.Slots = std::max(1U, Target->Slots);
     Limits.MaxLinks = OtherLinks;
@@ -677,9 +674,9 @@
   bool HolderGone = true;
   if (Duty) {
     auto Holder = m_Members.find(Duty->Holder);
-    HolderGone = Holder == m_Members.end() || Holder->second.Leaving ||
-                 m_Health.lostFor(Duty->Holder, m_Context.now()) >=
-                     HolderLostTime;
+    HolderGone =
+        Holder == m_Members.end() || Holder->second.Leaving ||
+        m_Health.lostFor(Duty->Holder, m_Context.now()) >= HolderLostTime;
   }
   if (Acquiring || !First || !HolderGone)
     return;
@@ -803,8 +800,7 @@
 }
 
 void PoolNode::housekeep() {
-  for (const TargetId &Id :
-       m_Targets.expire(m_Context.now(), MissingGrace))
+  for (const TargetId &Id : m_Targets.expire(m_Context.now(), MissingGrace))
     dropPool(Id, "the target's entry is gone");
   limitPools();
   for (auto &[Id, At] : m_Pools) {
@@ -837,9 +833,13 @@
   m_Context.log(WriteLog::Level::Info, "shutdown_started",
                 {{"sessions", std::to_string(m_Sessions.size())},
                  {"operations", std::to_string(m_Sessions.busy())}});
-  Hello Word{m_Context.self(),         m_Settings.Self.DataCentre,
-             m_Settings.Self.PeerAddress, m_Settings.Self.Start,
-             m_Config->Version,        true, m_Settings.Self.Cores};
+  Hello Word{m_Context.self(),
+             m_Settings.Self.DataCentre,
+             m_Settings.Self.PeerAddress,
+             m_Settings.Self.Start,
+             m_Config->Version,
+             true,
+             m_Settings.Self.Cores};
   tellAll(Word);
   limitPools();
   drain();
@@ -854,9 +854,10 @@
     m_Hooks.StopAccepting();
   if (Passed >= m_Settings.Grace / 2)
     m_Sessions.abortTransactions();
-  bool Done = m_Sessions.size() == 0 &&
-              std::all_of(m_Pools.begin(), m_Pools.end(),
-                          [](const auto &Entry) { return Entry.second->idle(); });
+  bool Done =
+      m_Sessions.size() == 0 &&
+      std::all_of(m_Pools.begin(), m_Pools.end(),
+                  [](const auto &Entry) { return Entry.second->idle(); });
   bool Over = Passed >= m_Settings.Grace - EndMargin;
   if (!m_Exited && ((Done && !Accepting) || Over)) {
     m_Exited = true;
--- a/src/pooling/PositionProofs.cpp
+++ b/src/pooling/PositionProofs.cpp
@@ -27,9 +27,10 @@
 
 std::optional<HistoryPoint>
 PositionProofs::oldestSince(Instant NotBefore) const {
-  auto Found = std::find_if(
-      m_Proofs.begin(), m_Proofs.end(),
-      [&](const Proof &Known) { return Known.AskedAt >= NotBefore; });
+  auto Found =
+      std::find_if(m_Proofs.begin(), m_Proofs.end(), [&](const Proof &Known) {
+        return Known.AskedAt >= NotBefore;
+      });
   if (Found == m_Proofs.end())
     return std::nullopt;
   return Found->Position;
--- a/src/pooling/PromotionDuty.cpp
+++ b/src/pooling/PromotionDuty.cpp
@@ -94,8 +94,8 @@
 
 void PromotionDuty::start(const DatabaseId &Group, std::optional<TargetId> Old,
                           bool Planned) {
-  bool Paused = m_NotBefore.count(Group) > 0 &&
-                m_Context.now() < m_NotBefore[Group];
+  bool Paused =
+      m_NotBefore.count(Group) > 0 && m_Context.now() < m_NotBefore[Group];
   if (active(Group) || Paused || !m_Hooks.IsHolder(Group))
     return;
   Attempt New;
@@ -142,8 +142,8 @@
 void PromotionDuty::survey(const DatabaseId &Group, std::uint64_t Number) {
   Attempt *Known = find(Group, Number);
   auto Primary = m_Targets.primary(Group);
-  bool Replaced = Primary && Known->Old != Primary &&
-                  m_Targets.takesWork(*Primary);
+  bool Replaced =
+      Primary && Known->Old != Primary && m_Targets.takesWork(*Primary);
   if (Replaced)
     return end(Group, "another target leads");
   Known->Statuses.clear();
@@ -211,11 +211,11 @@
   if (Confirmed && Known->Statuses.size() < Known->Expected)
     return again(Group, Number,
                  "a follower that may hold acknowledged commits is silent");
-  auto Best = std::max_element(
-      Known->Statuses.begin(), Known->Statuses.end(),
-      [](const auto &Left, const auto &Right) {
-        return Left.second.Received < Right.second.Received;
-      });
+  auto Best =
+      std::max_element(Known->Statuses.begin(), Known->Statuses.end(),
+                       [](const auto &Left, const auto &Right) {
+                         return Left.second.Received < Right.second.Received;
+                       });
   Known->Candidate = Best->first;
   m_Context.log(WriteLog::Level::Info, "promotion_candidate",
                 {{"group", Group.value()},
@@ -234,21 +234,21 @@
   LinkRequest Ask;
   Ask.What = LinkRequest::Kind::StepDown;
   Ask.AtTerm = Term(Known->TopTerm.value() + 1);
-  m_Hooks.Command(
-      *Known->Old, std::move(Ask),
-      [this, Group, Number](std::optional<LinkReply> Reply) {
-        Attempt *Later = find(Group, Number);
-        if (Later == nullptr)
-          return;
-        bool Told = Reply && Reply->Status;
-        if (Told)
-          Later->MustHold = Reply->Status->Received;
-        else
-          m_Context.log(WriteLog::Level::Warning, "step_down_unanswered",
-                        {{"group", Group.value()},
-                         {"target", Later->Old->value()}});
-        awaitCatchUp(Group, Number, m_Context.now() + CatchUpTime);
-      });
+  m_Hooks.Command(*Known->Old, std::move(Ask),
+                  [this, Group, Number](std::optional<LinkReply> Reply) {
+                    Attempt *Later = find(Group, Number);
+                    if (Later == nullptr)
+                      return;
+                    bool Told = Reply && Reply->Status;
+                    if (Told)
+                      Later->MustHold = Reply->Status->Received;
+                    else
+                      m_Context.log(WriteLog::Level::Warning,
+                                    "step_down_unanswered",
+                                    {{"group", Group.value()},
+                                     {"target", Later->Old->value()}});
+                    awaitCatchUp(Group, Number, m_Context.now() + CatchUpTime);
+                  });
 }
 
 void PromotionDuty::awaitCatchUp(const DatabaseId &Group, std::uint64_t Number,
@@ -270,16 +270,16 @@
       return;
     LinkRequest Ask;
     Ask.What = LinkRequest::Kind::Status;
-    m_Hooks.Command(Later->Candidate, std::move(Ask),
-                    [this, Group, Number,
-                     Until](std::optional<LinkReply> Reply) {
-                      Attempt *Asked = find(Group, Number);
-                      if (Asked == nullptr)
-                        return;
-                      if (Reply && Reply->Status)
-                        Asked->Statuses[Asked->Candidate] = *Reply->Status;
-                      awaitCatchUp(Group, Number, Until);
-                    });
+    m_Hooks.Command(
+        Later->Candidate, std::move(Ask),
+        [this, Group, Number, Until](std::optional<LinkReply> Reply) {
+          Attempt *Asked = find(Group, Number);
+          if (Asked == nullptr)
+            return;
+          if (Reply && Reply->Status)
+            Asked->Statuses[Asked->Candidate] = *Reply->Status;
+          awaitCatchUp(Group, Number, Until);
+        });
   });
 }
 
@@ -315,38 +315,37 @@
   Order.Fence = Fence;
   Known->ConfirmUntil = m_Context.now() + ConfirmTime;
   Known->Ordered = true;
-  m_Hooks.CallPromote(
-      std::move(Order),
-      [this, Group, Number, Fence](const PlatformAnswer &Answer) {
-        Attempt *Later = find(Group, Number);
-        if (Later == nullptr)
-          return;
-        const auto *Decided = std::get_if<PromotionDecided>(&Answer);
-        m_Context.log(
-            WriteLog::Level::Warning, "promotion_ordered",
-            {{"group", Group.value()},
-             {"target", Later->Candidate.value()},
-             {"fence", std::to_string(Fence)},
-             {"applied", Decided == nullptr  ? "unknown"
-                         : Decided->Applied ? "yes"
-                                            : "no"},
-             {"reason", Decided == nullptr ? "no answer" : Decided->Reason}});
-        const auto *Failed = std::get_if<PlatformFailed>(&Answer);
-        if (Failed != nullptr && !Failed->MayHaveTakenEffect) {
-          Later->Ordered = false;
-          return again(Group, Number, Failed->Reason);
-        }
-        bool Refused = Decided != nullptr && !Decided->Applied;
-        if (Refused) {
-          Later->Ordered = false;
-          return m_Hooks.RaiseFence(
-              Group, [this, Group, Number](std::optional<std::uint64_t>) {
-                if (find(Group, Number) != nullptr)
-                  again(Group, Number, "the order was refused");
-              });
-        }
-        confirm(Group, Number);
-      });
+  m_Hooks.CallPromote(std::move(Order), [this, Group, Number,
+                                         Fence](const PlatformAnswer &Answer) {
+    Attempt *Later = find(Group, Number);
+    if (Later == nullptr)
+      return;
+    const auto *Decided = std::get_if<PromotionDecided>(&Answer);
+    m_Context.log(
+        WriteLog::Level::Warning, "promotion_ordered",
+        {{"group", Group.value()},
+         {"target", Later->Candidate.value()},
+         {"fence", std::to_string(Fence)},
+         {"applied", Decided == nullptr ? "unknown"
+                     : Decided->Applied ? "yes"
+                                        : "no"},
+         {"reason", Decided == nullptr ? "no answer" : Decided->Reason}});
+    const auto *Failed = std::get_if<PlatformFailed>(&Answer);
+    if (Failed != nullptr && !Failed->MayHaveTakenEffect) {
+      Later->Ordered = false;
+      return again(Group, Number, Failed->Reason);
+    }
+    bool Refused = Decided != nullptr && !Decided->Applied;
+    if (Refused) {
+      Later->Ordered = false;
+      return m_Hooks.RaiseFence(
+          Group, [this, Group, Number](std::optional<std::uint64_t>) {
+            if (find(Group, Number) != nullptr)
+              again(Group, Number, "the order was refused");
+          });
+    }
+    confirm(Group, Number);
+  });
 }
 
 void PromotionDuty::confirm(const DatabaseId &Group, std::uint64_t Number) {
@@ -358,8 +357,8 @@
     // the platform has seen it.
     return raiseFence(Group, Number);
   }
-  m_Hooks.Prove(Known->Candidate, [this, Group, Number](
-                                      std::optional<HistoryPoint> Shown) {
+  m_Hooks.Prove(Known->Candidate, [this, Group,
+                                   Number](std::optional<HistoryPoint> Shown) {
     Attempt *Later = find(Group, Number);
     if (Later == nullptr)
       return;
--- a/src/pooling/RatePlan.cpp
+++ b/src/pooling/RatePlan.cpp
@@ -65,10 +65,10 @@
     return Chosen;
   }
   for (std::uint64_t Seed = 0; Chosen.size() < AccountSlots; ++Seed) {
-    auto At = static_cast<Slot>(
-        XXH3_64bits_withSeed(Account.value().data(), Account.value().size(),
-                             Seed) %
-        m_Holders.size());
+    auto At =
+        static_cast<Slot>(XXH3_64bits_withSeed(Account.value().data(),
+                                               Account.value().size(), Seed) %
+                          m_Holders.size());
     if (std::find(Chosen.begin(), Chosen.end(), At) == Chosen.end())
       Chosen.push_back(At);
   }
@@ -78,12 +78,11 @@
 double RatePlan::part(const AccountId &Account,
                       const std::set<Slot> &Usable) const {
   std::vector<Slot> Slots = slotsOf(Account);
-  auto Held = std::count_if(Slots.begin(), Slots.end(), [&](Slot At) {
-    return Usable.count(At) > 0;
-  });
-  return Slots.empty() ? 0
-                       : static_cast<double>(Held) /
-                             static_cast<double>(Slots.size());
+  auto Held = std::count_if(Slots.begin(), Slots.end(),
+                            [&](Slot At) { return Usable.count(At) > 0; });
+  return Slots.empty()
+             ? 0
+             : static_cast<double>(Held) / static_cast<double>(Slots.size());
 }
 
 std::vector<VmId> RatePlan::holders(const AccountId &Account) const {
--- a/src/pooling/RateShare.cpp
+++ b/src/pooling/RateShare.cpp
@@ -192,7 +192,8 @@
   }
   if (!Of.Waiting.empty())
     borrow(Id, Of);
-  bool Hopeless = !Of.Asked && Of.Own.until(OneToken, m_Context.now()) > MaxWait;
+  bool Hopeless =
+      !Of.Asked && Of.Own.until(OneToken, m_Context.now()) > MaxWait;
   std::deque<Waiter> Refused;
   while (!Of.Waiting.empty() &&
          (Hopeless || Of.Waiting.front().GiveUpAt <= m_Context.now())) {
@@ -204,9 +205,9 @@
     m_Context.timers().cancel(*Of.Wake);
   Of.Wake.reset();
   if (!Of.Waiting.empty()) {
-    Instant Next = std::min(Of.Waiting.front().GiveUpAt,
-                            m_Context.now() + Of.Own.until(OneToken,
-                                                           m_Context.now()));
+    Instant Next =
+        std::min(Of.Waiting.front().GiveUpAt,
+                 m_Context.now() + Of.Own.until(OneToken, m_Context.now()));
     Next = std::max(Next, m_Context.now() + milliseconds(1));
     Of.Wake = m_Context.timers().schedule(Next, [this, Id] {
       m_Accounts.at(Id).Wake.reset();
@@ -230,8 +231,8 @@
       Of.Demand = 0;
     TokenCount Held = Of.Own.available(m_Context.now());
     TokenCount Kept = tokens(Of.Demand * ReserveSeconds);
-    TokenCount Spare = Of.Waiting.empty() && Kept < Held ? Held - Kept
-                                                         : TokenCount{};
+    TokenCount Spare =
+        Of.Waiting.empty() && Kept < Held ? Held - Kept : TokenCount{};
     Grant.MilliTokens = std::min(Ask.MilliTokens, toMilli(Spare));
     Of.Own.take(fromMilli(Grant.MilliTokens), m_Context.now());
     Grant.LeftMilliTokens = toMilli(Spare) - Grant.MilliTokens;
@@ -249,8 +250,7 @@
   Lender &Known = Of.Lenders[From];
   Known.LeftMilliTokens = Grant.LeftMilliTokens;
   bool Empty = Grant.LeftMilliTokens < MilliPerToken;
-  Known.NotBefore =
-      m_Context.now() + (Empty ? EmptyLenderPause : Duration(0));
+  Known.NotBefore = m_Context.now() + (Empty ? EmptyLenderPause : Duration(0));
   available(Of);
   Of.Borrowed = Of.Borrowed + fromMilli(Grant.MilliTokens);
   Of.BorrowedAt = m_Context.now();
--- a/src/pooling/Sessions.cpp
+++ b/src/pooling/Sessions.cpp
@@ -284,8 +284,7 @@
   }
   if (!needsLeader(Op.How)) {
     auto Newest = m_Choice.proofs(Op.Route.Group).newest();
-    bool Old =
-        !Newest || m_Context.now() - *Newest > Op.Route.MaxStaleness / 2;
+    bool Old = !Newest || m_Context.now() - *Newest > Op.Route.MaxStaleness / 2;
     if (Old)
       askProof(Op.Route.Group, Op.Account);
   }
@@ -304,10 +303,10 @@
   Asked.How = Made.How;
   Asked.After = Made.After;
   Asked.Priority = Op.Route.Priority;
-  Asked.QueueTime = std::max(
-      Duration(0), scaled(Op.Route.LatencyTarget, QueueTargets) -
-                       (m_Context.now() - (Op.HoldUntil -
-                                           Op.Route.LatencyTarget)));
+  Asked.QueueTime =
+      std::max(Duration(0),
+               scaled(Op.Route.LatencyTarget, QueueTargets) -
+                   (m_Context.now() - (Op.HoldUntil - Op.Route.LatencyTarget)));
   Asked.StatementTimeout = Op.Route.StatementTimeout;
   Asked.Values = Of.Values;
   Asked.First = Op.Current;
@@ -381,12 +380,14 @@
   const TargetEntry *Target = m_Targets.find(Reply.Target);
   if (Target == nullptr)
     return;
+  // Without a proof the ask stays on record, so that the next one waits.
+  if (!Reply.Proven)
+    return;
   m_ProofAskedAt.erase(Target->Group);
   // The owner answered no sooner than it was asked, so that the target was
   // asked no sooner than the proof's age before that.
   Instant AskedAt(Duration(static_cast<Duration::rep>(Reply.Stamp)));
-  if (Reply.Proven)
-    m_Choice.proofs(Target->Group).add(AskedAt - Reply.Age, Reply.Position);
+  m_Choice.proofs(Target->Group).add(AskedAt - Reply.Age, Reply.Position);
   retryHeld();
 }
 
@@ -523,8 +524,7 @@
   }
   for (CallerId Caller : Affected) {
     Session *Of = find(Caller);
-    if (Of == nullptr || !Of->Op || !Of->Op->Placed ||
-        Of->Op->Owner != Owner)
+    if (Of == nullptr || !Of->Op || !Of->Op->Placed || Of->Op->Owner != Owner)
       continue;
     if (Of->Op->Waits) {
       lost(*Of, "the VM that holds the connection is out of reach");
@@ -560,8 +560,7 @@
     logOutcome(Of, Reply);
     Of.Op->Waits = false;
     Of.Op->Served = true;
-    bool Over =
-        !isTransaction(Of.Op->How) || Reply.State == SessionState::Idle;
+    bool Over = !isTransaction(Of.Op->How) || Reply.State == SessionState::Idle;
     if (Over)
       endOperation(Of);
   } else {
@@ -617,24 +616,23 @@
   bool Plain = !Reply.Error && Took <= Op.Route.LatencyTarget;
   if (Plain && Op.Number % SuccessSample != 0)
     return;
-  m_Context.log(
-      Plain ? WriteLog::Level::Info : WriteLog::Level::Warning,
-      Reply.Error ? "statement_failed"
-      : Plain     ? "statement_served"
-                  : "statement_late",
-      {{"request", Op.Current.RequestId},
-       {"verb", verbName(Op.Current.Kind)},
-       {"account", Op.Account.value()},
-       {"route", Op.Route.Name.value()},
-       {"group", Op.Route.Group.value()},
-       {"error", Reply.Error ? errorName(*Reply.Error) : "none"},
-       {"cause", Reply.ErrorText},
-       {"ms", inMilliseconds(Took)},
-       {"owner", Op.Owner.value()},
-       {"target", Op.Target.value()},
-       {"attempts", std::to_string(Op.Attempts)},
-       {"held_for", Op.HeldFor.empty() ? "none" : Op.HeldFor},
-       {"config", std::to_string(m_Config->Version)}});
+  m_Context.log(Plain ? WriteLog::Level::Info : WriteLog::Level::Warning,
+                Reply.Error ? "statement_failed"
+                : Plain     ? "statement_served"
+                            : "statement_late",
+                {{"request", Op.Current.RequestId},
+                 {"verb", verbName(Op.Current.Kind)},
+                 {"account", Op.Account.value()},
+                 {"route", Op.Route.Name.value()},
+                 {"group", Op.Route.Group.value()},
+                 {"error", Reply.Error ? errorName(*Reply.Error) : "none"},
+                 {"cause", Reply.ErrorText},
+                 {"ms", inMilliseconds(Took)},
+                 {"owner", Op.Owner.value()},
+                 {"target", Op.Target.value()},
+                 {"attempts", std::to_string(Op.Attempts)},
+                 {"held_for", Op.HeldFor.empty() ? "none" : Op.HeldFor},
+                 {"config", std::to_string(m_Config->Version)}});
 }
 
 // Shutdown.
--- a/src/pooling/StoreReaders.cpp
+++ b/src/pooling/StoreReaders.cpp
@@ -16,9 +16,9 @@
 constexpr Duration AskInterval = milliseconds(500);
 /// Who has not asked for so long gets no more changes.
 constexpr Duration SubscriptionLife = seconds(3);
-/// A reader's feed answers at least every two seconds. With a reader that last heard
-/// the store so long ago, a change could be missed for longer than the three
-/// seconds in which it must be in force.
+/// A reader's feed answers at least every two seconds. With a reader that last
+/// heard the store so long ago, a change could be missed for longer than the
+/// three seconds in which it must be in force.
 constexpr Duration MaxStoreAge = milliseconds(2800);
 /// After a word of a reader, the next one is due within this time.
 constexpr Duration NewsLife = milliseconds(1300);
--- a/src/pooling/TargetChoice.cpp
+++ b/src/pooling/TargetChoice.cpp
@@ -126,8 +126,8 @@
     Best.What = Choice::Kind::Chosen;
     Best.Target = Id;
     Best.Owner = *Owner;
-    Best.How = isTransaction(Op.How) ? Access::FollowerTransaction
-                                     : Access::Follower;
+    Best.How =
+        isTransaction(Op.How) ? Access::FollowerTransaction : Access::Follower;
     Best.After = Required;
   }
   return Best;
--- a/src/pooling/TargetPool.cpp
+++ b/src/pooling/TargetPool.cpp
@@ -179,9 +179,7 @@
     reply(Lost, std::move(Result));
 }
 
-void TargetPool::finishJob(const WorkId &Id) {
-  m_Jobs.erase(Id);
-}
+void TargetPool::finishJob(const WorkId &Id) { m_Jobs.erase(Id); }
 
 // Choice of the next statement.
 
@@ -326,8 +324,7 @@
 
 void TargetPool::dispatch(Job &Next) {
   PoolLink &On = m_Links.at(*Next.Link);
-  BERGAMOTSTAGE_INVARIANT(On.Job &&
-                              !(*On.Job < Next.Asked.Id) &&
+  BERGAMOTSTAGE_INVARIANT(On.Job && !(*On.Job < Next.Asked.Id) &&
                               !(Next.Asked.Id < *On.Job) &&
                               On.Account == Next.Asked.Account,
                           "statements of different transactions never mix");
@@ -348,8 +345,8 @@
   Next.At = Phase::Beginning;
   LinkRequest Begin;
   bool Follows = Next.Asked.How == Access::FollowerTransaction;
-  Begin.What = Follows ? LinkRequest::Kind::BeginReadOnly
-                       : LinkRequest::Kind::Begin;
+  Begin.What =
+      Follows ? LinkRequest::Kind::BeginReadOnly : LinkRequest::Kind::Begin;
   if (Follows)
     Begin.After = Next.Asked.After;
   send(On, std::move(Begin));
@@ -357,8 +354,7 @@
 
 void TargetPool::prepareLink(PoolLink &On, const Job &Next) {
   static const SessionValues None;
-  const SessionValues &Wanted =
-      Next.Asked.Values ? *Next.Asked.Values : None;
+  const SessionValues &Wanted = Next.Asked.Values ? *Next.Asked.Values : None;
   const SessionValues &Held = On.Values ? *On.Values : None;
   bool Surplus = std::any_of(Held.begin(), Held.end(), [&](const auto &Entry) {
     return Wanted.count(Entry.first) == 0;
@@ -437,7 +433,8 @@
 
 void TargetPool::linkRefused(LinkId Id, ErrorCode Code) {
   m_Context.log(WriteLog::Level::Warning, "link_refused",
-                {{"target", m_Id.value()}, {"reason", errorName(Code)},
+                {{"target", m_Id.value()},
+                 {"reason", errorName(Code)},
                  {"links", std::to_string(m_Links.size())}});
   dropLink(Id, false);
   if (Code == ErrorCode::WrongTarget)
@@ -453,7 +450,8 @@
   bool Busy = !On.Unanswered.empty() || On.Job;
   if (!WasOpen || Busy)
     m_Context.log(WriteLog::Level::Warning, "link_failed",
-                  {{"target", m_Id.value()}, {"reason", Reason},
+                  {{"target", m_Id.value()},
+                   {"reason", Reason},
                    {"open", WasOpen ? "yes" : "no"}});
   dropLink(Id, false);
   if (!WasOpen) {
@@ -650,16 +648,15 @@
 
 void TargetPool::prove(const AccountId &Account, Duration Youngest,
                        ProofCallback Done) {
-  bool Fresh =
-      m_ProvenPosition && m_Context.now() - m_ProvenAt <= Youngest;
+  bool Fresh = m_ProvenPosition && m_Context.now() - m_ProvenAt <= Youngest;
   if (Fresh)
     return Done(m_ProvenPosition, m_ProvenAt);
   Instant AskedAt = m_Context.now();
   LinkRequest Begin;
   Begin.What = LinkRequest::Kind::Begin;
   command(Account, std::move(Begin),
-          [this, AskedAt, Done = std::move(Done)](
-              const std::optional<LinkReply> &Reply) {
+          [this, AskedAt,
+           Done = std::move(Done)](const std::optional<LinkReply> &Reply) {
             bool Leads = Reply && !Reply->Error && Reply->Position &&
                          Reply->State == SessionState::InTransaction;
             if (!Leads)
@@ -731,10 +728,9 @@
   watchSilence();
   runOwnRequests();
   pump();
-  bool Opening = std::any_of(m_Links.begin(), m_Links.end(),
-                             [](const auto &Entry) {
-                               return !Entry.second.Open;
-                             });
+  bool Opening =
+      std::any_of(m_Links.begin(), m_Links.end(),
+                  [](const auto &Entry) { return !Entry.second.Open; });
   if (!m_Jobs.empty() || !m_Own.empty() || Opening || m_Silent)
     armTick();
 }
@@ -807,8 +803,8 @@
     if (!On.Unanswered.empty() &&
         (!Oldest || On.Unanswered.front().At < *Oldest))
       Oldest = On.Unanswered.front().At;
-  bool Suspect = Oldest && Now - std::max(*Oldest, m_LastHeard) >=
-                               SilenceBeforeProbe;
+  bool Suspect =
+      Oldest && Now - std::max(*Oldest, m_LastHeard) >= SilenceBeforeProbe;
   if (!TestAgain && !Suspect)
     return;
   AccountId Account;
@@ -846,9 +842,9 @@
   std::vector<WorkId> Refused;
   std::vector<LinkId> Dropped;
   for (const auto &[Id, Known] : m_Jobs) {
-    bool MayTakeEffect = Known.At == Phase::Running &&
-                         (Known.Asked.First.Kind == Verb::Commit ||
-                          Known.Asked.First.writes());
+    bool MayTakeEffect =
+        Known.At == Phase::Running &&
+        (Known.Asked.First.Kind == Verb::Commit || Known.Asked.First.writes());
     if (MayTakeEffect)
       continue;
     if (Known.Link)
@@ -868,9 +864,9 @@
 
 void TargetPool::trim(Duration UnusedFor) {
   std::vector<LinkId> Unused;
-  std::size_t Surplus =
-      m_Links.size() > m_Limits.MaxLinks ? m_Links.size() - m_Limits.MaxLinks
-                                         : 0;
+  std::size_t Surplus = m_Links.size() > m_Limits.MaxLinks
+                            ? m_Links.size() - m_Limits.MaxLinks
+                            : 0;
   for (const auto &[Id, On] : m_Links) {
     bool Old = On.UsedAt + UnusedFor <= m_Context.now();
     if (On.free() && (Old || Unused.size() < Surplus))
@@ -883,7 +879,8 @@
 void TargetPool::shutDown(const std::string &Reason) {
   m_TakesWork = false;
   m_Context.log(WriteLog::Level::Info, "target_released",
-                {{"target", m_Id.value()}, {"reason", Reason},
+                {{"target", m_Id.value()},
+                 {"reason", Reason},
                  {"jobs", std::to_string(m_Jobs.size())}});
   std::vector<WorkId> Refused;
   for (const auto &[Id, Known] : m_Jobs)
--- a/src/pooling/TargetTable.cpp
+++ b/src/pooling/TargetTable.cpp
@@ -56,8 +56,7 @@
   return Found == m_Entries.end() ? nullptr : &Found->second;
 }
 
-std::vector<TargetId>
-TargetTable::groupMembers(const DatabaseId &Group) const {
+std::vector<TargetId> TargetTable::groupMembers(const DatabaseId &Group) const {
   std::vector<TargetId> Members;
   for (const auto &[Id, Entry] : m_Entries)
     if (Entry.Group == Group)
@@ -83,8 +82,8 @@
     if (Entry.Group != Group || !Entry.ClaimsLead)
       continue;
     auto Refused = m_Refused.find(Id);
-    bool InVain = Refused != m_Refused.end() &&
-                  Refused->second >= Entry.Version;
+    bool InVain =
+        Refused != m_Refused.end() && Refused->second >= Entry.Version;
     // A claim from before a promotion that is known is out of date.
     bool Outdated = Told != m_Promoted.end() && Told->second.Id != Id &&
                     Entry.Version <= Told->second.AfterVersion;
--- a/src/runtime/site/BootClock.h
+++ b/src/runtime/site/BootClock.h
@@ -15,8 +15,8 @@
   constexpr long NanosPerMicro = 1000;
   timespec Now{};
   clock_gettime(CLOCK_BOOTTIME, &Now);
-  return Instant(seconds(Now.tv_sec) + microseconds(Now.tv_nsec /
-                                                    NanosPerMicro));
+  return Instant(seconds(Now.tv_sec) +
+                 microseconds(Now.tv_nsec / NanosPerMicro));
 }
 
 } // namespace bergamotstage::runtime
--- a/src/runtime/site/ByteStream.cpp
+++ b/src/runtime/site/ByteStream.cpp
@@ -19,9 +19,7 @@
   Made->m_SilenceLimit = SilenceLimit;
   auto Endpoint = parseEndpoint(Address);
   if (!Endpoint) {
-    asio::post(Io, [Made, Address] {
-      Made->end("no address: " + Address);
-    });
+    asio::post(Io, [Made, Address] { Made->end("no address: " + Address); });
     return Made;
   }
   std::error_code Fault;
@@ -76,16 +74,16 @@
     return;
   }
   m_Writing.swap(m_Out);
-  asio::async_write(m_Socket, asio::buffer(m_Writing),
-                    [Self = shared_from_this()](std::error_code Failed,
-                                                std::size_t) {
-                      Self->m_Writing.clear();
-                      if (Self->m_Ended)
-                        return;
-                      if (Failed)
-                        return Self->end("write: " + Failed.message());
-                      Self->write();
-                    });
+  asio::async_write(
+      m_Socket, asio::buffer(m_Writing),
+      [Self = shared_from_this()](std::error_code Failed, std::size_t) {
+        Self->m_Writing.clear();
+        if (Self->m_Ended)
+          return;
+        if (Failed)
+          return Self->end("write: " + Failed.message());
+        Self->write();
+      });
 }
 
 void ByteStream::read() {
--- a/src/runtime/site/ByteStream.h
+++ b/src/runtime/site/ByteStream.h
@@ -30,8 +30,7 @@
   /// @brief Opens a connection; what is sent before it stands waits.
   static std::shared_ptr<ByteStream> connect(asio::io_context &Io,
                                              const std::string &Address,
-                                             Duration SilenceLimit,
-                                             Hooks Ask);
+                                             Duration SilenceLimit, Hooks Ask);
   /// @brief Takes a connection over that was accepted.
   static std::shared_ptr<ByteStream> adopt(asio::ip::tcp::socket Socket,
                                            Duration SilenceLimit, Hooks Ask);
--- a/src/runtime/site/CallerSockets.cpp
+++ b/src/runtime/site/CallerSockets.cpp
@@ -46,8 +46,8 @@
         m_Hooks.Closed(Id);
       };
       Caller &New = m_Callers[Id];
-      New.Stream = ByteStream::adopt(std::move(Socket), SilenceLimit,
-                                     std::move(Hooks));
+      New.Stream =
+          ByteStream::adopt(std::move(Socket), SilenceLimit, std::move(Hooks));
       New.Stream->setDeadline(StartTime, "no start in time");
     }
     accept();
--- a/src/runtime/site/HttpClient.cpp
+++ b/src/runtime/site/HttpClient.cpp
@@ -11,8 +11,7 @@
 constexpr std::size_t MaxBody = 16 * 1024 * 1024;
 constexpr Duration SilenceLimit = seconds(3);
 
-std::string render(const platform::HttpCall &Request,
-                   const std::string &Host) {
+std::string render(const platform::HttpCall &Request, const std::string &Host) {
   std::string Out = Request.Method + " " + Request.Path +
                     " HTTP/1.1\r\nHost: " + Host + "\r\n";
   for (const auto &[Name, Value] : Request.Headers)
@@ -69,8 +68,8 @@
     ByteStream::Hooks Hooks;
     Hooks.Received = [this](std::string_view Bytes) { received(Bytes); };
     Hooks.Ended = [this](const std::string &Reason) { fail(Reason); };
-    m_Stream = ByteStream::connect(m_Io, m_Address, SilenceLimit,
-                                   std::move(Hooks));
+    m_Stream =
+        ByteStream::connect(m_Io, m_Address, SilenceLimit, std::move(Hooks));
   }
   m_Stream->send(m_Queue.front().Bytes);
   m_Limit.expires_after(m_Queue.front().Limit);
@@ -85,8 +84,8 @@
 void HttpClient::received(std::string_view Bytes) {
   if (!m_Busy)
     return fail("an answer to no call");
-  std::size_t Parsed = http_parser_execute(&m_Parser, &m_Callbacks,
-                                           Bytes.data(), Bytes.size());
+  std::size_t Parsed =
+      http_parser_execute(&m_Parser, &m_Callbacks, Bytes.data(), Bytes.size());
   if (m_Complete)
     return finish(m_Parser.status_code);
   if (Parsed != Bytes.size())
--- a/src/runtime/site/HttpServer.cpp
+++ b/src/runtime/site/HttpServer.cpp
@@ -98,27 +98,27 @@
 }
 
 void HttpServer::accept() {
-  m_Acceptor.async_accept([this](std::error_code Failed,
-                                 asio::ip::tcp::socket Socket) {
-    if (Failed == asio::error::operation_aborted)
-      return;
-    bool Fits = !Failed && *m_Open < MaxConnections;
-    if (Fits) {
-      ++*m_Open;
-      auto Exchanged = std::make_shared<Exchange>(m_Serve);
-      ByteStream::Hooks Hooks;
-      Hooks.Received = [Exchanged](std::string_view Bytes) {
-        Exchanged->received(Bytes);
-      };
-      // The count goes down with the last copy of the hooks.
-      std::shared_ptr<void> Counted(nullptr,
-                                    [Open = m_Open](void *) { --*Open; });
-      Hooks.Ended = [Counted](const std::string &) {};
-      Exchanged->setStream(
-          ByteStream::adopt(std::move(Socket), IdleLimit, std::move(Hooks)));
-    }
-    accept();
-  });
+  m_Acceptor.async_accept(
+      [this](std::error_code Failed, asio::ip::tcp::socket Socket) {
+        if (Failed == asio::error::operation_aborted)
+          return;
+        bool Fits = !Failed && *m_Open < MaxConnections;
+        if (Fits) {
+          ++*m_Open;
+          auto Exchanged = std::make_shared<Exchange>(m_Serve);
+          ByteStream::Hooks Hooks;
+          Hooks.Received = [Exchanged](std::string_view Bytes) {
+            Exchanged->received(Bytes);
+          };
+          // The count goes down with the last copy of the hooks.
+          std::shared_ptr<void> Counted(nullptr,
+                                        [Open = m_Open](void *) { --*Open; });
+          Hooks.Ended = [Counted](const std::string &) {};
+          Exchanged->setStream(ByteStream::adopt(std::move(Socket), IdleLimit,
+                                                 std::move(Hooks)));
+        }
+        accept();
+      });
 }
 
 } // namespace bergamotstage::runtime
--- a/src/runtime/site/LogBudget.cpp
+++ b/src/runtime/site/LogBudget.cpp
@@ -12,10 +12,10 @@
   if (Now - m_Since >= Window) {
     for (const auto &[Name, Counted] : m_Counts)
       if (Counted.LeftOut > 0)
-        Told.push_back({WriteLog::Level::Warning,
-                        "log_lines_left_out",
-                        {{"of", Name},
-                         {"count", std::to_string(Counted.LeftOut)}}});
+        Told.push_back(
+            {WriteLog::Level::Warning,
+             "log_lines_left_out",
+             {{"of", Name}, {"count", std::to_string(Counted.LeftOut)}}});
     m_Counts.clear();
     m_Since = Now;
   }
--- a/src/runtime/site/PeerStreams.cpp
+++ b/src/runtime/site/PeerStreams.cpp
@@ -28,8 +28,7 @@
 } // namespace
 
 bool PeerStreams::FrameReader::add(
-    std::string_view Bytes,
-    const std::function<bool(std::string_view)> &Take) {
+    std::string_view Bytes, const std::function<bool(std::string_view)> &Take) {
   m_Bytes.append(Bytes);
   std::size_t At = 0;
   while (m_Bytes.size() - At >= LengthBytes) {
@@ -118,15 +117,15 @@
       };
       Hooks.Ended = [this, From](const std::string &) {
         auto Known = m_In.find(From->From);
-        bool Current = Known != m_In.end() &&
-                       Known->second == From->Stream.lock();
+        bool Current =
+            Known != m_In.end() && Known->second == From->Stream.lock();
         if (!Current)
           return;
         m_In.erase(Known);
         m_Hooks.OriginLost(From->From);
       };
-      auto Stream = ByteStream::adopt(std::move(Socket), SilenceLimit,
-                                      std::move(Hooks));
+      auto Stream =
+          ByteStream::adopt(std::move(Socket), SilenceLimit, std::move(Hooks));
       From->Stream = Stream;
       Stream->setDeadline(IntroductionTime, "no introduction");
     }
--- a/src/runtime/site/PeerStreams.h
+++ b/src/runtime/site/PeerStreams.h
@@ -35,8 +35,7 @@
   static tl::expected<std::unique_ptr<PeerStreams>, std::string>
   listen(asio::io_context &Io, const std::string &Address, Hooks Ask);
 
-  PeerStreams(asio::io_context &Io, asio::ip::tcp::acceptor Acceptor,
-              Hooks Ask)
+  PeerStreams(asio::io_context &Io, asio::ip::tcp::acceptor Acceptor, Hooks Ask)
       : m_Io(Io), m_Acceptor(std::move(Acceptor)), m_Hooks(std::move(Ask)) {}
 
   /// @brief Sends on the stream to a VM, which is opened if there is none.
--- a/src/runtime/site/SiteDaemon.cpp
+++ b/src/runtime/site/SiteDaemon.cpp
@@ -81,8 +81,7 @@
         m_Boot(std::move(Boot)), m_Start(newIncarnation()),
         m_Log(m_Options.LogLevel), m_Signals(m_Io, SIGTERM, SIGINT, SIGHUP),
         m_NodeTimer(m_Io), m_SettingsTimer(m_Io),
-        m_Calls(m_Io, m_Boot.Vm, m_Boot.StoreAddress,
-                m_Boot.PromotionAddress),
+        m_Calls(m_Io, m_Boot.Vm, m_Boot.StoreAddress, m_Boot.PromotionAddress),
         m_Config(m_Io, m_Boot.StoreAddress, platform::ConfigTable, ConfigWait,
                  configHooks()),
         m_Targets(m_Io, m_Boot.StoreAddress, platform::TargetTableName,
@@ -119,9 +118,9 @@
 private:
   PoolNode::Settings nodeSettings() const {
     PoolNode::Settings Made;
-    Made.Self = {m_Boot.Vm, m_Boot.DataCentre, m_Boot.PeerAddress,
-                 m_Start,   true,              false,
-                 m_Boot.Cores};
+    Made.Self = {
+        m_Boot.Vm, m_Boot.DataCentre, m_Boot.PeerAddress, m_Start, true,
+        false,     m_Boot.Cores};
     Made.Grace = m_Boot.Grace;
     return Made;
   }
@@ -221,13 +220,10 @@
       event([&](Instant Now) { m_Node.originLost(Now, Vm); });
     };
     Ask.Introduce = [this] {
-      return pooling::Hello{m_Boot.Vm,
-                            m_Boot.DataCentre,
-                            m_Boot.PeerAddress,
-                            m_Start,
-                            m_Node.configVersion(),
-                            m_Leaving,
-                            m_Boot.Cores};
+      return pooling::Hello{
+          m_Boot.Vm,   m_Boot.DataCentre,      m_Boot.PeerAddress,
+          m_Start,     m_Node.configVersion(), m_Leaving,
+          m_Boot.Cores};
     };
     Ask.Refused = [this](const std::string &Reason) {
       log({WriteLog::Level::Warning, "peer_refused", {{"reason", Reason}}});
@@ -262,9 +258,8 @@
     };
     Ask.Changed = [this](const platform::ListedRow &Row) {
       if (Row.Deleted)
-        return event([&](Instant Now) {
-          m_Node.targetGone(Now, TargetId(Row.Key));
-        });
+        return event(
+            [&](Instant Now) { m_Node.targetGone(Now, TargetId(Row.Key)); });
       if (auto Entry = parseEntry(Row))
         event([&](Instant Now) { m_Node.targetListed(Now, *Entry); });
     };
@@ -331,10 +326,10 @@
     m_Probe = std::move(*Probe);
     if (m_Options.MetricsPort == 0)
       return {};
-    auto Metrics = HttpServer::listen(
-        m_Io,
-        ipOf(m_Boot.PeerAddress) + ":" + std::to_string(m_Options.MetricsPort),
-        Serve);
+    auto Metrics = HttpServer::listen(m_Io,
+                                      ipOf(m_Boot.PeerAddress) + ":" +
+                                          std::to_string(m_Options.MetricsPort),
+                                      Serve);
     if (!Metrics)
       return tl::make_unexpected(Metrics.error());
     m_Metrics = std::move(*Metrics);
@@ -352,8 +347,8 @@
                            m_Node.sessions().busy());
     Text += metrics::gauge("bergamotstage_links", m_Node.links());
     Text += metrics::gauge("bergamotstage_links_opened_total", m_LinksOpened);
-    Text += metrics::gauge("bergamotstage_config_version",
-                           m_Node.configVersion());
+    Text +=
+        metrics::gauge("bergamotstage_config_version", m_Node.configVersion());
     Text += metrics::gauge("bergamotstage_rate_slots", m_Node.rateSlots());
     return {HttpOk, Text};
   }
--- a/src/runtime/site/SocketOptions.cpp
+++ b/src/runtime/site/SocketOptions.cpp
@@ -20,8 +20,8 @@
 
 void limitSilence(asio::ip::tcp::socket &Socket, Duration Limit) {
   int Descriptor = Socket.native_handle();
-  auto Milliseconds = static_cast<int>(
-      std::chrono::duration_cast<milliseconds>(Limit).count());
+  auto Milliseconds =
+      static_cast<int>(std::chrono::duration_cast<milliseconds>(Limit).count());
   int Interval = std::max(
       1, static_cast<int>(std::chrono::duration_cast<seconds>(Limit).count()) /
              (KeepAliveProbes + 1));
--- a/src/runtime/site/StoreCalls.cpp
+++ b/src/runtime/site/StoreCalls.cpp
@@ -12,9 +12,9 @@
 /// A usual answer takes a few milliseconds, one of a slow store some hundred.
 constexpr Duration AnswerTime = milliseconds(1200);
 
-std::vector<std::unique_ptr<HttpClient>>
-makeClients(asio::io_context &Io, const std::string &Address,
-            std::size_t Count) {
+std::vector<std::unique_ptr<HttpClient>> makeClients(asio::io_context &Io,
+                                                     const std::string &Address,
+                                                     std::size_t Count) {
   std::vector<std::unique_ptr<HttpClient>> Clients;
   for (; Count > 0; --Count)
     Clients.push_back(std::make_unique<HttpClient>(Io, Address));
--- a/src/runtime/site/TableFollower.cpp
+++ b/src/runtime/site/TableFollower.cpp
@@ -63,48 +63,49 @@
 }
 
 void TableFollower::readWhole(const std::string &AfterKey) {
-  m_Client->call(
-      platform::readTable(m_Table, AfterKey), AnswerTime,
-      [this, AfterKey](unsigned Status, const std::string &Body) {
-        if (Status != Ok)
-          return failed("status " + std::to_string(Status));
-        auto Read = platform::parseRows(Body);
-        if (!Read)
-          return failed(Read.error());
-        answered();
-        // Changes after the first page are told by the feed once more.
-        if (AfterKey.empty())
-          m_Version = Read->Version;
-        m_Pages.insert(m_Pages.end(), Read->Rows.begin(), Read->Rows.end());
-        if (Read->More && !Read->Rows.empty())
-          return readWhole(Read->Rows.back().Key);
-        m_Whole = true;
-        m_Hooks.Listed(m_Pages);
-        m_Pages.clear();
-        step();
-      });
+  m_Client->call(platform::readTable(m_Table, AfterKey), AnswerTime,
+                 [this, AfterKey](unsigned Status, const std::string &Body) {
+                   if (Status != Ok)
+                     return failed("status " + std::to_string(Status));
+                   auto Read = platform::parseRows(Body);
+                   if (!Read)
+                     return failed(Read.error());
+                   answered();
+                   // Changes after the first page are told by the feed once
+                   // more.
+                   if (AfterKey.empty())
+                     m_Version = Read->Version;
+                   m_Pages.insert(m_Pages.end(), Read->Rows.begin(),
+                                  Read->Rows.end());
+                   if (Read->More && !Read->Rows.empty())
+                     return readWhole(Read->Rows.back().Key);
+                   m_Whole = true;
+                   m_Hooks.Listed(m_Pages);
+                   m_Pages.clear();
+                   step();
+                 });
 }
 
 void TableFollower::follow() {
-  m_Client->call(
-      platform::followTable(m_Table, m_Version, m_Wait), m_Wait + AnswerTime,
-      [this](unsigned Status, const std::string &Body) {
-        if (Status == platform::HistoryGone) {
-          m_Whole = false;
-          answered();
-          return step();
-        }
-        if (Status != Ok)
-          return failed("status " + std::to_string(Status));
-        auto Read = platform::parseRows(Body);
-        if (!Read)
-          return failed(Read.error());
-        answered();
-        m_Version = std::max(m_Version, Read->Version);
-        for (const platform::ListedRow &Row : Read->Rows)
-          m_Hooks.Changed(Row);
-        step();
-      });
+  m_Client->call(platform::followTable(m_Table, m_Version, m_Wait),
+                 m_Wait + AnswerTime,
+                 [this](unsigned Status, const std::string &Body) {
+                   if (Status == platform::HistoryGone) {
+                     m_Whole = false;
+                     answered();
+                     return step();
+                   }
+                   if (Status != Ok)
+                     return failed("status " + std::to_string(Status));
+                   auto Read = platform::parseRows(Body);
+                   if (!Read)
+                     return failed(Read.error());
+                   answered();
+                   m_Version = std::max(m_Version, Read->Version);
+                   for (const platform::ListedRow &Row : Read->Rows)
+                     m_Hooks.Changed(Row);
+                   step();
+                 });
 }
 
 void TableFollower::readNow() {
--- /dev/null
+++ b/src/standin/site/PoolFleet.h
@@ -0,0 +1,182 @@
+#ifndef BERGAMOTSTAGE_STANDIN_SITE_POOLFLEET_H
+#define BERGAMOTSTAGE_STANDIN_SITE_POOLFLEET_H
+
+#include "bergamotstage/pooling/PoolNode.h"
+#include "standin/site/ModelGroup.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bergamotstage::standin {
+
+/// @brief VMs, targets and a store on virtual time, with faults.
+///
+/// Everything runs in one thread from one queue of events; a seed decides all
+/// that is drawn. Callers are driven by whoever owns the fleet.
+class PoolFleet {
+public:
+  struct Settings {
+    std::uint64_t Seed = 1;
+    unsigned Vms = 3;
+    unsigned Groups = 1;
+    unsigned Slots = 3;
+    unsigned MaxLinks = 23;
+    Duration PeerDelay = milliseconds(1);
+    Duration LinkDelay = microseconds(300);
+    Duration Handshake = milliseconds(12);
+    Duration MeanWork = milliseconds(10);
+    Duration ReplicaLag = milliseconds(10);
+    Duration StoreDelay = milliseconds(4);
+    Duration PromoteTime = milliseconds(300);
+  };
+  /// @brief A reply that a caller got, with the VM that it came from.
+  using AnswerHook =
+      std::function<void(const VmId &, CallerId, const pooling::CallerReply &)>;
+  using CloseHook = std::function<void(const VmId &, CallerId)>;
+
+  explicit PoolFleet(const Settings &Chosen);
+  PoolFleet(const PoolFleet &) = delete;
+  PoolFleet &operator=(const PoolFleet &) = delete;
+
+  void onAnswer(AnswerHook Hook) { m_OnAnswer = std::move(Hook); }
+  void onClose(CloseHook Hook) { m_OnClose = std::move(Hook); }
+
+  /// @brief Puts a configuration in force: all VMs that follow read it.
+  void configure(pooling::SiteConfig Config);
+  /// @brief Starts all VMs.
+  void start();
+  /// @brief Runs everything that happens within a time.
+  void run(Duration Span);
+  /// @brief Runs something at a time from now.
+  void after(Duration Span, std::function<void()> Run);
+
+  Instant now() const { return m_Now; }
+  std::mt19937_64 &random() { return m_Random; }
+  std::vector<VmId> vms() const;
+  pooling::PoolNode *node(const VmId &Vm);
+  ModelGroup &group(unsigned Index) { return *m_Groups.at(Index); }
+  unsigned groups() const { return static_cast<unsigned>(m_Groups.size()); }
+
+  // Callers.
+  CallerId connect(const VmId &Vm, const std::string &Database,
+                   const std::string &Key);
+  void send(const VmId &Vm, CallerId Caller, pooling::Statement Call);
+  void disconnect(const VmId &Vm, CallerId Caller);
+
+  // Faults.
+  void kill(const VmId &Vm, Duration Down);
+  void freeze(const VmId &Vm, Duration Span);
+  void terminate(const VmId &Vm);
+  void cutPeers(const VmId &Left, const VmId &Right, bool Cut);
+  void cutTarget(const VmId &Vm, const TargetId &Target, bool Cut);
+  /// @brief A target answers nothing and accepts nothing.
+  void darken(const TargetId &Target, bool Dark);
+  void drain(const TargetId &Target, bool Draining);
+  void setLag(Duration Lag) { m_Settings.ReplicaLag = Lag; }
+  void setStoreDown(bool Down) { m_StoreDown = Down; }
+  /// @brief Part of the writes whose answers are lost, from 0 to 1; half of
+  /// those are carried out seconds later.
+  void setLostAnswers(double Part) { m_LostAnswers = Part; }
+  /// @brief Part of the answers of targets that are lost.
+  void setLostReplies(double Part) { m_LostReplies = Part; }
+
+  std::uint64_t promotions() const { return m_Promotions; }
+  std::uint64_t linksOpened() const { return m_LinksOpened; }
+  const std::map<std::string, TableRow> &rows() const { return m_Rows; }
+
+private:
+  struct Vm {
+    std::unique_ptr<pooling::PoolNode> Node;
+    MemberState Self;
+    std::uint64_t Life = 0; ///< Events of an earlier life are dropped.
+    Instant FrozenUntil{};
+    bool Follows = true;
+    bool Up = false;
+    std::optional<Instant> Wake;
+    std::set<VmId> Streams; ///< Streams that it has opened.
+  };
+  struct TargetModel {
+    unsigned Group = 0;
+    DataCentreId DataCentre;
+    bool Dark = false;
+    bool Draining = false;
+    unsigned Busy = 0;
+    std::uint64_t Version = 0;
+    bool Claims = false;
+  };
+  struct Link {
+    VmId Vm;
+    LinkId Id;
+    std::uint64_t Life = 0;
+    TargetId Target;
+    bool Open = false;
+    bool Silent = false;  ///< Its answers are lost from now on.
+    Instant FreeAt{};     ///< Requests arrive in order.
+    Instant BusyUntil{};  ///< And run one after the other.
+  };
+
+  void boot(const VmId &Name);
+  pooling::PoolNode::Hooks hooksOf(const VmId &Name, std::uint64_t Life);
+  /// @brief Runs an event at a VM once it is there to take it.
+  void at(const VmId &Name, std::uint64_t Life, Duration Delay,
+          std::function<void(pooling::PoolNode &)> Handle);
+  void arm(const VmId &Name);
+  void openLink(const VmId &Name, std::uint64_t Life, LinkId Id,
+                const pooling::LinkTarget &To);
+  void sendLink(const VmId &Name, LinkId Id,
+                const pooling::LinkRequest &Request);
+  void runLink(std::uint64_t Key, const pooling::LinkRequest &Request);
+  void closeLink(std::uint64_t Key);
+  void loseLinksOf(const TargetId &Target);
+  void sendPeer(const VmId &From, const MemberState &To,
+                const pooling::FleetMessage &Message);
+  void replyPeer(const VmId &From, const VmId &To,
+                 const pooling::FleetMessage &Message);
+  bool peersReach(const VmId &Left, const VmId &Right) const;
+  bool targetReached(const VmId &Name, const TargetId &Target) const;
+  void callPlatform(const VmId &Name, std::uint64_t Life,
+                    const PlatformRequest &Request,
+                    pooling::PoolNode::PlatformCallback Done);
+  PlatformAnswer carryOut(const PlatformRequest &Request);
+  PlatformAnswer promote(const Promote &Order);
+  void list(const TargetId &Target);
+  void tellFollowers(const std::function<void(pooling::PoolNode &)> &Tell);
+  pooling::TargetEntry entryOf(const TargetId &Target) const;
+  void replicate();
+  void storeHeartbeat();
+
+  Settings m_Settings;
+  Instant m_Now{seconds(1000)};
+  std::mt19937_64 m_Random;
+  TimerQueue m_Events;
+  std::map<VmId, Vm> m_Vms;
+  std::vector<std::unique_ptr<ModelGroup>> m_Groups;
+  std::map<TargetId, TargetModel> m_Targets;
+  std::map<std::uint64_t, Link> m_Links; ///< By key of the model.
+  std::map<std::pair<VmId, LinkId>, std::uint64_t> m_LinkKeys;
+  std::uint64_t m_LastLink = 0;
+  std::map<std::string, TableRow> m_Rows;
+  std::uint64_t m_Version = 0;
+  std::map<DatabaseId, std::uint64_t> m_Fences;
+  pooling::SharedConfig m_Config;
+  std::set<std::pair<VmId, VmId>> m_CutPeers;
+  std::set<std::pair<VmId, TargetId>> m_CutTargets;
+  bool m_StoreDown = false;
+  double m_LostAnswers = 0;
+  double m_LostReplies = 0;
+  std::uint64_t m_Promotions = 0;
+  std::uint64_t m_LinksOpened = 0;
+  std::uint64_t m_LastCaller = 0;
+  AnswerHook m_OnAnswer;
+  CloseHook m_OnClose;
+};
+
+} // namespace bergamotstage::standin
+
+#endif // BERGAMOTSTAGE_STANDIN_SITE_POOLFLEET_H
--- /dev/null
+++ b/test/unit-pool-random.cpp
@@ -0,0 +1,204 @@
+#include "PoolCallers.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdio>
+
+using namespace bergamotstage;
+using namespace bergamotstage::test;
+
+namespace {
+
+constexpr unsigned Groups = 2;
+constexpr unsigned Accounts = 4;
+
+/// @brief A fleet under random faults, with callers that check promises.
+class FaultRun {
+public:
+  explicit FaultRun(std::uint64_t Seed, double Rate)
+      : m_Config(poolConfig(Groups, Accounts, Rate)), m_Fleet(settings(Seed)),
+        m_Callers(m_Fleet, m_Config) {
+    m_Fleet.configure(m_Config);
+    m_Fleet.start();
+    m_Fleet.run(seconds(6));
+    const char *const Kinds[] = {"primary-", "bounded-", "own-"};
+    unsigned Number = 0;
+    for (const VmId &Vm : m_Fleet.vms())
+      for (unsigned Copy = 0; Copy < 12; ++Copy, ++Number)
+        m_Callers.add(Vm, Kinds[Number % 3] + std::to_string(Number % Groups),
+                      Number % Accounts, milliseconds(60));
+  }
+
+  void run(Duration Span, bool WithFaults) {
+    Instant End = m_Fleet.now() + Span;
+    while (m_Fleet.now() < End) {
+      if (WithFaults)
+        fault();
+      m_Fleet.run(milliseconds(400));
+    }
+  }
+
+  void heal() {
+    m_Fleet.setStoreDown(false);
+    m_Fleet.setLostAnswers(0);
+    m_Fleet.setLostReplies(0);
+    m_Fleet.setLag(milliseconds(10));
+    for (unsigned Group = 0; Group < Groups; ++Group)
+      for (const TargetId &Target : m_Fleet.group(Group).targets()) {
+        m_Fleet.darken(Target, false);
+        for (const VmId &Vm : m_Fleet.vms())
+          m_Fleet.cutTarget(Vm, Target, false);
+      }
+    for (const VmId &Left : m_Fleet.vms())
+      for (const VmId &Right : m_Fleet.vms())
+        m_Fleet.cutPeers(Left, Right, false);
+  }
+
+  PoolFleet &fleet() { return m_Fleet; }
+  const PoolCallers &callers() const { return m_Callers; }
+
+private:
+  static PoolFleet::Settings settings(std::uint64_t Seed) {
+    PoolFleet::Settings Chosen;
+    Chosen.Seed = Seed;
+    Chosen.Vms = 6;
+    Chosen.Groups = Groups;
+    return Chosen;
+  }
+
+  unsigned draw(unsigned Limit) {
+    return std::uniform_int_distribution<unsigned>(0, Limit - 1)(
+        m_Fleet.random());
+  }
+
+  VmId anyVm() {
+    auto Names = m_Fleet.vms();
+    return Names[draw(static_cast<unsigned>(Names.size()))];
+  }
+
+  TargetId anyTarget() {
+    auto Names = m_Fleet.group(draw(Groups)).targets();
+    return Names[draw(static_cast<unsigned>(Names.size()))];
+  }
+
+  void fault() {
+    switch (draw(14)) {
+    case 0: {
+      VmId Vm = anyVm();
+      m_Fleet.kill(Vm, milliseconds(300 + draw(2500)));
+      m_Callers.vmLost(Vm);
+      break;
+    }
+    case 1:
+      m_Fleet.freeze(anyVm(), milliseconds(200 + draw(4000)));
+      break;
+    case 2: {
+      VmId Left = anyVm();
+      VmId Right = anyVm();
+      if (Left == Right)
+        break;
+      m_Fleet.cutPeers(Left, Right, true);
+      m_Fleet.after(milliseconds(500 + draw(4000)), [this, Left, Right] {
+        m_Fleet.cutPeers(Left, Right, false);
+      });
+      break;
+    }
+    case 3: {
+      VmId Vm = anyVm();
+      TargetId Target = anyTarget();
+      m_Fleet.cutTarget(Vm, Target, true);
+      m_Fleet.after(milliseconds(500 + draw(4000)), [this, Vm, Target] {
+        m_Fleet.cutTarget(Vm, Target, false);
+      });
+      break;
+    }
+    case 4: {
+      TargetId Target = anyTarget();
+      m_Fleet.darken(Target, true);
+      m_Fleet.after(milliseconds(1000 + draw(5000)),
+                    [this, Target] { m_Fleet.darken(Target, false); });
+      break;
+    }
+    case 5:
+      m_Fleet.setStoreDown(true);
+      m_Fleet.after(milliseconds(500 + draw(6000)),
+                    [this] { m_Fleet.setStoreDown(false); });
+      break;
+    case 6:
+      m_Fleet.setLostAnswers(0.1 * draw(6));
+      break;
+    case 7:
+      m_Fleet.setLostReplies(0.01 * draw(5));
+      break;
+    case 8:
+      m_Fleet.setLag(milliseconds(5 + draw(2000)));
+      break;
+    case 9: {
+      TargetId Target = m_Fleet.group(draw(Groups)).leader();
+      m_Fleet.drain(Target, true);
+      m_Fleet.after(seconds(4),
+                    [this, Target] { m_Fleet.drain(Target, false); });
+      break;
+    }
+    case 10: {
+      m_Fleet.terminate(anyVm());
+      break;
+    }
+    default:
+      break;
+    }
+  }
+
+  pooling::SiteConfig m_Config;
+  PoolFleet m_Fleet;
+  PoolCallers m_Callers;
+};
+
+void check(const FaultRun &Run, std::uint64_t Seed) {
+  for (const std::string &What : Run.callers().broken())
+    std::printf("seed %llu: %s\n", static_cast<unsigned long long>(Seed),
+                What.c_str());
+  CHECK_TRUE(Run.callers().broken().empty());
+  CHECK_TRUE(Run.callers().worstExcess() <= 0);
+}
+
+} // namespace
+
+TEST_GROUP(PoolRandom){};
+
+TEST(PoolRandom, ServesACalmFleet) {
+  FaultRun Run(7, 400);
+  Run.run(seconds(20), false);
+  check(Run, 7);
+  const auto &Counts = Run.callers().counts();
+  CHECK_TRUE(Counts.Served > 2000);
+  CHECK_TRUE(Counts.Refused * 100 < Counts.Operations);
+  CHECK_TRUE(Counts.FollowerReads > Counts.LeaderReads);
+}
+
+TEST(PoolRandom, KeepsItsPromisesUnderFaults) {
+  for (std::uint64_t Seed = 1; Seed <= 12; ++Seed) {
+    FaultRun Run(Seed, 60);
+    Run.run(seconds(40), true);
+    Run.heal();
+    Run.run(seconds(15), false);
+    check(Run, Seed);
+  }
+}
+
+TEST(PoolRandom, ServesAgainOnceFaultsAreOver) {
+  for (std::uint64_t Seed = 101; Seed <= 104; ++Seed) {
+    FaultRun Run(Seed, 400);
+    Run.run(seconds(25), true);
+    Run.heal();
+    Run.run(seconds(15), false);
+    unsigned Before = Run.callers().counts().Served;
+    unsigned Asked = Run.callers().counts().Operations;
+    Run.run(seconds(5), false);
+    unsigned Served = Run.callers().counts().Served - Before;
+    unsigned All = Run.callers().counts().Operations - Asked;
+    check(Run, Seed);
+    CHECK_TRUE(All > 200);
+    CHECK_TRUE(Served * 10 >= All * 9);
+  }
+}
