--- /dev/null
+++ b/test/unit-pool-choice.cpp
@@ -0,0 +1,260 @@
+#include "bergamotstage/forward/Rendezvous.h"
+#include "bergamotstage/pooling/PeerHealth.h"
+#include "bergamotstage/pooling/PositionProofs.h"
+#include "bergamotstage/pooling/TargetChoice.h"
+#include "bergamotstage/pooling/TargetTable.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bergamotstage;
+using namespace bergamotstage::pooling;
+
+namespace {
+
+Instant at(int Milliseconds) {
+  return Instant(seconds(100) + milliseconds(Milliseconds));
+}
+
+HistoryPoint point(std::uint64_t AtTerm, std::uint64_t Number) {
+  return {Term(AtTerm), LogPosition(Number)};
+}
+
+TargetEntry entry(const char *Id, bool Leads, std::uint64_t Version,
+                  const char *Zone = "east") {
+  TargetEntry Made;
+  Made.Id = TargetId(Id);
+  Made.Group = DatabaseId("g");
+  Made.DataCentre = DataCentreId(Zone);
+  Made.Slots = 3;
+  Made.ClaimsLead = Leads;
+  Made.Version = Version;
+  return Made;
+}
+
+} // namespace
+
+TEST_GROUP(PositionProofs){};
+
+TEST(PositionProofs, ChoosesTheOldestThatIsYoungEnough) {
+  PositionProofs Proofs;
+  Proofs.add(at(0), point(1, 10));
+  Proofs.add(at(100), point(1, 20));
+  Proofs.add(at(200), point(1, 30));
+  CHECK_TRUE(Proofs.oldestSince(at(50)) == point(1, 20));
+  CHECK_FALSE(Proofs.oldestSince(at(201)).has_value());
+}
+
+TEST(PositionProofs, ANewTermVoidsEarlierProofs) {
+  PositionProofs Proofs;
+  Proofs.add(at(0), point(1, 50));
+  Proofs.add(at(100), point(2, 40));
+  CHECK_TRUE(Proofs.oldestSince(at(-100)) == point(2, 40));
+  Proofs.add(at(200), point(1, 60));
+  CHECK_TRUE(Proofs.newest() == at(100));
+}
+
+TEST(PositionProofs, AnAnswerToAnEarlierQuestionProvesNothingNew) {
+  PositionProofs Proofs;
+  Proofs.add(at(100), point(1, 20));
+  Proofs.add(at(50), point(1, 25));
+  CHECK_TRUE(Proofs.newest() == at(100));
+  CHECK_TRUE(Proofs.oldestSince(at(0)) == point(1, 20));
+}
+
+TEST_GROUP(TargetTable){};
+
+TEST(TargetTable, TheNewestClaimLeads) {
+  TargetTable Table;
+  Table.apply(entry("a", true, 1), at(0));
+  Table.apply(entry("b", true, 2), at(0));
+  CHECK_TRUE(Table.primary(DatabaseId("g")) == TargetId("b"));
+}
+
+TEST(TargetTable, ARefusedClaimHoldsNoLongerUntilItIsMadeAnew) {
+  TargetTable Table;
+  Table.apply(entry("a", true, 1), at(0));
+  Table.notLeading(TargetId("a"));
+  CHECK_FALSE(Table.primary(DatabaseId("g")).has_value());
+  Table.apply(entry("a", true, 5), at(0));
+  CHECK_TRUE(Table.primary(DatabaseId("g")) == TargetId("a"));
+}
+
+TEST(TargetTable, AnOldClaimDoesNotOutlastAKnownPromotion) {
+  TargetTable Table;
+  Table.apply(entry("a", true, 3), at(0));
+  Table.apply(entry("b", false, 2), at(0));
+  Table.promoted(DatabaseId("g"), TargetId("b"), Term(2));
+  CHECK_TRUE(Table.primary(DatabaseId("g")) == TargetId("b"));
+}
+
+TEST(TargetTable, AMissingEntryIsKeptForAWhile) {
+  TargetTable Table;
+  Table.apply(entry("a", true, 1), at(0));
+  Table.remove(TargetId("a"), at(0));
+  CHECK_TRUE(Table.expire(at(3000), seconds(4)).empty());
+  Table.apply(entry("a", true, 1), at(3500));
+  CHECK_TRUE(Table.expire(at(9000), seconds(4)).empty());
+  Table.remove(TargetId("a"), at(9000));
+  LONGS_EQUAL(1, Table.expire(at(13000), seconds(4)).size());
+}
+
+TEST(TargetTable, ALeavingPrimaryGetsWorkForSomeSecondsOnly) {
+  TargetTable Table;
+  TargetEntry Leaving = entry("a", true, 1);
+  Leaving.Draining = true;
+  Table.apply(Leaving, at(0));
+  CHECK_FALSE(Table.takesWork(TargetId("a")));
+  CHECK_TRUE(Table.mayStillLead(TargetId("a"), at(1000)));
+  CHECK_FALSE(Table.mayStillLead(TargetId("a"), at(6900)));
+}
+
+TEST(TargetTable, AnotherBirthIsANewLife) {
+  TargetTable Table;
+  TargetEntry First = entry("a", false, 1);
+  First.Born = 10;
+  Table.apply(First, at(0));
+  First.Born = 11;
+  First.Version = 2;
+  CHECK_TRUE(Table.apply(First, at(1)) == TargetTable::Change::Reborn);
+}
+
+TEST_GROUP(TargetChoice) {
+  Context Shared{VmId("vm-a"), DataCentreId("east"), 1};
+  TargetTable Table;
+  TargetChoice Choice{Shared, Table, [](const TargetId &) {
+                        return std::vector<VmId>{VmId("vm-a"), VmId("vm-b")};
+                      }};
+  Session Of;
+  Operation Op;
+
+  void setup() override {
+    Shared.setNow(at(0));
+    Table.apply(entry("primary", true, 1, "west"), at(0));
+    Table.apply(entry("near", false, 2, "east"), at(0));
+    Table.apply(entry("far", false, 3, "south"), at(0));
+    Op.Route.Group = DatabaseId("g");
+    Op.Route.Reads = Consistency::ReadYourWrites;
+    Op.Route.MaxStaleness = milliseconds(1500);
+    Op.Arrived = at(0);
+    Op.How = Access::Follower;
+    Op.AnyTarget = true;
+  }
+};
+
+TEST(TargetChoice, ReadsGoToTheNearestFollower) {
+  Choice.proofs(DatabaseId("g")).add(at(-1000), point(1, 5));
+  auto Made = Choice.choose(Of, Op);
+  CHECK_TRUE(Made.Target == TargetId("near"));
+  CHECK_TRUE(Made.How == Access::Follower);
+  CHECK_TRUE(Made.After == point(1, 5));
+}
+
+TEST(TargetChoice, WithoutAYoungProofAReadWaitsForOne) {
+  Choice.proofs(DatabaseId("g")).add(at(-1501), point(1, 5));
+  CHECK_TRUE(Choice.choose(Of, Op).What ==
+             TargetChoice::Choice::Kind::NoPosition);
+}
+
+TEST(TargetChoice, TheSessionsOwnCommitIsRequired) {
+  Choice.proofs(DatabaseId("g")).add(at(-1000), point(1, 5));
+  Of.LastCommit = point(1, 9);
+  Of.LastCommitGroup = DatabaseId("g");
+  CHECK_TRUE(Choice.choose(Of, Op).After == point(1, 9));
+  Op.Route.Reads = Consistency::Bounded;
+  CHECK_TRUE(Choice.choose(Of, Op).After == point(1, 5));
+}
+
+TEST(TargetChoice, AProofOfALaterTermCoversTheSessionsCommit) {
+  Choice.proofs(DatabaseId("g")).add(at(-1000), point(2, 5));
+  Of.LastCommit = point(1, 9);
+  Of.LastCommitGroup = DatabaseId("g");
+  CHECK_TRUE(Choice.choose(Of, Op).After == point(2, 5));
+}
+
+TEST(TargetChoice, AFollowerThatIsBehindIsLeftAlone) {
+  Choice.proofs(DatabaseId("g")).add(at(-1000), point(1, 5));
+  Choice.learnBehind(TargetId("near"));
+  CHECK_TRUE(Choice.choose(Of, Op).Target == TargetId("far"));
+}
+
+TEST(TargetChoice, WritesGoToThePrimaryOnly) {
+  Op.AnyTarget = false;
+  Op.How = Access::Leader;
+  CHECK_TRUE(Choice.choose(Of, Op).Target == TargetId("primary"));
+  Table.notLeading(TargetId("primary"));
+  CHECK_TRUE(Choice.choose(Of, Op).What ==
+             TargetChoice::Choice::Kind::NoPrimary);
+}
+
+TEST(TargetChoice, AnOwnerThatFailedIsPassedOver) {
+  Op.AnyTarget = false;
+  Op.How = Access::Leader;
+  Op.Avoid.insert({VmId("vm-a"), TargetId("primary")});
+  CHECK_TRUE(Choice.choose(Of, Op).Owner == VmId("vm-b"));
+  Op.Avoid.insert({VmId("vm-b"), TargetId("primary")});
+  CHECK_TRUE(Choice.choose(Of, Op).What == TargetChoice::Choice::Kind::NoOwner);
+}
+
+TEST_GROUP(PeerHealth){};
+
+TEST(PeerHealth, ASilentDebtorIsPingedAndThenLost) {
+  PeerHealth Health;
+  Health.expectAnswer(VmId("b"), at(0));
+  CHECK_TRUE(Health.check(at(100)).Ping.empty());
+  LONGS_EQUAL(1, Health.check(at(160)).Ping.size());
+  CHECK_TRUE(Health.check(at(500)).Lost.empty());
+  LONGS_EQUAL(1, Health.check(at(620)).Lost.size());
+}
+
+TEST(PeerHealth, AnyWordSettlesAPing) {
+  PeerHealth Health;
+  Health.expectAnswer(VmId("b"), at(0));
+  Health.check(at(160));
+  CHECK_FALSE(Health.heard(VmId("b"), at(300)));
+  CHECK_TRUE(Health.check(at(700)).Lost.empty());
+}
+
+TEST(PeerHealth, ALostVmIsPingedUntilItAnswers) {
+  PeerHealth Health;
+  Health.broken(VmId("b"), at(0));
+  CHECK_TRUE(Health.isLost(VmId("b")));
+  LONGS_EQUAL(1, Health.check(at(501)).Ping.size());
+  CHECK_TRUE(Health.heard(VmId("b"), at(600)));
+  CHECK_FALSE(Health.isLost(VmId("b")));
+}
+
+TEST_GROUP(Rendezvous){};
+
+TEST(Rendezvous, LargerVmsOwnMore) {
+  MemberMap Members;
+  for (int Index = 0; Index < 10; ++Index) {
+    VmId Vm("vm-" + std::to_string(Index));
+    Members[Vm] = {Vm, DataCentreId("east"), "", Incarnation(1), true, false,
+                   Index == 0 ? 1.0 : 0.25};
+  }
+  unsigned First = 0;
+  for (int Subject = 0; Subject < 1000; ++Subject)
+    First += rankOwners("target-" + std::to_string(Subject), DataCentreId(),
+                        Members)
+                         .front() == VmId("vm-0")
+                 ? 1
+                 : 0;
+  // Its weight is 64 of 64 + 9.
+  CHECK_TRUE(First > 820 && First < 930);
+}
+
+TEST(Rendezvous, OnlyTheSubjectsOfALostVmMove) {
+  MemberMap Members;
+  for (int Index = 0; Index < 9; ++Index) {
+    VmId Vm("vm-" + std::to_string(Index));
+    Members[Vm] = {Vm, DataCentreId("east"), "", Incarnation(1), true, false};
+  }
+  MemberMap Fewer = Members;
+  Fewer[VmId("vm-4")].Reachable = false;
+  for (int Subject = 0; Subject < 200; ++Subject) {
+    std::string Name = "target-" + std::to_string(Subject);
+    VmId Before = rankOwners(Name, DataCentreId(), Members).front();
+    VmId After = rankOwners(Name, DataCentreId(), Fewer).front();
+    CHECK_TRUE(Before == VmId("vm-4") || Before == After);
+  }
+}
--- /dev/null
+++ b/test/unit-pool-message.cpp
@@ -0,0 +1,141 @@
+#include "bergamotstage/pooling/FleetMessage.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+using namespace bergamotstage;
+using namespace bergamotstage::pooling;
+
+namespace {
+
+Work sampleWork() {
+  Work Asked;
+  Asked.Id = {VmId("vm-a"), 77};
+  Asked.Target = TargetId("t");
+  Asked.Account = AccountId("ward");
+  Asked.How = Access::FollowerTransaction;
+  Asked.After = HistoryPoint{Term(3), LogPosition(1209)};
+  Asked.Priority = 2;
+  Asked.QueueTime = milliseconds(150);
+  Asked.StatementTimeout = milliseconds(800);
+  Asked.Values = std::make_shared<const SessionValues>(
+      SessionValues{{"a", "1"}, {"b", "two words"}});
+  Asked.First.RequestId = "id";
+  Asked.First.Kind = Verb::Execute;
+  Asked.First.Text = "EXECUTE s1 1a4 x";
+  Asked.First.Prepared = {true, "shape"};
+  Asked.First.Arguments = "1a4 x";
+  return Asked;
+}
+
+WorkResult sampleResult() {
+  WorkResult Result;
+  Result.What = WorkResult::Kind::Answered;
+  Result.Error = ErrorCode::Behind;
+  Result.ErrorText = "text";
+  Result.Rows = {"one", "", std::string(3000, 'x')};
+  Result.Signature = "7.1f3";
+  Result.State = SessionState::InTransaction;
+  Result.Position = HistoryPoint{Term(4), LogPosition(5)};
+  Result.LeaderProven = true;
+  Result.Queued = 12;
+  Result.RetryAfter = milliseconds(20);
+  return Result;
+}
+
+std::vector<FleetMessage> samples() {
+  News Told;
+  Told.StoreAge = milliseconds(900);
+  Told.ConfigVersion = 9;
+  Told.TargetsBefore = 4;
+  Told.TargetsVersion = 5;
+  TargetEntry Entry;
+  Entry.Id = TargetId("t");
+  Entry.Address = "10.0.0.1:5";
+  Entry.Slots = 3;
+  Entry.ClaimsLead = true;
+  Entry.Version = 88;
+  Told.Changed = {Entry};
+  Told.Gone = {TargetId("u")};
+  Hello Word;
+  Word.Vm = VmId("vm-a");
+  Word.Cores = 0.25;
+  NextWork Next;
+  Next.Number = 8;
+  Next.Call = sampleWork().First;
+  Next.ValuesChanged = true;
+  Next.Values = sampleWork().Values;
+  return {Word,
+          Ping{4},
+          Pong{5},
+          StartWork{sampleWork()},
+          Next,
+          AbandonWork{9},
+          WorkReply{77, sampleResult()},
+          ProofAsk{TargetId("t"), AccountId("a"), 123},
+          ProofReply{TargetId("t"), true, {Term(1), LogPosition(2)},
+                     milliseconds(3), 123},
+          TokenAsk{AccountId("a"), 1500},
+          TokenGrant{AccountId("a"), 1500, 20},
+          PrimarySuspected{DatabaseId("g"), TargetId("t")},
+          TargetAlive{DatabaseId("g"), TargetId("t")},
+          Promoted{DatabaseId("g"), TargetId("t"), Term(4)},
+          ConfigAsk{},
+          ConfigText{"{}"},
+          NewsAsk{1, 2},
+          Told};
+}
+
+} // namespace
+
+TEST_GROUP(FleetMessage){};
+
+TEST(FleetMessage, EveryKindReadsBackAsItWasWritten) {
+  std::vector<FleetMessage> All = samples();
+  LONGS_EQUAL(std::variant_size_v<FleetMessage>, All.size());
+  for (const FleetMessage &Message : All) {
+    std::string Bytes = encodeMessage(Message);
+    auto Read = decodeMessage(Bytes);
+    CHECK_TRUE(Read.has_value());
+    LONGS_EQUAL(Message.index(), Read->index());
+    CHECK_TRUE(encodeMessage(*Read) == Bytes);
+  }
+}
+
+TEST(FleetMessage, ValuesSurviveTheWay) {
+  auto Read = decodeMessage(encodeMessage(StartWork{sampleWork()}));
+  const Work &Asked = std::get<StartWork>(*Read).Asked;
+  CHECK_EQUAL("two words", Asked.Values->at("b"));
+  CHECK_TRUE(Asked.First.Prepared.Writes);
+  CHECK_TRUE(Asked.After->Position == LogPosition(1209));
+  auto Told = decodeMessage(encodeMessage(WorkReply{1, sampleResult()}));
+  const WorkResult &Result = std::get<WorkReply>(*Told).Result;
+  CHECK_TRUE(Result.Error == ErrorCode::Behind);
+  LONGS_EQUAL(3, Result.Rows.size());
+}
+
+TEST(FleetMessage, EveryCutMessageIsRefused) {
+  for (const FleetMessage &Message : samples()) {
+    std::string Bytes = encodeMessage(Message);
+    for (std::size_t Length = 0; Length < Bytes.size(); ++Length)
+      CHECK_FALSE(decodeMessage(Bytes.substr(0, Length)).has_value());
+    CHECK_FALSE(decodeMessage(Bytes + "x").has_value());
+  }
+}
+
+TEST(FleetMessage, RandomBytesNeverReadBeyondTheirEnd) {
+  std::mt19937_64 Random(20261204);
+  std::vector<FleetMessage> All = samples();
+  for (unsigned Case = 0; Case < 20000; ++Case) {
+    std::string Bytes = encodeMessage(All[Random() % All.size()]);
+    for (unsigned Change = 0; Change < 3; ++Change)
+      Bytes[Random() % Bytes.size()] = static_cast<char>(Random());
+    auto Read = decodeMessage(Bytes);
+    if (Read)
+      encodeMessage(*Read);
+  }
+}
--- /dev/null
+++ b/test/unit-pool-rate.cpp
@@ -0,0 +1,197 @@
+#include "bergamotstage/pooling/RatePlan.h"
+#include "bergamotstage/pooling/RateShare.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <numeric>
+#include <variant>
+#include <vector>
+
+using namespace bergamotstage;
+using namespace bergamotstage::pooling;
+
+namespace {
+
+const AccountId Ward("ward");
+
+std::vector<VmId> vmNames(unsigned Count) {
+  std::vector<VmId> Names;
+  for (unsigned Index = 0; Index < Count; ++Index)
+    Names.emplace_back("vm-" + std::to_string(Index));
+  return Names;
+}
+
+/// @brief Sum of the parts of an account over all VMs.
+double sumOfParts(const RatePlan &Plan, const AccountId &Account) {
+  std::set<VmId> Holders = Plan.holders();
+  return std::accumulate(Holders.begin(), Holders.end(), 0.0,
+                         [&](double Sum, const VmId &Vm) {
+                           return Sum + Plan.part(Account, Plan.slotsOf(Vm));
+                         });
+}
+
+/// @brief Two VMs with half of one account's rate each.
+struct TwoVms {
+  Context One{VmId("vm-0"), DataCentreId("east"), 1};
+  Context Two{VmId("vm-1"), DataCentreId("east"), 2};
+  std::vector<FleetMessage> ToOne;
+  std::vector<FleetMessage> ToTwo;
+  RateShare First;
+  RateShare Second;
+
+  explicit TwoVms(double Rate, double Burst)
+      : First(
+            One,
+            [this](const VmId &, FleetMessage &&Message) {
+              ToTwo.push_back(std::move(Message));
+            },
+            [] { return std::vector<VmId>{VmId("vm-1")}; }),
+        Second(
+            Two,
+            [this](const VmId &, FleetMessage &&Message) {
+              ToOne.push_back(std::move(Message));
+            },
+            [] { return std::vector<VmId>{VmId("vm-0")}; }) {
+    std::map<AccountId, AccountConfig> Accounts{{Ward, {Ward, Rate, Burst}}};
+    First.configure(Accounts);
+    Second.configure(Accounts);
+    auto Plan = std::make_shared<const RatePlan>(RatePlan::equal(vmNames(2)));
+    First.setPlan(Plan, Plan->slotsOf(VmId("vm-0")));
+    Second.setPlan(Plan, Plan->slotsOf(VmId("vm-1")));
+    pass(seconds(20));
+  }
+
+  void pass(Duration Span) {
+    Instant Now = One.now() + Span;
+    One.setNow(Now);
+    Two.setNow(Now);
+    One.timers().runDue(Now);
+    Two.timers().runDue(Now);
+  }
+
+  /// @brief Delivers what was sent; what it brings about stays in the lists.
+  void deliver() {
+    for (const FleetMessage &Message : std::exchange(ToTwo, {})) {
+      if (const auto *Ask = std::get_if<TokenAsk>(&Message))
+        Second.received(VmId("vm-0"), *Ask);
+      if (const auto *Grant = std::get_if<TokenGrant>(&Message))
+        Second.received(VmId("vm-0"), *Grant);
+    }
+    for (const FleetMessage &Message : std::exchange(ToOne, {})) {
+      if (const auto *Ask = std::get_if<TokenAsk>(&Message))
+        First.received(VmId("vm-1"), *Ask);
+      if (const auto *Grant = std::get_if<TokenGrant>(&Message))
+        First.received(VmId("vm-1"), *Grant);
+    }
+  }
+};
+
+unsigned admitted(RateShare &At, unsigned Count) {
+  unsigned Passed = 0;
+  for (unsigned Index = 0; Index < Count; ++Index)
+    At.admit(Ward, [&](const RateShare::Decision &Made) {
+      Passed += Made.Admitted ? 1 : 0;
+    });
+  return Passed;
+}
+
+} // namespace
+
+TEST_GROUP(RatePlan){};
+
+TEST(RatePlan, PartsOfAnAccountSumUpToItsRate) {
+  for (unsigned Vms : {1U, 2U, 9U, 30U, 89U, 300U, 1000U}) {
+    RatePlan Plan = RatePlan::equal(vmNames(Vms));
+    for (const char *Name : {"ward", "desk", "jetty"})
+      DOUBLES_EQUAL(1.0, sumOfParts(Plan, AccountId(Name)), 1e-9);
+  }
+}
+
+TEST(RatePlan, MovesKeepTheSum) {
+  RatePlan Plan = RatePlan::equal(vmNames(89));
+  Plan.move(VmId("vm-3"), VmId("vm-new"), 2);
+  Plan.move(VmId("vm-4"), VmId("vm-5"), 1000);
+  DOUBLES_EQUAL(1.0, sumOfParts(Plan, Ward), 1e-9);
+  LONGS_EQUAL(2, Plan.slotsOf(VmId("vm-new")).size());
+  CHECK_TRUE(Plan.slotsOf(VmId("vm-4")).empty());
+}
+
+TEST(RatePlan, FitsIntoOneRow) {
+  std::vector<VmId> Names;
+  for (unsigned Index = 0; Index < 1000; ++Index)
+    Names.emplace_back("frontend-with-a-long-name-" + std::to_string(Index));
+  CHECK_TRUE(RatePlan::equal(Names).format().size() < 65536);
+}
+
+TEST(RatePlan, ReadsWhatItWrites) {
+  RatePlan Plan = RatePlan::equal(vmNames(9));
+  auto Read = RatePlan::parse(Plan.format());
+  CHECK_TRUE(Read.has_value());
+  CHECK_EQUAL(Plan.format(), Read->format());
+  CHECK_FALSE(RatePlan::parse("").has_value());
+}
+
+TEST(RatePlan, LargeFleetsSpreadAnAccountOverFewVms) {
+  RatePlan Plan = RatePlan::equal(vmNames(89));
+  CHECK_TRUE(Plan.holders(Ward).size() <= 4);
+  LONGS_EQUAL(9, RatePlan::equal(vmNames(9)).holders(Ward).size());
+}
+
+TEST_GROUP(RateShare){};
+
+TEST(RateShare, SpendsNoMoreThanItsPart) {
+  TwoVms Both(10, 10);
+  LONGS_EQUAL(5, admitted(Both.First, 20));
+}
+
+TEST(RateShare, BorrowedTokensLeaveTheLenderFirst) {
+  TwoVms Both(10, 10);
+  unsigned Passed = 0;
+  for (unsigned Index = 0; Index < 8; ++Index)
+    Both.First.admit(Ward, [&](const RateShare::Decision &Made) {
+      Passed += Made.Admitted ? 1 : 0;
+    });
+  LONGS_EQUAL(5, Passed);
+  for (int Round = 0; Round < 8; ++Round)
+    Both.deliver();
+  LONGS_EQUAL(8, Passed);
+  unsigned Left = admitted(Both.Second, 20);
+  CHECK_TRUE(Passed + Left <= 11);
+}
+
+TEST(RateShare, ALostGrantLosesTokensAndCreatesNone) {
+  TwoVms Both(10, 10);
+  unsigned Passed = admitted(Both.First, 8);
+  Both.deliver();
+  Both.ToOne.clear();
+  Passed += admitted(Both.Second, 20);
+  CHECK_TRUE(Passed <= 11);
+}
+
+TEST(RateShare, ARefusalSaysWhenToComeBack) {
+  TwoVms Both(10, 10);
+  admitted(Both.First, 5);
+  Duration RetryAfter{};
+  bool Admitted = true;
+  Both.First.admit(Ward, [&](const RateShare::Decision &Made) {
+    Admitted = Made.Admitted;
+    RetryAfter = Made.RetryAfter;
+  });
+  Both.pass(milliseconds(45));
+  CHECK_FALSE(Admitted);
+  CHECK_TRUE(RetryAfter >= milliseconds(20));
+}
+
+TEST(RateShare, WithoutAPlanNothingIsSpent) {
+  TwoVms Both(10, 10);
+  Both.First.setPlan(nullptr, {});
+  LONGS_EQUAL(0, admitted(Both.First, 5));
+}
+
+TEST(RateShare, ALowerLimitCutsWhatIsHeld) {
+  TwoVms Both(100, 100);
+  std::map<AccountId, AccountConfig> Lower{{Ward, {Ward, 4, 4}}};
+  Both.First.configure(Lower);
+  CHECK_TRUE(admitted(Both.First, 50) <= 3);
+}
