--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -176,6 +176,7 @@
   void acquireDuties();
   void acquireIfFirst(const DatabaseId &Group);
   void compareVersion(const VmId &From, std::uint64_t Version);
+  void fetchConfig(const VmId &From, std::uint64_t Version);
   void listed(const std::vector<MemberState> &Members);
   void losePeer(const VmId &Vm, const char *Reason);
   void setReachable(const VmId &Vm, bool Reachable);
@@ -201,6 +202,7 @@
   std::map<LinkId, TargetId> m_LinkTargets;
   std::map<VmId, Incarnation> m_Origins; ///< VMs that opened a stream to this.
   std::map<DatabaseId, Instant> m_AcquiringSince;
+  std::uint64_t m_Fetching = 0; ///< Version that is being fetched.
   std::deque<Local> m_Local;
   bool m_Settling = false;
   std::optional<Instant> m_LeavingSince;
--- /dev/null
+++ b/soak/ProcessFleet.h
@@ -0,0 +1,140 @@
+#ifndef BERGAMOTSTAGE_SOAK_PROCESSFLEET_H
+#define BERGAMOTSTAGE_SOAK_PROCESSFLEET_H
+
+#include "LoopProxy.h"
+#include "StoreStandIn.h"
+#include "TargetStandIn.h"
+
+#include "bergamotstage/core/TimerQueue.h"
+#include "bergamotstage/pooling/Session.h"
+#include "bergamotstage/pooling/SiteConfig.h"
+#include "standin/site/ModelGroup.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <sys/types.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace bergamotstage::soak {
+
+/// @brief The real program as processes on loopback, with stand-ins of store
+/// and targets around them, and with faults from outside.
+///
+/// It ends only processes that it started, by their ids.
+class ProcessFleet {
+public:
+  struct Settings {
+    std::string Program;
+    std::string Folder; ///< For settings files and logs.
+    std::uint64_t Seed = 1;
+    unsigned Vms = 4;
+    unsigned Groups = 2;
+  };
+  using AnswerHook =
+      std::function<void(const VmId &, CallerId, const pooling::CallerReply &)>;
+  using CloseHook = std::function<void(const VmId &, CallerId)>;
+
+  ProcessFleet(const Settings &Chosen, const pooling::SiteConfig &Config);
+  ~ProcessFleet();
+  ProcessFleet(const ProcessFleet &) = delete;
+  ProcessFleet &operator=(const ProcessFleet &) = delete;
+
+  void onAnswer(AnswerHook Hook) { m_OnAnswer = std::move(Hook); }
+  void onClose(CloseHook Hook) { m_OnClose = std::move(Hook); }
+
+  void start();
+  void run(Duration Span);
+  void after(Duration Span, std::function<void()> Run);
+  Instant now() const;
+  std::mt19937_64 &random() { return m_Random; }
+  std::vector<VmId> vms() const;
+  unsigned groups() const { return static_cast<unsigned>(m_Groups.size()); }
+  standin::ModelGroup &group(unsigned Index) { return *m_Groups.at(Index); }
+
+  // Callers.
+  CallerId connect(const VmId &Vm, const std::string &Database,
+                   const std::string &Key);
+  void send(const VmId &Vm, CallerId Caller, const pooling::Statement &Call);
+  void disconnect(const VmId &Vm, CallerId Caller);
+
+  // Faults. All of them heal by themselves.
+  void kill(unsigned Vm, Duration Down);
+  void pause(unsigned Vm, Duration Span);
+  void terminate(unsigned Vm);
+  void hangUp(unsigned Vm);
+  void harm(unsigned Vm, const TargetId &Target, LoopProxy::Mode How,
+            Duration Span);
+  void resetLinks(unsigned Vm);
+  void harmStore(unsigned Vm, StoreStandIn::Mode How, Duration Span);
+  void darken(const TargetId &Target, Duration Span);
+  void loseReplies(const TargetId &Target, double Part, Duration Span);
+  void drain(const TargetId &Target, Duration Span);
+  void setLag(Duration Lag) { m_Lag = Lag; }
+
+  /// @brief Ends of processes that nobody ordered, and stops that took longer
+  /// than the grace period.
+  const std::vector<std::string> &faults() const { return m_Faults; }
+  std::uint64_t promotions() const { return m_Promotions; }
+
+private:
+  struct Process {
+    pid_t Id = 0;
+    unsigned CallerPort = 0;
+    unsigned ProbePort = 0;
+    unsigned PeerPort = 0;
+    bool EndOrdered = false;
+    bool Terminating = false;
+    Instant TerminatedAt{};
+  };
+  struct Target {
+    unsigned Group = 0;
+    std::unique_ptr<TargetStandIn> StandIn;
+    std::vector<std::unique_ptr<LoopProxy>> Proxies; ///< By VM.
+    bool Draining = false;
+    std::uint64_t Sequence = 0;
+  };
+  struct Caller {
+    std::shared_ptr<runtime::ByteStream> Stream;
+    platform::LineSplitter Lines;
+    platform::LinkReplyReader Reader;
+    bool Greeted = false;
+  };
+
+  void spawn(unsigned Vm);
+  void reap();
+  void replicate();
+  void list(const TargetId &Name);
+  bool promote(const std::string &Service, const std::string &Name);
+  void received(const VmId &Vm, CallerId Id, std::string_view Bytes);
+  void tell(const VmId &Vm, CallerId Id, pooling::LinkReply Reply);
+  std::string settingsFile(unsigned Vm) const;
+  void signal(unsigned Vm, int Number);
+
+  Settings m_Settings;
+  pooling::SiteConfig m_Config;
+  asio::io_context m_Io;
+  std::mt19937_64 m_Random;
+  std::vector<std::unique_ptr<standin::ModelGroup>> m_Groups;
+  std::map<TargetId, Target> m_Targets;
+  std::unique_ptr<StoreStandIn> m_Store;
+  std::vector<Process> m_Processes;
+  std::map<CallerId, Caller> m_Callers;
+  std::vector<std::string> m_Faults;
+  Duration m_Lag = milliseconds(10);
+  std::uint64_t m_LastLink = 0;
+  std::uint64_t m_LastCaller = 0;
+  std::uint64_t m_Promotions = 0;
+  AnswerHook m_OnAnswer;
+  CloseHook m_OnClose;
+};
+
+} // namespace bergamotstage::soak
+
+#endif // BERGAMOTSTAGE_SOAK_PROCESSFLEET_H
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -32,8 +32,11 @@
 constexpr Duration AliveAge = milliseconds(300);
 /// The holder of a duty must be lost for so long before another VM takes it.
 constexpr Duration HolderLostTime = seconds(2);
+/// The VM that reads a configuration for its data centre has it by then.
+constexpr Duration ZoneConfigTime = milliseconds(80);
 /// A peer that has a newer configuration sends it within this time.
 constexpr Duration PeerConfigTime = milliseconds(400);
+const char *const ConfigSubject = "config of a data centre";
 constexpr Duration AcquireTimeout = seconds(3);
 /// After a signal, connections still come until the platform has noticed:
 /// two probes, a second apart.
@@ -313,9 +316,35 @@
                 {{"vm", From.value()},
                  {"version", std::to_string(Version)},
                  {"own", std::to_string(m_Config->Version)}});
-  send(From, ConfigAsk{});
-  // The store is asked only where the peer does not deliver: calls are paid.
+  fetchConfig(From, Version);
+}
+
+/// @brief Gets a configuration that is known to exist.
+///
+/// One VM of each data centre reads it from the store and the others there get
+/// it from that one: calls of the store and bytes between data centres are
+/// both paid for.
+void PoolNode::fetchConfig(const VmId &From, std::uint64_t Version) {
+  if (Version <= m_Fetching)
+    return;
+  m_Fetching = Version;
+  auto Teller = m_Members.find(From);
+  bool Near = Teller != m_Members.end() &&
+              Teller->second.DataCentre == m_Context.dataCentre();
+  std::vector<VmId> Order =
+      rankOwners(ConfigSubject, m_Context.dataCentre(), m_Members);
+  bool First = !Order.empty() && Order.front() == m_Context.self();
+  if (Near)
+    send(From, ConfigAsk{});
+  else if (First)
+    m_Hooks.ReadConfig();
+  else if (!Order.empty())
+    m_Context.after(ZoneConfigTime, [this, Version, Holder = Order.front()] {
+      if (m_Config->Version < Version)
+        send(Holder, ConfigAsk{});
+    });
   m_Context.after(PeerConfigTime, [this, Version] {
+    m_Fetching = 0;
     if (m_Config->Version < Version)
       m_Hooks.ReadConfig();
   });
--- a/src/runtime/LogThread.cpp
+++ b/src/runtime/LogThread.cpp
@@ -61,7 +61,7 @@
   auto Layout = std::make_shared<log4cxx::PatternLayout>(
       LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p %m%n"));
   auto Appender = std::make_shared<log4cxx::ConsoleAppender>(
-      Layout, log4cxx::ConsoleAppender::getSystemErr());
+      Layout, log4cxx::ConsoleAppender::getSystemOut());
   auto Root = log4cxx::Logger::getRootLogger();
   Root->removeAllAppenders();
   Root->addAppender(Appender);
--- a/test/PoolCallers.h
+++ b/src/standin/site/PoolCallers.h
@@ -1,7 +1,9 @@
-#ifndef BERGAMOTSTAGE_TEST_POOLCALLERS_H
-#define BERGAMOTSTAGE_TEST_POOLCALLERS_H
+#ifndef BERGAMOTSTAGE_STANDIN_SITE_POOLCALLERS_H
+#define BERGAMOTSTAGE_STANDIN_SITE_POOLCALLERS_H
 
-#include "standin/site/PoolFleet.h"
+#include "bergamotstage/pooling/Session.h"
+#include "bergamotstage/pooling/SiteConfig.h"
+#include "standin/site/ModelGroup.h"
 
 #include <algorithm>
 #include <map>
@@ -9,13 +11,11 @@
 #include <string>
 #include <vector>
 
-namespace bergamotstage::test {
+namespace bergamotstage::standin {
 
 using pooling::ErrorCode;
 using pooling::Statement;
 using pooling::Verb;
-using standin::ModelGroup;
-using standin::PoolFleet;
 
 /// @brief A configuration with one route of each kind for each group, named
 /// "primary-0", "bounded-0", "own-0" and so on, and keys "key-0" and so on.
@@ -52,7 +52,8 @@
 
 /// @brief Callers that run random operations and check what they are promised
 /// from what they and the targets see.
-class PoolCallers {
+/// @tparam Fleet VMs and targets: PoolFleet on virtual time, or processes
+template <class Fleet> class PoolCallers {
 public:
   struct Counts {
     unsigned Operations = 0;
@@ -65,16 +66,16 @@
     unsigned Transactions = 0;
   };
 
-  PoolCallers(PoolFleet &Fleet, pooling::SiteConfig Config)
-      : m_Fleet(Fleet), m_Config(std::move(Config)) {
-    for (unsigned Index = 0; Index < Fleet.groups(); ++Index)
-      Fleet.group(Index).onRun(
+  PoolCallers(Fleet &Site, pooling::SiteConfig Config)
+      : m_Fleet(Site), m_Config(std::move(Config)) {
+    for (unsigned Index = 0; Index < Site.groups(); ++Index)
+      Site.group(Index).onRun(
           [this, Index](const ModelGroup::Ran &Told) { ran(Index, Told); });
-    Fleet.onAnswer([this](const VmId &Vm, CallerId Caller,
-                          const pooling::CallerReply &Reply) {
+    Site.onAnswer([this](const VmId &Vm, CallerId Caller,
+                         const pooling::CallerReply &Reply) {
       answered(Vm, Caller, Reply);
     });
-    Fleet.onClose(
+    Site.onClose(
         [this](const VmId &Vm, CallerId Caller) { closed(Vm, Caller); });
   }
 
@@ -493,7 +494,7 @@
     return !Seen && !RolledBack;
   }
 
-  PoolFleet &m_Fleet;
+  Fleet &m_Fleet;
   pooling::SiteConfig m_Config;
   std::vector<Caller> m_Callers;
   std::map<CallerId, std::size_t> m_ById;
@@ -511,6 +512,6 @@
   bool m_Stopped = false;
 };
 
-} // namespace bergamotstage::test
+} // namespace bergamotstage::standin
 
-#endif // BERGAMOTSTAGE_TEST_POOLCALLERS_H
+#endif // BERGAMOTSTAGE_STANDIN_SITE_POOLCALLERS_H
--- a/test/unit-pool-random.cpp
+++ b/test/unit-pool-random.cpp
@@ -1,4 +1,5 @@
-#include "PoolCallers.h"
+#include "standin/site/PoolCallers.h"
+#include "standin/site/PoolFleet.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -6,7 +7,7 @@
 #include <cstdlib>
 
 using namespace bergamotstage;
-using namespace bergamotstage::test;
+using namespace bergamotstage::standin;
 
 namespace {
 
@@ -59,7 +60,7 @@
   }
 
   PoolFleet &fleet() { return m_Fleet; }
-  const PoolCallers &callers() const { return m_Callers; }
+  const PoolCallers<PoolFleet> &callers() const { return m_Callers; }
 
 private:
   static void printLine(Instant Now, const VmId &Vm, const WriteLog &Entry) {
@@ -163,7 +164,7 @@
 
   pooling::SiteConfig m_Config;
   PoolFleet m_Fleet;
-  PoolCallers m_Callers;
+  PoolCallers<PoolFleet> m_Callers;
 };
 
 void check(const FaultRun &Run, std::uint64_t Seed) {
--- a/test/unit-pool-sessions.cpp
+++ b/test/unit-pool-sessions.cpp
@@ -1,4 +1,5 @@
-#include "PoolCallers.h"
+#include "standin/site/PoolCallers.h"
+#include "standin/site/PoolFleet.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -8,7 +9,7 @@
 #include <vector>
 
 using namespace bergamotstage;
-using namespace bergamotstage::test;
+using namespace bergamotstage::standin;
 
 namespace {
 
