Mend the linter's findings in the new code

Change: parameters by reference, wide literals, a count of metrics as a whole number, a lambda's name. Ruled out: a change of behaviour; the unit tests of pooling and platform pass.

--- a/include/bergamotstage/metrics/Prometheus.h
+++ b/include/bergamotstage/metrics/Prometheus.h
@@ -3,6 +3,7 @@
 
 #include "bergamotstage/metrics/Registry.h"
 
+#include <cstdint>
 #include <string>
 
 namespace bergamotstage::metrics {
@@ -12,7 +13,7 @@
 std::string renderPrometheus(const Registry &Metrics);
 
 /// @brief One line of a value without labels.
-std::string gauge(const std::string &Name, double Value);
+std::string gauge(const std::string &Name, std::uint64_t Value);
 
 } // namespace bergamotstage::metrics
 
--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -132,7 +132,7 @@
   bool evictIdle();
   void dispatch(Job &Next);
   void prepareLink(PoolLink &On, const Job &Next);
-  void send(PoolLink &On, LinkRequest Request);
+  void send(PoolLink &On, const LinkRequest &Request);
   void sendStatement(Job &Running, PoolLink &On);
   void takeSlot(PoolLink &On);
   void freeSlot(PoolLink &On);
--- a/soak/StoreStandIn.cpp
+++ b/soak/StoreStandIn.cpp
@@ -279,11 +279,11 @@
 void StoreStandIn::write(const std::shared_ptr<Connection> &To,
                          const Request &Asked) {
   Json Body = Json::parse(Asked.Body);
-  auto rowOf = [&](const Json &Named) -> Row & {
+  auto RowOf = [&](const Json &Named) -> Row & {
     return m_Tables[Named["table"]][Named["key"]];
   };
   for (const Json &Known : Body["expect"]) {
-    const Row &Of = rowOf(Known);
+    const Row &Of = RowOf(Known);
     std::uint64_t Version = Of.Deleted ? 0 : Of.Version;
     if (Version != Known["ver"].get<std::uint64_t>())
       return reply(To, PreconditionFailed, R"({"rows":[]})");
@@ -298,10 +298,10 @@
                         static_cast<int>(Text.size()));
     auto Padding = std::count(Text.begin(), Text.end(), '=');
     Value.resize(static_cast<std::size_t>(Size - Padding));
-    rowOf(Made) = {Value, m_Version, false};
+    RowOf(Made) = {Value, m_Version, false};
   }
   for (const Json &Gone : Body["remove"])
-    rowOf(Gone) = {"", m_Version, true};
+    RowOf(Gone) = {"", m_Version, true};
   std::uniform_real_distribution<double> Chance(0, 1);
   bool Lost = m_Doors[To->Vm].Chosen == Mode::LosesAnswers &&
               Chance(m_Random) < LostPart;
--- a/src/metrics/Prometheus.cpp
+++ b/src/metrics/Prometheus.cpp
@@ -77,10 +77,8 @@
   return Out.str();
 }
 
-std::string gauge(const std::string &Name, double Value) {
-  std::ostringstream Out;
-  Out << Name << " " << Value << "\n";
-  return Out.str();
+std::string gauge(const std::string &Name, std::uint64_t Value) {
+  return Name + " " + std::to_string(Value) + "\n";
 }
 
 } // namespace bergamotstage::metrics
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -274,8 +274,9 @@
 }
 
 void PoolNode::handle(const VmId &From, FleetMessage &&Message) {
-  std::visit([&](auto &&Body) { take(From, std::move(Body)); },
-             std::move(Message));
+  std::visit(
+      [&](auto &&Body) { take(From, std::forward<decltype(Body)>(Body)); },
+      std::move(Message));
 }
 
 void PoolNode::peerReceived(Instant Now, const VmId &From,
--- a/src/pooling/PromotionDuty.cpp
+++ b/src/pooling/PromotionDuty.cpp
@@ -169,10 +169,11 @@
     LinkRequest Ask;
     Ask.What = Pause ? LinkRequest::Kind::Pause : LinkRequest::Kind::Status;
     Ask.AtTerm = PauseTerm;
-    m_Hooks.Command(Id, std::move(Ask),
-                    [this, Group, Round, Id](std::optional<LinkReply> Reply) {
-                      surveyed(Group, Round, Id, Reply);
-                    });
+    m_Hooks.Command(
+        Id, std::move(Ask),
+        [this, Group, Round, Id](const std::optional<LinkReply> &Reply) {
+          surveyed(Group, Round, Id, Reply);
+        });
   }
   m_Context.after(SurveyTime, [this, Group, Number] {
     Attempt *Later = find(Group, Number);
@@ -235,7 +236,7 @@
   Ask.What = LinkRequest::Kind::StepDown;
   Ask.AtTerm = Term(Known->TopTerm.value() + 1);
   m_Hooks.Command(*Known->Old, std::move(Ask),
-                  [this, Group, Number](std::optional<LinkReply> Reply) {
+                  [this, Group, Number](const std::optional<LinkReply> &Reply) {
                     Attempt *Later = find(Group, Number);
                     if (Later == nullptr)
                       return;
@@ -272,7 +273,7 @@
     Ask.What = LinkRequest::Kind::Status;
     m_Hooks.Command(
         Later->Candidate, std::move(Ask),
-        [this, Group, Number, Until](std::optional<LinkReply> Reply) {
+        [this, Group, Number, Until](const std::optional<LinkReply> &Reply) {
           Attempt *Asked = find(Group, Number);
           if (Asked == nullptr)
             return;
--- a/src/pooling/RateShare.cpp
+++ b/src/pooling/RateShare.cpp
@@ -267,7 +267,7 @@
     Of.Asked.reset();
   Lender &Known = Of.Lenders[From];
   Known.LeftMilliTokens = Grant.LeftMilliTokens;
-  bool Empty = Grant.LeftMilliTokens < MilliPerToken;
+  bool Empty = Grant.LeftMilliTokens < toMilli(OneToken);
   Known.NotBefore = m_Context.now() + (Empty ? EmptyLenderPause : Duration(0));
   available(Of);
   Of.Borrowed = Of.Borrowed + fromMilli(Grant.MilliTokens);
--- a/src/pooling/TargetPool.cpp
+++ b/src/pooling/TargetPool.cpp
@@ -311,7 +311,7 @@
   --m_SlotsUsed;
 }
 
-void TargetPool::send(PoolLink &On, LinkRequest Request) {
+void TargetPool::send(PoolLink &On, const LinkRequest &Request) {
   PoolLink::Sent Asked;
   Asked.What = Request.What;
   Asked.At = m_Context.now();
@@ -349,7 +349,7 @@
       Follows ? LinkRequest::Kind::BeginReadOnly : LinkRequest::Kind::Begin;
   if (Follows)
     Begin.After = Next.Asked.After;
-  send(On, std::move(Begin));
+  send(On, Begin);
 }
 
 void TargetPool::prepareLink(PoolLink &On, const Job &Next) {
@@ -362,7 +362,7 @@
   if (Surplus) {
     LinkRequest Clear;
     Clear.What = LinkRequest::Kind::ClearSession;
-    send(On, std::move(Clear));
+    send(On, Clear);
     On.Prepared.clear();
   }
   for (const auto &[Name, Value] : Wanted) {
@@ -373,7 +373,7 @@
     Set.What = LinkRequest::Kind::SetValue;
     Set.Name = Name;
     Set.Value = Value;
-    send(On, std::move(Set));
+    send(On, Set);
   }
   On.Values = Next.Asked.Values;
   const Statement &Call = Next.Asked.First;
@@ -384,7 +384,7 @@
   Prepare.Name = "p" + std::to_string(++On.LastName);
   Prepare.Prepared = Call.Prepared;
   On.Prepared[Call.Prepared] = Prepare.Name;
-  send(On, std::move(Prepare));
+  send(On, Prepare);
 }
 
 void TargetPool::sendStatement(Job &Running, PoolLink &On) {
@@ -397,12 +397,12 @@
     Request.Name = On.Prepared.at(Request.Call.Prepared);
   bool SingleRead =
       Running.Asked.How == Access::Leader && !Request.Call.writes();
-  send(On, std::move(Request));
+  send(On, Request);
   if (!SingleRead)
     return;
   LinkRequest End;
   End.What = LinkRequest::Kind::Rollback;
-  send(On, std::move(End));
+  send(On, End);
 }
 
 // Answers.
@@ -634,7 +634,7 @@
 void TargetPool::rollBack(PoolLink &On) {
   LinkRequest End;
   End.What = LinkRequest::Kind::Rollback;
-  send(On, std::move(End));
+  send(On, End);
 }
 
 /// @brief A link that still waits for the end of its own transaction is not
--- a/src/runtime/site/ByteStream.h
+++ b/src/runtime/site/ByteStream.h
@@ -50,7 +50,7 @@
 private:
   static constexpr std::size_t ReadSize = 8192;
   /// A far end that has so much waiting for it does not read any more.
-  static constexpr std::size_t MaxOutput = 4 * 1024 * 1024;
+  static constexpr std::size_t MaxOutput = std::size_t{4} * 1024 * 1024;
 
   void read();
   void write();
--- a/src/runtime/site/HttpClient.cpp
+++ b/src/runtime/site/HttpClient.cpp
@@ -8,14 +8,14 @@
 namespace {
 
 /// Answers are rows of at most a megabyte, in base64 inside JSON.
-constexpr std::size_t MaxBody = 16 * 1024 * 1024;
+constexpr std::size_t MaxBody = std::size_t{16} * 1024 * 1024;
 constexpr Duration SilenceLimit = seconds(3);
 
 std::string render(const platform::HttpCall &Request, const std::string &Host) {
   std::string Out = Request.Method + " " + Request.Path +
                     " HTTP/1.1\r\nHost: " + Host + "\r\n";
   for (const auto &[Name, Value] : Request.Headers)
-    Out += Name + ": " + Value + "\r\n";
+    Out.append(Name).append(": ").append(Value).append("\r\n");
   if (Request.Method != "GET")
     Out += "Content-Type: application/json\r\nContent-Length: " +
            std::to_string(Request.Body.size()) + "\r\n";
--- a/src/runtime/site/PeerStreams.h
+++ b/src/runtime/site/PeerStreams.h
@@ -46,7 +46,7 @@
   void drop(const VmId &Vm);
 
 private:
-  static constexpr std::size_t MaxFrame = 4 * 1024 * 1024;
+  static constexpr std::size_t MaxFrame = std::size_t{4} * 1024 * 1024;
 
   /// @brief Cuts a stream of bytes into messages.
   class FrameReader {
--- a/src/standin/site/PoolFleet.cpp
+++ b/src/standin/site/PoolFleet.cpp
@@ -239,9 +239,10 @@
       at(Other, m_Vms.at(Other).Life, m_Settings.PeerDelay,
          [this, Name](PoolNode &Node) { Node.originLost(m_Now, Name); });
   };
-  Ask.CallPlatform = [this, Name, Life](const PlatformRequest &Request,
-                                        PoolNode::PlatformCallback Done) {
-    callPlatform(Name, Life, Request, std::move(Done));
+  Ask.CallPlatform = [this, Name,
+                      Life](const PlatformRequest &Request,
+                            const PoolNode::PlatformCallback &Done) {
+    callPlatform(Name, Life, Request, Done);
   };
   Ask.ReadConfig = [this, Name, Life] {
     if (!m_StoreDown)
@@ -566,7 +567,7 @@
 
 void PoolFleet::callPlatform(const VmId &Name, std::uint64_t Life,
                              const PlatformRequest &Request,
-                             PoolNode::PlatformCallback Done) {
+                             const PoolNode::PlatformCallback &Done) {
   std::uniform_real_distribution<double> Chance(0, 1);
   bool Writes = !std::holds_alternative<ReadRows>(Request);
   auto Answer = [this, Name, Life, Done](Duration Delay,
--- a/src/standin/site/PoolFleet.h
+++ b/src/standin/site/PoolFleet.h
@@ -150,7 +150,7 @@
   bool targetReached(const VmId &Name, const TargetId &Target) const;
   void callPlatform(const VmId &Name, std::uint64_t Life,
                     const PlatformRequest &Request,
-                    pooling::PoolNode::PlatformCallback Done);
+                    const pooling::PoolNode::PlatformCallback &Done);
   PlatformAnswer carryOut(const PlatformRequest &Request);
   PlatformAnswer promote(const Promote &Order);
   void list(const TargetId &Target);
--- a/test/unit-pool-store.cpp
+++ b/test/unit-pool-store.cpp
@@ -20,7 +20,7 @@
 public:
   using Callback = FleetRows::PlatformCallback;
 
-  void call(PlatformRequest Request, Callback Done) {
+  void call(const PlatformRequest &Request, const Callback &Done) {
     ++Calls;
     if (LoseNextWrite && std::holds_alternative<ConditionalWrite>(Request)) {
       LoseNextWrite = false;
@@ -89,8 +89,9 @@
 
   FleetRows::Hooks hooks(RowStore &Store) {
     FleetRows::Hooks Ask;
-    Ask.Call = [&Store](PlatformRequest Request, RowStore::Callback Done) {
-      Store.call(std::move(Request), std::move(Done));
+    Ask.Call = [&Store](const PlatformRequest &Request,
+                        const RowStore::Callback &Done) {
+      Store.call(Request, Done);
     };
     Ask.PlanChanged = [this](const std::shared_ptr<const RatePlan> &,
                              const std::set<RatePlan::Slot> &Slots) {
