--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -139,7 +139,6 @@
   void began(PoolLink &On, const PoolLink::Sent &Asked, const LinkReply &Reply);
   void answered(PoolLink &On, const PoolLink::Sent &Asked, LinkReply Reply);
   void requeue(Job &Again);
-  void finishJob(const WorkId &Id);
   void rollBack(PoolLink &On);
   void settleLink(PoolLink &On);
   void reply(const Job &Of, WorkResult Result);
--- /dev/null
+++ b/src/pooling/PoolNodeMessages.cpp
@@ -0,0 +1,320 @@
+#include "bergamotstage/pooling/PoolNode.h"
+
+#include "bergamotstage/forward/Rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace bergamotstage::pooling {
+namespace {
+
+/// Peers that owe answers are looked at this often.
+constexpr Duration PeerCheckInterval = milliseconds(75);
+/// A proof of this age is as good as a new one to whoever asks.
+constexpr Duration SharedProofAge = milliseconds(60);
+/// A target that was heard of so lately is alive.
+constexpr Duration AliveAge = milliseconds(300);
+/// The VM that reads a configuration for its data centre has it by then.
+constexpr Duration ZoneConfigTime = milliseconds(80);
+/// A peer that has a newer configuration sends it within this time.
+constexpr Duration PeerConfigTime = milliseconds(400);
+const char *const ConfigSubject = "config of a data centre";
+
+} // namespace
+
+void PoolNode::answerPeer(const VmId &To, FleetMessage &&Message) {
+  if (To == m_Context.self()) {
+    m_Local.push_back({To, std::move(Message)});
+    return;
+  }
+  m_Hooks.ReplyPeer(To, Message);
+}
+
+void PoolNode::tellAll(const FleetMessage &Message) {
+  for (const VmId &Peer : peers())
+    send(Peer, FleetMessage(Message));
+}
+
+void PoolNode::settle() {
+  if (m_Settling)
+    return;
+  m_Settling = true;
+  while (!m_Local.empty()) {
+    Local Next = std::move(m_Local.front());
+    m_Local.pop_front();
+    handle(Next.From, std::move(Next.Message));
+  }
+  m_Settling = false;
+}
+
+void PoolNode::handle(const VmId &From, FleetMessage &&Message) {
+  std::visit(
+      [&](auto &&Body) { take(From, std::forward<decltype(Body)>(Body)); },
+      std::move(Message));
+}
+
+void PoolNode::peerReceived(Instant Now, const VmId &From,
+                            FleetMessage Message) {
+  begin(Now);
+  if (m_Health.heard(From, m_Context.now()))
+    setReachable(From, true);
+  handle(From, std::move(Message));
+  settle();
+}
+
+void PoolNode::take(const VmId &From, Hello &&Body) {
+  auto Known = m_Origins.find(From);
+  bool NewLife = Known != m_Origins.end() && Known->second != Body.Start;
+  if (NewLife)
+    for (auto &[Id, At] : m_Pools)
+      At->abandonAll(From);
+  m_Origins[From] = Body.Start;
+  bool Unknown = m_Members.count(From) == 0;
+  m_Members[From] = {From, Body.DataCentre, Body.Address, Body.Start,
+                     true, Body.Leaving,    Body.Cores};
+  if (Unknown || Body.Leaving || NewLife) {
+    m_Context.log(WriteLog::Level::Info, "vm_seen",
+                  {{"vm", From.value()},
+                   {"leaving", Body.Leaving ? "yes" : "no"},
+                   {"new_life", NewLife ? "yes" : "no"}});
+    limitPools();
+  }
+  if (Unknown)
+    m_Rows.readSoon();
+  compareVersion(From, Body.ConfigVersion);
+}
+
+void PoolNode::compareVersion(const VmId &From, std::uint64_t Version) {
+  if (Version <= m_Config->Version)
+    return;
+  m_Context.log(WriteLog::Level::Info, "newer_config_at_peer",
+                {{"vm", From.value()},
+                 {"version", std::to_string(Version)},
+                 {"own", std::to_string(m_Config->Version)}});
+  fetchConfig(From, Version);
+}
+
+/// @brief Gets a configuration that is known to exist.
+///
+/// One VM of each data centre reads it from the store and the others there get
+/// it from that one: calls of the store and bytes between data centres are
+/// both paid for.
+void PoolNode::fetchConfig(const VmId &From, std::uint64_t Version) {
+  if (Version <= m_Fetching)
+    return;
+  m_Fetching = Version;
+  auto Teller = m_Members.find(From);
+  bool Near = Teller != m_Members.end() &&
+              Teller->second.DataCentre == m_Context.dataCentre();
+  std::vector<VmId> Order =
+      rankOwners(ConfigSubject, m_Context.dataCentre(), m_Members);
+  bool First = !Order.empty() && Order.front() == m_Context.self();
+  if (Near)
+    send(From, ConfigAsk{});
+  else if (First)
+    m_Hooks.ReadConfig();
+  else if (!Order.empty())
+    m_Context.after(ZoneConfigTime, [this, Version, Holder = Order.front()] {
+      if (m_Config->Version < Version)
+        send(Holder, ConfigAsk{});
+    });
+  m_Context.after(PeerConfigTime, [this, Version] {
+    m_Fetching = 0;
+    if (m_Config->Version < Version)
+      m_Hooks.ReadConfig();
+  });
+}
+
+void PoolNode::take(const VmId &From, Ping &&Body) {
+  compareVersion(From, Body.ConfigVersion);
+  answerPeer(From, Pong{m_Config->Version});
+}
+
+void PoolNode::take(const VmId &From, Pong &&Body) {
+  compareVersion(From, Body.ConfigVersion);
+}
+
+void PoolNode::take(const VmId & /*From*/, StartWork &&Body) {
+  TargetPool *At = pool(Body.Asked.Target);
+  if (At != nullptr)
+    return At->start(std::move(Body.Asked));
+  WorkResult Result;
+  Result.Reason = NotRunReason::UnknownTarget;
+  answerPeer(Body.Asked.Id.Origin,
+             WorkReply{Body.Asked.Id.Number, std::move(Result)});
+}
+
+void PoolNode::take(const VmId &From, NextWork &&Body) {
+  WorkId Id{From, Body.Number};
+  for (auto &[Target, At] : m_Pools) {
+    if (!At->has(Id))
+      continue;
+    std::optional<SharedValues> Values;
+    if (Body.ValuesChanged)
+      Values = std::move(Body.Values);
+    return At->next(Id, std::move(Body.Call), Values, Body.QueueTime);
+  }
+  WorkResult Result;
+  Result.Reason = NotRunReason::Unreachable;
+  answerPeer(From, WorkReply{Body.Number, std::move(Result)});
+}
+
+void PoolNode::take(const VmId &From, AbandonWork &&Body) {
+  WorkId Id{From, Body.Number};
+  for (auto &[Target, At] : m_Pools)
+    At->abandon(Id);
+}
+
+void PoolNode::take(const VmId &From, WorkReply &&Body) {
+  m_Sessions.replied(From, Body);
+}
+
+void PoolNode::take(const VmId &From, ProofAsk &&Body) {
+  TargetPool *At = pool(Body.Target);
+  if (At == nullptr)
+    return answerPeer(From, ProofReply{Body.Target, false, {}, {}, Body.Stamp});
+  At->prove(Body.Account, SharedProofAge,
+            [this, From, Target = Body.Target, Stamp = Body.Stamp](
+                std::optional<HistoryPoint> Position, Instant AskedAt) {
+              ProofReply Reply;
+              Reply.Target = Target;
+              Reply.Proven = Position.has_value();
+              Reply.Position = Position.value_or(HistoryPoint());
+              Reply.Age = m_Context.now() - AskedAt;
+              Reply.Stamp = Stamp;
+              answerPeer(From, std::move(Reply));
+            });
+}
+
+void PoolNode::take(const VmId & /*From*/, ProofReply &&Body) {
+  m_Sessions.proven(Body);
+}
+
+void PoolNode::take(const VmId &From, TokenAsk &&Body) {
+  m_Rates.received(From, Body);
+}
+
+void PoolNode::take(const VmId &From, TokenGrant &&Body) {
+  m_Rates.received(From, Body);
+}
+
+void PoolNode::take(const VmId &From, PrimarySuspected &&Body) {
+  auto At = m_Pools.find(Body.Target);
+  bool Alive = At != m_Pools.end() && At->second->reachable() &&
+               m_Context.now() - At->second->lastHeard() < AliveAge;
+  if (Alive)
+    return send(From, TargetAlive{Body.Group, Body.Target});
+  if (!holdsDuty(Body.Group))
+    acquireIfFirst(Body.Group);
+  m_Promotion.suspected(Body.Group, Body.Target);
+}
+
+void PoolNode::take(const VmId & /*From*/, TargetAlive &&Body) {
+  m_Promotion.alive(Body.Group, Body.Target);
+}
+
+void PoolNode::take(const VmId & /*From*/, Promoted &&Body) {
+  m_Targets.promoted(Body.Group, Body.Target, Body.NewTerm);
+  m_Sessions.retryHeld();
+}
+
+void PoolNode::take(const VmId &From, ConfigAsk && /*Body*/) {
+  answerPeer(From, ConfigText{m_Hooks.ConfigText()});
+}
+
+void PoolNode::take(const VmId & /*From*/, ConfigText &&Body) {
+  m_Hooks.TakeConfigText(Body.Text);
+}
+
+void PoolNode::take(const VmId &From, NewsAsk &&Body) {
+  m_Readers.received(From, Body);
+}
+
+void PoolNode::take(const VmId &From, News &&Body) {
+  m_Readers.received(From, Body);
+}
+
+// Other VMs.
+
+std::vector<VmId> PoolNode::peers() const {
+  std::vector<VmId> Reachable;
+  for (const auto &[Id, Member] : m_Members)
+    if (Id != m_Context.self() && Member.Reachable)
+      Reachable.push_back(Id);
+  return Reachable;
+}
+
+void PoolNode::listed(const std::vector<MemberState> &Members) {
+  for (const MemberState &Member : Members) {
+    if (Member.Vm == m_Context.self())
+      continue;
+    auto [Found, Added] = m_Members.try_emplace(Member.Vm, Member);
+    if (!Added && Found->second.Start < Member.Start) {
+      Found->second = Member;
+      Found->second.Reachable = !m_Health.isLost(Member.Vm);
+    }
+  }
+  std::vector<VmId> Unlisted;
+  for (const auto &[Id, Member] : m_Members) {
+    bool Listed = std::any_of(
+        Members.begin(), Members.end(),
+        [Id = Id](const MemberState &Entry) { return Entry.Vm == Id; });
+    if (!Listed && Id != m_Context.self() && !Member.Reachable)
+      Unlisted.push_back(Id);
+  }
+  for (const VmId &Id : Unlisted) {
+    m_Members.erase(Id);
+    m_Health.forget(Id);
+  }
+  limitPools();
+}
+
+void PoolNode::setReachable(const VmId &Vm, bool Reachable) {
+  auto Found = m_Members.find(Vm);
+  if (Found == m_Members.end() || Found->second.Reachable == Reachable)
+    return;
+  Found->second.Reachable = Reachable;
+  m_Context.log(Reachable ? WriteLog::Level::Info : WriteLog::Level::Warning,
+                Reachable ? "vm_reachable" : "vm_unreachable",
+                {{"vm", Vm.value()}});
+  limitPools();
+}
+
+void PoolNode::losePeer(const VmId &Vm, const char *Reason) {
+  if (m_Members.count(Vm) == 0)
+    return;
+  bool Was = m_Health.isLost(Vm);
+  m_Health.broken(Vm, m_Context.now());
+  if (!Was)
+    m_Context.log(WriteLog::Level::Warning, "vm_lost",
+                  {{"vm", Vm.value()}, {"reason", Reason}});
+  setReachable(Vm, false);
+  m_Sessions.ownerLost(Vm);
+}
+
+void PoolNode::peerLost(Instant Now, const VmId &Vm) {
+  begin(Now);
+  losePeer(Vm, "the connection broke");
+  settle();
+}
+
+void PoolNode::originLost(Instant Now, const VmId &Vm) {
+  begin(Now);
+  for (auto &[Id, At] : m_Pools)
+    At->abandonAll(Vm);
+  settle();
+}
+
+void PoolNode::checkPeers() {
+  PeerHealth::Due Due = m_Health.check(m_Context.now());
+  for (const VmId &Vm : Due.Lost) {
+    m_Hooks.DropPeer(Vm);
+    losePeer(Vm, "a ping was not answered");
+  }
+  for (const VmId &Vm : Due.Ping)
+    send(Vm, Ping{m_Config->Version});
+  m_Context.after(PeerCheckInterval, [this] { checkPeers(); });
+}
+
+} // namespace bergamotstage::pooling
