--- a/include/bergamotstage/pooling/FleetRows.h
+++ b/include/bergamotstage/pooling/FleetRows.h
@@ -82,7 +82,7 @@
   void balance();
   bool takeOverSilent();
   void giveToPoorest();
-  void writePlan(RatePlan Next, std::optional<SeenRow> Removed);
+  void writePlan(const RatePlan &Next, const std::optional<SeenRow> &Removed);
 
   Context &m_Context;
   MemberState m_Self;
--- a/src/pooling/FleetRows.cpp
+++ b/src/pooling/FleetRows.cpp
@@ -231,7 +231,7 @@
     Next.move(Vm, m_Self.Vm, m_Plan->size());
     m_Context.log(WriteLog::Level::Info, "rate_slots_inherited",
                   {{"vm", Vm.value()}});
-    writePlan(std::move(Next), Row->second);
+    writePlan(Next, Row->second);
     return true;
   }
   return false;
@@ -257,10 +257,11 @@
     return;
   RatePlan Next = *m_Plan;
   Next.move(m_Self.Vm, *Poorest, std::min(Own - Fair, Fair - Fewest));
-  writePlan(std::move(Next), std::nullopt);
+  writePlan(Next, std::nullopt);
 }
 
-void FleetRows::writePlan(RatePlan Next, std::optional<SeenRow> Removed) {
+void FleetRows::writePlan(const RatePlan &Next,
+                          const std::optional<SeenRow> &Removed) {
   ConditionalWrite Write;
   Write.Conditions.push_back({PlanKey, m_PlanVersion});
   Write.Changes.push_back({PlanKey, Next.format()});
