Free the soak's connections at its end

Change: links know their stream weakly; a proxy's hooks know their pair weakly. Ruled out: the product's own streams (no frame of src/ owns a leaked object).

--- a/soak/LoopProxy.cpp
+++ b/soak/LoopProxy.cpp
@@ -34,10 +34,15 @@
       auto Through = std::make_shared<Pair>();
       auto HooksOf = [this, Through](bool Inwards) {
         runtime::ByteStream::Hooks Hooks;
-        Hooks.Received = [this, Through, Inwards](std::string_view Bytes) {
-          pass(Through, Inwards, Bytes);
+        std::weak_ptr<Pair> Known = Through;
+        Hooks.Received = [this, Known, Inwards](std::string_view Bytes) {
+          if (auto Still = Known.lock())
+            pass(Still, Inwards, Bytes);
+        };
+        Hooks.Ended = [this, Known](const std::string &) {
+          if (auto Still = Known.lock())
+            end(Still);
         };
-        Hooks.Ended = [this, Through](const std::string &) { end(Through); };
         return Hooks;
       };
       Through->Far = runtime::ByteStream::connect(m_Io, m_Target, SilenceLimit,
--- a/soak/StoreStandIn.cpp
+++ b/soak/StoreStandIn.cpp
@@ -63,7 +63,7 @@
 /// @brief One HTTP connection of a VM.
 struct StoreStandIn::Connection {
   unsigned Vm = 0;
-  std::shared_ptr<runtime::ByteStream> Stream;
+  std::weak_ptr<runtime::ByteStream> Stream; ///< Whose hooks own this.
   http_parser Parser{};
   http_parser_settings Callbacks{};
   Request Asked;
@@ -146,7 +146,8 @@
         std::size_t Parsed = http_parser_execute(&New->Parser, &New->Callbacks,
                                                  Bytes.data(), Bytes.size());
         if (Parsed != Bytes.size())
-          New->Stream->close();
+          if (auto Stream = New->Stream.lock())
+            Stream->close();
       };
       Hooks.Ended = [](const std::string &) {};
       New->Stream = runtime::ByteStream::adopt(std::move(Socket), SilenceLimit,
@@ -158,9 +159,12 @@
 
 void StoreStandIn::reply(const std::shared_ptr<Connection> &To, unsigned Status,
                          const std::string &Body) {
-  To->Stream->send("HTTP/1.1 " + std::to_string(Status) +
-                   " -\r\nContent-Type: application/json\r\nContent-Length: " +
-                   std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  auto Stream = To->Stream.lock();
+  if (!Stream)
+    return;
+  Stream->send("HTTP/1.1 " + std::to_string(Status) +
+               " -\r\nContent-Type: application/json\r\nContent-Length: " +
+               std::to_string(Body.size()) + "\r\n\r\n" + Body);
 }
 
 void StoreStandIn::answer(const std::shared_ptr<Connection> &To,
--- a/soak/TargetStandIn.cpp
+++ b/soak/TargetStandIn.cpp
@@ -159,8 +159,11 @@
   if (From->Key == 0)
     return start(From, Line);
   auto Request = parseTargetRequest(Line);
-  if (!Request)
-    return From->Stream->close();
+  if (!Request) {
+    if (auto Stream = From->Stream.lock())
+      Stream->close();
+    return;
+  }
   From->Queue.push_back(std::move(*Request));
   runNext(From);
 }
@@ -185,8 +188,11 @@
   bool Expected = Word == "START" && Service == m_Group.id().value() &&
                   Id == m_Name.value();
   if (!Expected) {
-    From->Stream->send(errorLine(pooling::ErrorCode::WrongTarget));
-    return From->Stream->closeAfterOutput();
+    if (auto Stream = From->Stream.lock()) {
+      Stream->send(errorLine(pooling::ErrorCode::WrongTarget));
+      Stream->closeAfterOutput();
+    }
+    return;
   }
   From->Key = ++m_LastLink;
   m_Group.openLink(m_Name, From->Key, AccountId(Account));
@@ -220,18 +226,23 @@
   sendAfter(From, Runs ? Span : Duration(0), platform::encodeReply(Told));
 }
 
+void TargetStandIn::send(const Link &To, const std::string &Text) {
+  if (auto Stream = To.Stream.lock())
+    Stream->send(Text);
+}
+
 void TargetStandIn::sendAfter(const std::shared_ptr<Link> &To, Duration Work,
                               const std::string &Text) {
   if (Work == Duration(0)) {
     if (!To->Silent)
-      To->Stream->send(Text);
+      send(*To, Text);
     return;
   }
   To->Busy = true;
   auto Timer = std::make_shared<asio::steady_timer>(m_Io, Work);
   Timer->async_wait([this, Timer, To, Text](std::error_code) {
     if (!To->Silent && !m_Dark)
-      To->Stream->send(Text);
+      send(*To, Text);
     To->Busy = false;
     runNext(To);
   });
--- a/soak/TargetStandIn.h
+++ b/soak/TargetStandIn.h
@@ -31,7 +31,7 @@
 
 private:
   struct Link {
-    std::shared_ptr<runtime::ByteStream> Stream;
+    std::weak_ptr<runtime::ByteStream> Stream; ///< Whose hooks own the link.
     platform::LineSplitter Lines;
     std::uint64_t Key = 0;                  ///< 0 before its start.
     std::deque<pooling::LinkRequest> Queue; ///< They run one after the other.
@@ -45,6 +45,7 @@
   void runNext(const std::shared_ptr<Link> &From);
   void run(const std::shared_ptr<Link> &From,
            const pooling::LinkRequest &Request);
+  static void send(const Link &To, const std::string &Text);
   void sendAfter(const std::shared_ptr<Link> &To, Duration Work,
                  const std::string &Text);
 
