Give the soak's processes ports that no outgoing connection takes

Change: ports of processes are drawn below the system's range. Ruled out: a fault of the program (the log says: cannot listen).

--- a/soak/ProcessFleet.cpp
+++ b/soak/ProcessFleet.cpp
@@ -28,11 +28,25 @@
 constexpr unsigned Slots = 3;
 const char *const Zones[] = {"east", "west", "south"};
 
-/// @brief A port that is free at this moment.
+/// Below the ports that the system gives to outgoing connections, which could
+/// take the port of a process while it is down.
+constexpr unsigned FirstPort = 20000;
+constexpr unsigned LastPort = 32000;
+
+/// @brief A port that is free and that no outgoing connection will get.
 unsigned freePort(asio::io_context &Io) {
-  asio::ip::tcp::acceptor Probe(
-      Io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-  return Probe.local_endpoint().port();
+  std::random_device Device;
+  std::uniform_int_distribution<unsigned> Any(FirstPort, LastPort);
+  while (true) {
+    asio::ip::tcp::endpoint Chosen(asio::ip::address_v4::loopback(),
+                                   static_cast<std::uint16_t>(Any(Device)));
+    asio::ip::tcp::acceptor Probe(Io);
+    std::error_code Failed;
+    Probe.open(Chosen.protocol(), Failed);
+    Probe.bind(Chosen, Failed);
+    if (!Failed)
+      return Chosen.port();
+  }
 }
 
 std::string loopback(unsigned Port) {
