Let go of operations in one place; drop state that nobody reads

Three places told an owner to abandon an operation and ended it; FleetRows kept the time of the store's last answer, TargetTable offered a term and StoreReaders a flag that nothing asks for. Change: Sessions::abandonOperation; the unread state is gone. No behaviour changed. Measured: linter clean; 11 of 11 of the tests of pooling, platform, forward, node and soak-short pass with the sanitizers.

--- a/include/bergamotstage/pooling/FleetRows.h
+++ b/include/bergamotstage/pooling/FleetRows.h
@@ -63,8 +63,6 @@
                std::function<void(std::optional<std::uint64_t>)> Done);
 
   bool known() const { return m_Read; }
-  /// @brief Last time that the store answered.
-  Instant lastAnswer() const { return m_LastAnswer; }
 
 private:
   struct SeenRow {
@@ -93,7 +91,6 @@
   bool m_Confirmed = false; ///< The plan was read after the last renewal.
   Instant m_StartedAt{};
   std::optional<Instant> m_RenewedAt; ///< When the last renewal was sent.
-  Instant m_LastAnswer{};
   std::map<VmId, SeenRow> m_Rows;
   std::shared_ptr<const RatePlan> m_Plan; ///< Null before the first.
   std::uint64_t m_PlanVersion = 0;
--- a/include/bergamotstage/pooling/Sessions.h
+++ b/include/bergamotstage/pooling/Sessions.h
@@ -92,6 +92,8 @@
               Duration RetryAfter);
   void finish(Session &Of, CallerReply Reply);
   void endOperation(Session &Of);
+  /// @brief Ends an operation; its owner rolls back what it holds of it.
+  void abandonOperation(Session &Of);
   void reject(CallerId Caller, ErrorCode Code, const char *Text);
   void record(const Operation &Op, const CallerReply &Reply);
   void logOutcome(const Session &Of, const CallerReply &Reply);
--- a/include/bergamotstage/pooling/StoreReaders.h
+++ b/include/bergamotstage/pooling/StoreReaders.h
@@ -52,8 +52,6 @@
   void received(const VmId &From, const NewsAsk &Ask);
   void received(const VmId &From, const News &Told);
 
-  bool following() const { return m_Following; }
-
 private:
   bool isReader() const;
   std::vector<VmId> readers() const;
--- a/include/bergamotstage/pooling/TargetTable.h
+++ b/include/bergamotstage/pooling/TargetTable.h
@@ -59,8 +59,6 @@
   void promoted(const DatabaseId &Group, const TargetId &Id, Term NewTerm);
   /// @brief Takes note that a target refused what only a leader takes.
   void notLeading(const TargetId &Id);
-  /// @brief Highest term that a promotion is known to have started.
-  Term knownTerm(const DatabaseId &Group) const;
 
   const std::map<TargetId, TargetEntry> &entries() const { return m_Entries; }
 
--- a/src/pooling/FleetRows.cpp
+++ b/src/pooling/FleetRows.cpp
@@ -99,7 +99,6 @@
       m_Context.log(WriteLog::Level::Warning, "member_row_not_written", {});
       return schedule(RetryInterval);
     }
-    m_LastAnswer = m_Context.now();
     // Another VM may have taken the part over before this renewal.
     if (m_RenewedAt && *m_RenewedAt + SpendTime < SentAt)
       m_Confirmed = false;
@@ -118,7 +117,6 @@
     const auto *Rows = std::get_if<RowsRead>(&Got);
     if (Rows == nullptr)
       return schedule(RetryInterval);
-    m_LastAnswer = m_Context.now();
     taken(*Rows, AskedAt);
     bool Settling = !m_Plan;
     std::uniform_real_distribution<double> Jitter(0.8, 1.2);
--- a/src/pooling/Sessions.cpp
+++ b/src/pooling/Sessions.cpp
@@ -100,11 +100,8 @@
   Session *Of = find(Caller);
   if (Of == nullptr)
     return;
-  if (Of->Op) {
-    if (Of->Op->Placed)
-      m_Hooks.Send(Of->Op->Owner, AbandonWork{Of->Op->Number});
-    endOperation(*Of);
-  }
+  if (Of->Op)
+    abandonOperation(*Of);
   m_Sessions.erase(Caller);
 }
 
@@ -119,14 +116,10 @@
   case Verb::Begin:
   case Verb::BeginReadOnly:
     return begin(Of, Call);
-  case Verb::Rollback: {
-    if (Of.Op) {
-      if (Of.Op->Placed)
-        m_Hooks.Send(Of.Op->Owner, AbandonWork{Of.Op->Number});
-      endOperation(Of);
-    }
+  case Verb::Rollback:
+    if (Of.Op)
+      abandonOperation(Of);
     return finish(Of, {});
-  }
   case Verb::Unknown: {
     CallerReply Reply;
     Reply.Error = ErrorCode::Malformed;
@@ -157,9 +150,7 @@
 void Sessions::endBroken(Session &Of, const Statement &Call) {
   CallerReply Reply;
   if (Call.Kind == Verb::Rollback || Call.Kind == Verb::Commit) {
-    if (Of.Op->Placed)
-      m_Hooks.Send(Of.Op->Owner, AbandonWork{Of.Op->Number});
-    endOperation(Of);
+    abandonOperation(Of);
     if (Call.Kind == Verb::Commit) {
       Reply.Error = ErrorCode::Aborted;
       Reply.ErrorText = "the transaction was rolled back";
--- a/src/pooling/SessionsOutcome.cpp
+++ b/src/pooling/SessionsOutcome.cpp
@@ -210,6 +210,12 @@
   take(*Known, std::move(Next));
 }
 
+void Sessions::abandonOperation(Session &Of) {
+  if (Of.Op->Placed)
+    m_Hooks.Send(Of.Op->Owner, AbandonWork{Of.Op->Number});
+  endOperation(Of);
+}
+
 void Sessions::endOperation(Session &Of) {
   m_ByNumber.erase(Of.Op->Number);
   m_Held.erase(Of.Op->Number);
--- a/src/pooling/TargetTable.cpp
+++ b/src/pooling/TargetTable.cpp
@@ -115,9 +115,4 @@
     m_Refused[Id] = Entry->Version;
 }
 
-Term TargetTable::knownTerm(const DatabaseId &Group) const {
-  auto Found = m_Promoted.find(Group);
-  return Found == m_Promoted.end() ? Term() : Found->second.AtTerm;
-}
-
 } // namespace bergamotstage::pooling
