Promote another follower where orders for one have no effect

A primary that was to leave had stepped down when the VM with the duty was killed. The next holder found no primary, chose that target as it had received most, and its order changed nothing; the same order was repeated without end. Ruled out: taking the follower with the next shorter log at once, which could lose acknowledged commits while the old primary is silent. A target is passed over after two orders, and only where the whole group answers and fewer logs are left out than a commit is in; a follower with the same log comes first. The virtual clocks of three tests are one function.

--- a/include/bergamotstage/pooling/PromotionDuty.h
+++ b/include/bergamotstage/pooling/PromotionDuty.h
@@ -73,6 +73,10 @@
     std::optional<HistoryPoint> MustHold; ///< Log end of the old primary.
     Instant ConfirmUntil{};
     bool Ordered = false;
+    std::map<TargetId, int> Orders; ///< Orders that had no effect in time.
+
+    std::map<TargetId, TargetStatus>::const_iterator
+    bestFollower(bool PassOver) const;
   };
 
   void start(const DatabaseId &Group, std::optional<TargetId> Old,
@@ -83,6 +87,7 @@
   void surveyed(const DatabaseId &Group, std::uint64_t Number,
                 const TargetId &Target, const std::optional<LinkReply> &Reply);
   void choose(const DatabaseId &Group, std::uint64_t Number);
+  bool mayPassOver(const DatabaseId &Group) const;
   void stepDown(const DatabaseId &Group, std::uint64_t Number);
   void awaitCatchUp(const DatabaseId &Group, std::uint64_t Number,
                     Instant Until);
@@ -99,6 +104,7 @@
   Hooks m_Hooks;
   std::map<DatabaseId, Attempt> m_Attempts;
   std::map<DatabaseId, Instant> m_NoPrimarySince;
+  std::map<DatabaseId, std::size_t> m_LargestSize; ///< Targets ever listed.
   std::map<DatabaseId, Instant> m_NotBefore;
   std::uint64_t m_LastNumber = 0;
 };
--- a/src/pooling/PromotionDuty.cpp
+++ b/src/pooling/PromotionDuty.cpp
@@ -1,6 +1,7 @@
 #include "bergamotstage/pooling/PromotionDuty.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 #include <variant>
 
@@ -18,6 +19,8 @@
 constexpr Duration CatchUpTime = milliseconds(600);
 constexpr Duration CatchUpInterval = milliseconds(20);
 constexpr Duration RetryDelay = milliseconds(150);
+/// An order may be lost once; a second one without effect is no accident.
+constexpr int OrdersPerTarget = 2;
 /// A group without any primary in the store's list for so long needs one.
 constexpr Duration NoPrimaryTime = milliseconds(1500);
 /// Pause after a suspicion that turned out wrong, and after a promotion.
@@ -26,6 +29,42 @@
 
 } // namespace
 
+/// @brief The follower that has received most, of equals the one with the
+/// fewest orders.
+///
+/// @param PassOver whether targets that orders do not move come last
+std::map<TargetId, TargetStatus>::const_iterator
+PromotionDuty::Attempt::bestFollower(bool PassOver) const {
+  auto Rank = [this, PassOver](const auto &Entry) {
+    auto Found = Orders.find(Entry.first);
+    int Given = Found == Orders.end() ? 0 : Found->second;
+    int Vain = PassOver ? Given / OrdersPerTarget : 0;
+    return std::make_tuple(-Vain, Entry.second.Received, -Given);
+  };
+  return std::max_element(Statuses.begin(), Statuses.end(),
+                          [&Rank](const auto &Left, const auto &Right) {
+                            return Rank(Left) < Rank(Right);
+                          });
+}
+
+/// @brief Whether a follower with less of the log may be promoted in place of
+/// targets that orders do not move.
+///
+/// An acknowledged commit is in the logs of the primary and of its
+/// acknowledging replicas. Where the whole group answers and no more targets
+/// are passed over than there are such replicas, one of the others holds it.
+bool PromotionDuty::mayPassOver(const DatabaseId &Group) const {
+  unsigned Acknowledging = m_Hooks.SyncReplicas(Group);
+  if (Acknowledging == 0)
+    return true;
+  const Attempt &Known = m_Attempts.at(Group);
+  auto Unmoved = std::count_if(
+      Known.Orders.begin(), Known.Orders.end(),
+      [](const auto &Entry) { return Entry.second >= OrdersPerTarget; });
+  return Known.Statuses.size() >= m_LargestSize.at(Group) &&
+         static_cast<std::size_t>(Unmoved) <= Acknowledging;
+}
+
 PromotionDuty::Attempt *PromotionDuty::find(const DatabaseId &Group,
                                             std::uint64_t Number) {
   auto Found = m_Attempts.find(Group);
@@ -152,7 +191,10 @@
   Known->MustHold.reset();
   Known->ChosenAt = Instant();
   std::vector<TargetId> Asked;
-  for (const TargetId &Id : m_Targets.groupMembers(Group))
+  std::vector<TargetId> Members = m_Targets.groupMembers(Group);
+  std::size_t &Largest = m_LargestSize[Group];
+  Largest = std::max(Largest, Members.size());
+  for (const TargetId &Id : Members)
     if (Id != Known->Old && m_Targets.takesWork(Id))
       Asked.push_back(Id);
   if (Asked.empty())
@@ -212,11 +254,7 @@
   if (Confirmed && Known->Statuses.size() < Known->Expected)
     return again(Group, Number,
                  "a follower that may hold acknowledged commits is silent");
-  auto Best =
-      std::max_element(Known->Statuses.begin(), Known->Statuses.end(),
-                       [](const auto &Left, const auto &Right) {
-                         return Left.second.Received < Right.second.Received;
-                       });
+  auto Best = Known->bestFollower(mayPassOver(Group));
   Known->Candidate = Best->first;
   m_Context.log(WriteLog::Level::Info, "promotion_candidate",
                 {{"group", Group.value()},
@@ -300,7 +338,8 @@
           return again(Group, Number, "the duty was not acquired");
         if (Known->Ordered) {
           Known->Ordered = false;
-          return again(Group, Number, "the last order is undecided");
+          ++Known->Orders[Known->Candidate];
+          return again(Group, Number, "the last order had no effect so far");
         }
         call(Group, Number, *Fence);
       });
--- a/test/unit-pool-store.cpp
+++ b/test/unit-pool-store.cpp
@@ -1,3 +1,4 @@
+#include "ContextTime.h"
 #include "bergamotstage/pooling/FleetRows.h"
 #include "bergamotstage/pooling/StoreReaders.h"
 
@@ -103,17 +104,7 @@
     return Ask;
   }
 
-  void pass(Duration Span) {
-    Instant End = Shared.now() + Span;
-    while (true) {
-      auto Next = Shared.timers().next();
-      if (!Next || *Next > End)
-        break;
-      Shared.setNow(*Next);
-      Shared.timers().runDue(*Next);
-    }
-    Shared.setNow(End);
-  }
+  void pass(Duration Span) { advanceTime(Shared, Span); }
 };
 
 /// @brief Some VMs whose clocks advance together.
@@ -275,14 +266,7 @@
     return Ask;
   }
 
-  void pass(Duration Span) {
-    Instant End = Shared.now() + Span;
-    while (Shared.timers().next() && *Shared.timers().next() <= End) {
-      Shared.setNow(*Shared.timers().next());
-      Shared.timers().runDue(Shared.now());
-    }
-    Shared.setNow(End);
-  }
+  void pass(Duration Span) { advanceTime(Shared, Span); }
 };
 
 /// @brief Eight VMs; messages arrive at once, but for those that are cut off.
--- a/test/unit-pool-target.cpp
+++ b/test/unit-pool-target.cpp
@@ -1,3 +1,4 @@
+#include "ContextTime.h"
 #include "bergamotstage/pooling/TargetPool.h"
 
 #include <CppUTest/TestHarness.h>
@@ -55,17 +56,7 @@
     return Ask;
   }
 
-  void pass(Duration Span) {
-    Instant End = Shared.now() + Span;
-    while (true) {
-      auto Next = Shared.timers().next();
-      if (!Next || *Next > End)
-        break;
-      Shared.setNow(*Next);
-      Shared.timers().runDue(*Next);
-    }
-    Shared.setNow(End);
-  }
+  void pass(Duration Span) { advanceTime(Shared, Span); }
 
   Statement call(Verb Kind, const std::string &Id) {
     Statement Made;
