Let the users' one-line policies steer the site

Counters and histograms carry the arm beside the route, log lines the rule's line and author. Ruled out: accepting lines without effect before the platform's targets (failover, acknowledge, home, wait=, accounts, databases): these are faults with their line, so that nobody compares two arms that are the same. Conclusion: reading files stands once, in runtime/TextFile.

--- a/include/bergamotstage/metrics/Registry.h
+++ b/include/bergamotstage/metrics/Registry.h
@@ -23,13 +23,15 @@
   AccountId Account;
   StatementClass Class = StatementClass::Read;
   ArmId Arm;
+  RouteId Route; ///< Empty where routes are not told apart.
   RunState State = RunState::Completed;
   std::string SqlState; ///< Of the refusal or error; empty on success.
   Duration Latency{};
   bool OnReplica = false;
 };
 
-/// @brief Counts and latencies of one client account, class and policy arm.
+/// @brief Counts and latencies of one client account, class, policy arm and
+/// route.
 struct Series {
   LatencyHistogram Latency; ///< Of statements that completed.
   std::uint64_t Completed = 0;
@@ -46,10 +48,11 @@
   AccountId Account;
   StatementClass Class = StatementClass::Read;
   ArmId Arm;
+  RouteId Route;
 
   friend bool operator<(const SeriesKey &Left, const SeriesKey &Right) {
-    return std::tie(Left.Account, Left.Class, Left.Arm) <
-           std::tie(Right.Account, Right.Class, Right.Arm);
+    return std::tie(Left.Account, Left.Class, Left.Arm, Left.Route) <
+           std::tie(Right.Account, Right.Class, Right.Arm, Right.Route);
   }
 };
 
--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -11,6 +11,7 @@
 #include "bergamotstage/pooling/RateShare.h"
 #include "bergamotstage/pooling/Sessions.h"
 #include "bergamotstage/pooling/SiteConfig.h"
+#include "bergamotstage/pooling/SitePolicies.h"
 #include "bergamotstage/pooling/StoreReaders.h"
 #include "bergamotstage/pooling/TargetChoice.h"
 #include "bergamotstage/pooling/TargetPool.h"
@@ -97,6 +98,8 @@
                         const PlatformAnswer &Answer);
   /// @brief A configuration was read; an older one than known is ignored.
   void configRead(Instant Now, const SharedConfig &Config);
+  /// @brief The users' policies were read, at the start or anew.
+  void policiesRead(Instant Now, const SitePolicies &Policies);
   void targetListed(Instant Now, const TargetEntry &Entry);
   void targetGone(Instant Now, const TargetId &Id);
   /// @brief The whole list was read: targets that are not in it are gone.
@@ -188,6 +191,7 @@
   Hooks m_Hooks;
   Context m_Context;
   SharedConfig m_Config;
+  bool m_FairQueues = true;
   metrics::Registry m_Metrics;
   TargetTable m_Targets;
   MemberMap m_Members;
--- a/include/bergamotstage/pooling/RateShare.h
+++ b/include/bergamotstage/pooling/RateShare.h
@@ -44,6 +44,8 @@
   /// @brief Sets the plan, and the slots of it that this VM may spend.
   void setPlan(std::shared_ptr<const RatePlan> Plan,
                const std::set<RatePlan::Slot> &Usable);
+  /// @brief Whether this VM asks others for tokens; it always lends.
+  void setBorrows(bool Borrows) { m_Borrows = Borrows; }
   /// @brief Slots that this VM may spend.
   std::size_t slots() const { return m_Usable.size(); }
 
@@ -98,6 +100,7 @@
   PeersHook m_Peers;
   std::shared_ptr<const RatePlan> m_Plan;
   std::set<RatePlan::Slot> m_Usable;
+  bool m_Borrows = true;
   bool m_Started = false; ///< It has had slots to spend.
   std::map<AccountId, Account> m_Accounts;
 };
--- a/include/bergamotstage/pooling/Session.h
+++ b/include/bergamotstage/pooling/Session.h
@@ -2,10 +2,12 @@
 #define BERGAMOTSTAGE_POOLING_SESSION_H
 
 #include "bergamotstage/pooling/SiteConfig.h"
+#include "bergamotstage/pooling/SitePolicies.h"
 #include "bergamotstage/pooling/Work.h"
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -28,6 +30,7 @@
 struct Operation {
   std::uint64_t Number = 0;
   RouteConfig Route; ///< As it stood when the operation began.
+  std::shared_ptr<const ReadRule> Reads; ///< Likewise; null for the default.
   AccountId Account;
   Access How = Access::Leader;
   Instant Arrived{};
@@ -54,8 +57,10 @@
 /// @brief One caller's connection.
 struct Session {
   CallerId Id;
-  std::string Database; ///< Name of the route as the caller gave it.
-  std::string Key;      ///< Never logged or passed on.
+  std::string Database;   ///< Name of the route as the caller gave it.
+  std::string Key;        ///< Never logged or passed on.
+  std::uint64_t Hash = 0; ///< Decides its arms of the policies.
+  std::shared_ptr<const ReadRule> Reads;
   SharedValues Values;
   std::map<std::string, Shape> Prepared;
   std::optional<HistoryPoint> LastCommit;
--- a/include/bergamotstage/pooling/Sessions.h
+++ b/include/bergamotstage/pooling/Sessions.h
@@ -35,6 +35,9 @@
 
   /// @brief Puts a configuration in force for what begins from now on.
   void setConfig(SharedConfig Config);
+  /// @brief Puts policies in force for what begins from now on, in open
+  /// sessions too. Complexity: linear in the sessions.
+  void setPolicies(SitePolicies Policies);
 
   /// @brief A caller named its database and its key.
   void opened(CallerId Caller, std::string Database, std::string Key);
@@ -105,6 +108,7 @@
   metrics::Registry &m_Metrics;
   Hooks m_Hooks;
   SharedConfig m_Config;
+  SitePolicies m_Policies;
   std::map<CallerId, EarlyStart> m_Early;
   std::unordered_map<CallerId, Session> m_Sessions;
   std::map<std::uint64_t, CallerId> m_ByNumber;
--- a/include/bergamotstage/pooling/TargetChoice.h
+++ b/include/bergamotstage/pooling/TargetChoice.h
@@ -4,6 +4,7 @@
 #include "bergamotstage/pooling/Context.h"
 #include "bergamotstage/pooling/PositionProofs.h"
 #include "bergamotstage/pooling/Session.h"
+#include "bergamotstage/pooling/SitePolicies.h"
 #include "bergamotstage/pooling/TargetTable.h"
 
 #include <functional>
@@ -61,7 +62,8 @@
   Choice leader(const Operation &Op) const;
   std::optional<HistoryPoint> requiredPosition(const Session &Of,
                                                const Operation &Op) const;
-  double costOf(const TargetEntry &Target, bool Leads) const;
+  double costOf(const ReadRule &Rule, const TargetEntry &Target,
+                bool Leads) const;
   std::optional<VmId> ownerOf(const TargetId &Target,
                               const Operation &Op) const;
 
--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -42,6 +42,7 @@
     unsigned Slots = 1;    ///< Statements at once.
     unsigned MaxLinks = 2; ///< Connections that this VM may hold.
     Duration TransactionIdle = seconds(3);
+    bool Fair = true; ///< Accounts take turns; else first come, first served.
   };
 
   using ProofCallback =
--- a/src/cli/Apply.cpp
+++ b/src/cli/Apply.cpp
@@ -1,6 +1,6 @@
 #include "cli/Commands.h"
 #include "cli/Edit.h"
-#include "cli/Files.h"
+#include "runtime/TextFile.h"
 
 #include <iostream>
 #include <memory>
@@ -15,7 +15,7 @@
 };
 
 int apply(ApplyOptions &Options) {
-  auto Text = readFile(Options.RulesFile);
+  auto Text = runtime::readTextFile(Options.RulesFile);
   if (!Text) {
     std::cerr << Text.error() << "\n";
     return ExitFailure;
--- a/src/cli/Check.cpp
+++ b/src/cli/Check.cpp
@@ -1,7 +1,7 @@
 #include "bergamotstage/rules/RuleBook.h"
 #include "cli/Commands.h"
-#include "cli/Files.h"
 #include "runtime/Settings.h"
+#include "runtime/TextFile.h"
 
 #include <iostream>
 #include <memory>
@@ -10,7 +10,7 @@
 namespace {
 
 int checkSettings(const std::string &File) {
-  auto Text = readFile(File);
+  auto Text = runtime::readTextFile(File);
   if (!Text) {
     std::cerr << Text.error() << "\n";
     return ExitFailure;
@@ -26,7 +26,7 @@
 }
 
 int checkRules(const std::string &File) {
-  auto Text = readFile(File);
+  auto Text = runtime::readTextFile(File);
   if (!Text) {
     std::cerr << Text.error() << "\n";
     return ExitFailure;
--- a/src/cli/DemoSteps.cpp
+++ b/src/cli/DemoSteps.cpp
@@ -1,7 +1,7 @@
 #include "cli/DemoSteps.h"
 
-#include "cli/Files.h"
 #include "cli/OperatorClient.h"
+#include "runtime/TextFile.h"
 
 #include <iostream>
 #include <sstream>
@@ -169,7 +169,8 @@
 }
 
 std::string DemoSteps::rulesWithout(const std::string &KeyOf) const {
-  std::istringstream Lines(readFile(m_Options.RulesFile).value_or(""));
+  std::istringstream Lines(
+      runtime::readTextFile(m_Options.RulesFile).value_or(""));
   std::string Kept;
   for (std::string Line; std::getline(Lines, Line);)
     if (Line.rfind("key " + KeyOf + " ", 0) != 0)
--- a/src/cli/Rules.cpp
+++ b/src/cli/Rules.cpp
@@ -1,7 +1,7 @@
 #include "bergamotstage/rules/Explain.h"
 #include "cli/Commands.h"
-#include "cli/Files.h"
 #include "cli/OperatorClient.h"
+#include "runtime/TextFile.h"
 
 #include <iostream>
 #include <map>
@@ -34,7 +34,7 @@
 };
 
 int explainFile(const ExplainOptions &Options) {
-  auto Text = readFile(Options.RulesFile);
+  auto Text = runtime::readTextFile(Options.RulesFile);
   if (!Text) {
     std::cerr << Text.error() << "\n";
     return ExitFailure;
--- a/src/cli/Serve.cpp
+++ b/src/cli/Serve.cpp
@@ -1,6 +1,6 @@
 #include "cli/Commands.h"
-#include "cli/Files.h"
 #include "runtime/Daemon.h"
+#include "runtime/TextFile.h"
 
 #include <iostream>
 #include <memory>
@@ -15,7 +15,7 @@
 }
 
 int serve(const std::string &File) {
-  auto Text = readFile(File);
+  auto Text = runtime::readTextFile(File);
   if (!Text) {
     std::cerr << Text.error() << "\n";
     return ExitFailure;
--- a/src/cli/Site.cpp
+++ b/src/cli/Site.cpp
@@ -1,6 +1,7 @@
 #include "cli/Commands.h"
-#include "cli/Files.h"
 #include "platform/BootSettings.h"
+#include "runtime/TextFile.h"
+#include "runtime/site/PolicyFile.h"
 #include "runtime/site/SiteDaemon.h"
 
 #include <iostream>
@@ -12,14 +13,17 @@
 int checkSite(const runtime::SiteOptions &Chosen) {
   std::string Path = Chosen.SettingsPath.empty() ? platform::bootSettingsPath()
                                                  : Chosen.SettingsPath;
-  auto Text = readFile(Path);
+  auto Text = runtime::readTextFile(Path);
   if (!Text) {
     std::cerr << Text.error() << "\n";
     return ExitFailure;
   }
+  auto Policies = runtime::PolicyFile(Chosen.RulesPath).read();
+  if (!Policies)
+    std::cerr << Policies.error() << "\n";
   auto Parsed = platform::parseBootSettings(*Text);
   if (Parsed)
-    return ExitSuccess;
+    return Policies ? ExitSuccess : ExitInvalid;
   for (const platform::BootFault &Fault : Parsed.error())
     std::cerr << Path << ": " << Fault.Path << " " << Fault.Reason << "\n";
   return ExitInvalid;
@@ -43,6 +47,9 @@
   Command->add_option("--settings", Chosen->SettingsPath,
                       "Settings file; by default the one that the platform "
                       "names in the environment.");
+  Command->add_option("--rules", Chosen->RulesPath,
+                      "File of policies, one on each line; read again when it "
+                      "changes and on SIGHUP.");
   Command->add_option("--metrics-port", Chosen->MetricsPort,
                       "Port for metrics on the VM's address; 0 for none.");
   Command
--- a/src/cli/StandInCommand.cpp
+++ b/src/cli/StandInCommand.cpp
@@ -1,6 +1,6 @@
 #include "cli/Commands.h"
-#include "cli/Files.h"
 #include "cli/OperatorClient.h"
+#include "runtime/TextFile.h"
 #include "standin/StandIn.h"
 
 #include <asio.hpp>
@@ -42,8 +42,8 @@
 }
 
 int standIn(const std::string &SettingsFile, const std::string &RulesFile) {
-  auto Text = readFile(SettingsFile);
-  auto Rules = readFile(RulesFile);
+  auto Text = runtime::readTextFile(SettingsFile);
+  auto Rules = runtime::readTextFile(RulesFile);
   if (!Text || !Rules) {
     std::cerr << (Text ? Rules.error() : Text.error()) << "\n";
     return ExitFailure;
--- a/src/metrics/Prometheus.cpp
+++ b/src/metrics/Prometheus.cpp
@@ -20,9 +20,12 @@
 }
 
 std::string labelsOf(const SeriesKey &Key) {
-  return "account=\"" + escaped(Key.Account.value()) + "\",class=\"" +
-         statementClassName(Key.Class) + "\",arm=\"" +
-         escaped(Key.Arm.value()) + "\"";
+  std::string Labels = "account=\"" + escaped(Key.Account.value()) +
+                       "\",class=\"" + statementClassName(Key.Class) +
+                       "\",arm=\"" + escaped(Key.Arm.value()) + "\"";
+  if (!Key.Route.value().empty())
+    Labels += ",route=\"" + escaped(Key.Route.value()) + "\"";
+  return Labels;
 }
 
 void count(std::ostream &Out, const std::string &Labels,
--- a/src/metrics/Registry.cpp
+++ b/src/metrics/Registry.cpp
@@ -87,10 +87,10 @@
 }
 
 void Registry::record(const Sample &Ended) {
-  SeriesKey Key{Ended.Account, Ended.Class, Ended.Arm};
+  SeriesKey Key{Ended.Account, Ended.Class, Ended.Arm, Ended.Route};
   bool Full = m_Series.size() >= MaxSeries && m_Series.count(Key) == 0;
   if (Full)
-    Key = {AccountId(OtherAccounts), Ended.Class, ArmId()};
+    Key = {AccountId(OtherAccounts), Ended.Class, ArmId(), RouteId()};
   Series &Into = m_Series[Key];
   switch (Ended.State) {
   case RunState::Completed:
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -1,6 +1,7 @@
 #include "bergamotstage/pooling/PoolNode.h"
 
 #include "bergamotstage/forward/Rendezvous.h"
+#include "bergamotstage/rules/PolicyChoice.h"
 
 #include <algorithm>
 #include <utility>
@@ -207,6 +208,7 @@
       Limits.MaxLinks = static_cast<unsigned>(Cap * NextOwnerLinkShare);
     Limits.MaxLinks = std::max(Limits.MaxLinks, OtherLinks);
     Limits.TransactionIdle = m_Config->TransactionIdle;
+    Limits.Fair = m_FairQueues;
     At->setLimits(Limits);
     bool Leads = m_Targets.primary(Target->Group) == Id &&
                  m_Targets.mayStillLead(Id, m_Context.now());
@@ -394,6 +396,25 @@
   settle();
 }
 
+void PoolNode::policiesRead(Instant Now, const SitePolicies &Policies) {
+  begin(Now);
+  const RuleBook &Rules = Policies.rules();
+  m_Context.log(WriteLog::Level::Info, "policies_in_force",
+                {{"policies", std::to_string(Rules.Policies.size())},
+                 {"shares", std::to_string(Rules.Shares.size())}});
+  for (const auto &[Kind, Rule] : Rules.Policies)
+    m_Context.log(WriteLog::Level::Info, "policy_in_force",
+                  {{"kind", Kind},
+                   {"arm", armLabel(Rule.Choice, Rule.Parameters).value()},
+                   {"line", std::to_string(Rule.Source.Line)},
+                   {"author", Rule.Source.Author}});
+  m_FairQueues = Policies.fairQueues();
+  m_Rates.setBorrows(Policies.lendsRates());
+  m_Sessions.setPolicies(Policies);
+  limitPools();
+  settle();
+}
+
 void PoolNode::housekeep() {
   for (const TargetId &Id : m_Targets.expire(m_Context.now(), MissingGrace))
     dropPool(Id, "the target's entry is gone");
--- a/src/pooling/RateShare.cpp
+++ b/src/pooling/RateShare.cpp
@@ -208,7 +208,7 @@
     Admitted.push_back(std::move(Of.Waiting.front()));
     Of.Waiting.pop_front();
   }
-  if (!Of.Waiting.empty())
+  if (m_Borrows && !Of.Waiting.empty())
     borrow(Id, Of);
   bool Hopeless =
       !Of.Asked && Of.Own.until(OneToken, m_Context.now()) > MaxWait;
--- a/src/pooling/Sessions.cpp
+++ b/src/pooling/Sessions.cpp
@@ -58,6 +58,12 @@
     opened(Caller, std::move(Start.Database), std::move(Start.Key));
 }
 
+void Sessions::setPolicies(SitePolicies Policies) {
+  m_Policies = std::move(Policies);
+  for (auto &[Id, Of] : m_Sessions)
+    Of.Reads = m_Policies.reads(Of.Hash);
+}
+
 void Sessions::opened(CallerId Caller, std::string Database, std::string Key) {
   // A process that has just started cannot tell yet what it serves.
   if (m_Config->Version == 0) {
@@ -73,6 +79,8 @@
   New.Id = Caller;
   New.Database = std::move(Database);
   New.Key = std::move(Key);
+  New.Hash = m_Context.random()();
+  New.Reads = m_Policies.reads(New.Hash);
   m_Sessions.emplace(Caller, std::move(New));
   CallerReply Reply;
   Reply.Greeting = true;
@@ -184,6 +192,7 @@
   Operation Op;
   Op.Number = ++m_LastNumber;
   Op.Route = Route->second;
+  Op.Reads = Of.Reads;
   Op.Account =
       Key == m_Config->Keys.end() ? AccountId("-") : AccountId(Key->second);
   Op.How = How;
--- a/src/pooling/SessionsOutcome.cpp
+++ b/src/pooling/SessionsOutcome.cpp
@@ -12,6 +12,14 @@
 constexpr Duration BusyRetryAfter = milliseconds(50);
 /// One of so many plain successes is logged.
 constexpr std::uint64_t SuccessSample = 256;
+
+/// @brief Line and author of a rule as text for the log.
+std::string inText(const RuleRef &Source) {
+  if (Source.Line == 0)
+    return "default";
+  return "line " + std::to_string(Source.Line) + " by " + Source.Author;
+}
+
 std::string withRetry(const std::string &Cause, Duration RetryAfter) {
   return Cause + "; retry_after_ms=" + inMilliseconds(RetryAfter);
 }
@@ -225,7 +233,8 @@
 void Sessions::record(const Operation &Op, const CallerReply &Reply) {
   metrics::Sample Ended;
   Ended.Account = Op.Account;
-  Ended.Arm = ArmId(Op.Route.Name.value());
+  Ended.Route = Op.Route.Name;
+  Ended.Arm = Op.Reads->Arm;
   Ended.Class = isTransaction(Op.How) ? metrics::StatementClass::Transaction
                 : Op.Current.writes() ? metrics::StatementClass::Write
                                       : metrics::StatementClass::Read;
@@ -264,6 +273,8 @@
                  {"owner", Op.Owner.value()},
                  {"target", Op.Target.value()},
                  {"attempts", std::to_string(Op.Attempts)},
+                 {"arm", Op.Reads->Arm.value()},
+                 {"rule", inText(Op.Reads->Source)},
                  {"held_for", Op.HeldFor.empty() ? "none" : Op.HeldFor},
                  {"config", std::to_string(m_Config->Version)}});
 }
--- a/src/pooling/TargetChoice.cpp
+++ b/src/pooling/TargetChoice.cpp
@@ -12,11 +12,20 @@
 /// What an answer said of a queue is believed for so long.
 constexpr Duration QueueKnowledge = milliseconds(300);
 /// Costs in milliseconds. A statement takes about StatementCost of one slot;
-/// another data centre adds a round trip and bytes that are paid for; the
-/// primary is spared for the work that only it can do.
+/// another data centre adds a round trip and bytes that are paid for.
 constexpr double StatementCost = 15;
 constexpr double FarCost = 6;
-constexpr double PrimaryCost = 12;
+/// More than any follower costs.
+constexpr double LastResortCost = 1000;
+
+const ReadRule &ruleOf(const Operation &Op) {
+  static const ReadRule Default;
+  return Op.Reads ? *Op.Reads : Default;
+}
+
+double inMillisecondsOf(Duration Span) {
+  return std::chrono::duration<double, std::milli>(Span).count();
+}
 
 } // namespace
 
@@ -75,7 +84,14 @@
   return std::max(*Required, *Of.LastCommit);
 }
 
-double TargetChoice::costOf(const TargetEntry &Target, bool Leads) const {
+double TargetChoice::costOf(const ReadRule &Rule, const TargetEntry &Target,
+                            bool Leads) const {
+  bool Far = Target.DataCentre != m_Context.dataCentre();
+  if (Rule.What == ReadRule::Kind::RandomReplica)
+    return std::uniform_real_distribution<double>(0, 1)(m_Context.random()) +
+           (Leads ? LastResortCost : 0);
+  if (Rule.What == ReadRule::Kind::NearestCovered)
+    return (Far ? FarCost : 0) + (Leads ? LastResortCost : 0);
   double Cost = StatementCost;
   auto Found = m_Known.find(Target.Id);
   if (Found != m_Known.end()) {
@@ -83,16 +99,18 @@
     if (Fresh)
       Cost += StatementCost * Found->second.Queued / Target.Slots;
   }
-  if (Target.DataCentre != m_Context.dataCentre())
+  if (Far)
     Cost += FarCost;
   if (Leads)
-    Cost += PrimaryCost;
+    Cost += inMillisecondsOf(Rule.PrimaryCost);
   return Cost;
 }
 
 TargetChoice::Choice TargetChoice::choose(const Session &Of,
                                           const Operation &Op) const {
-  if (!Op.AnyTarget || Op.LeaderOnly)
+  const ReadRule &Rule = ruleOf(Op);
+  bool PrimaryOnly = Rule.What == ReadRule::Kind::PrimaryOnly;
+  if (!Op.AnyTarget || Op.LeaderOnly || PrimaryOnly)
     return leader(Op);
   auto Required = requiredPosition(Of, Op);
   if (!Required) {
@@ -105,7 +123,8 @@
   bool Found = Best.What == Choice::Kind::Chosen &&
                m_Targets.takesWork(Best.Target) &&
                Op.AvoidTargets.count(Best.Target) == 0;
-  double BestCost = Found ? costOf(*m_Targets.find(Best.Target), true) : 0;
+  double BestCost =
+      Found ? costOf(Rule, *m_Targets.find(Best.Target), true) : 0;
   for (const TargetId &Id : m_Targets.groupMembers(Op.Route.Group)) {
     bool Usable = Primary != Id && m_Targets.takesWork(Id) &&
                   Op.AvoidTargets.count(Id) == 0;
@@ -117,7 +136,7 @@
                    Known->second.UnreachableUntil > m_Context.now());
     if (Paused)
       continue;
-    double Cost = costOf(*m_Targets.find(Id), false);
+    double Cost = costOf(Rule, *m_Targets.find(Id), false);
     auto Owner = ownerOf(Id, Op);
     if (!Owner || (Found && Cost >= BestCost))
       continue;
--- a/src/pooling/TargetPool.cpp
+++ b/src/pooling/TargetPool.cpp
@@ -170,8 +170,8 @@
     return Left.Link.has_value();
   if (Left.Asked.Priority != Right.Asked.Priority)
     return Left.Asked.Priority < Right.Asked.Priority;
-  double LeftPlace = placeOf(Left);
-  double RightPlace = placeOf(Right);
+  double LeftPlace = m_Limits.Fair ? placeOf(Left) : 0;
+  double RightPlace = m_Limits.Fair ? placeOf(Right) : 0;
   if (LeftPlace != RightPlace)
     return LeftPlace < RightPlace;
   return Left.Arrival < Right.Arrival;
--- a/src/cli/Files.cpp
+++ b/src/runtime/TextFile.cpp
@@ -1,15 +1,15 @@
-#include "cli/Files.h"
+#include "runtime/TextFile.h"
 
 #include <fstream>
 #include <iterator>
 
-namespace bergamotstage::cli {
+namespace bergamotstage::runtime {
 
-tl::expected<std::string, std::string> readFile(const std::string &Name) {
+tl::expected<std::string, std::string> readTextFile(const std::string &Name) {
   std::ifstream In(Name, std::ios::binary);
   if (!In)
     return tl::make_unexpected("cannot read " + Name);
   return std::string(std::istreambuf_iterator<char>(In), {});
 }
 
-} // namespace bergamotstage::cli
+} // namespace bergamotstage::runtime
--- a/src/runtime/site/SiteDaemon.cpp
+++ b/src/runtime/site/SiteDaemon.cpp
@@ -6,12 +6,14 @@
 #include "platform/Documents.h"
 #include "platform/StoreCodec.h"
 #include "runtime/LogThread.h"
+#include "runtime/TextFile.h"
 #include "runtime/site/BootClock.h"
 #include "runtime/site/CallerSockets.h"
 #include "runtime/site/HttpServer.h"
 #include "runtime/site/LinkSockets.h"
 #include "runtime/site/LogBudget.h"
 #include "runtime/site/PeerStreams.h"
+#include "runtime/site/PolicyFile.h"
 #include "runtime/site/StoreCalls.h"
 #include "runtime/site/TableFollower.h"
 
@@ -20,9 +22,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <csignal>
-#include <fstream>
 #include <random>
-#include <sstream>
 #include <utility>
 
 namespace bergamotstage::runtime {
@@ -42,15 +42,6 @@
 constexpr unsigned HttpNotFound = 404;
 constexpr unsigned HttpUnavailable = 503;
 
-tl::expected<std::string, std::string> readText(const std::string &Path) {
-  std::ifstream In(Path);
-  if (!In)
-    return tl::make_unexpected("cannot read " + Path);
-  std::ostringstream Text;
-  Text << In.rdbuf();
-  return Text.str();
-}
-
 Incarnation newIncarnation() {
   auto Elapsed = std::chrono::system_clock::now().time_since_epoch();
   return Incarnation(static_cast<std::uint64_t>(
@@ -79,8 +70,9 @@
        platform::BootSettings Boot)
       : m_Options(std::move(Chosen)), m_SettingsText(std::move(SettingsText)),
         m_Boot(std::move(Boot)), m_Start(newIncarnation()),
-        m_Log(m_Options.LogLevel), m_Signals(m_Io, SIGTERM, SIGINT, SIGHUP),
-        m_NodeTimer(m_Io), m_SettingsTimer(m_Io),
+        m_Policies(m_Options.RulesPath), m_Log(m_Options.LogLevel),
+        m_Signals(m_Io, SIGTERM, SIGINT, SIGHUP), m_NodeTimer(m_Io),
+        m_SettingsTimer(m_Io),
         m_Calls(m_Io, m_Boot.Vm, m_Boot.StoreAddress, m_Boot.PromotionAddress),
         m_Config(m_Io, m_Boot.StoreAddress, platform::ConfigTable, ConfigWait,
                  configHooks()),
@@ -92,6 +84,9 @@
   }
 
   tl::expected<void, std::string> run() {
+    auto Policies = m_Policies.read();
+    if (!Policies)
+      return tl::make_unexpected(Policies.error());
     auto Opened = openSockets();
     if (!Opened)
       return Opened;
@@ -108,6 +103,8 @@
     m_Config.start();
     m_Targets.start();
     m_Node.start(bootTime());
+    if (*Policies)
+      m_Node.policiesRead(bootTime(), **Policies);
     armTimer();
     m_Io.run();
     log({WriteLog::Level::Info, "process_stopped", {}});
@@ -389,6 +386,7 @@
         return;
       if (Number == SIGHUP) {
         checkSettings(true);
+        checkPolicies();
       } else {
         m_Leaving = true;
         event([&](Instant Now) { m_Node.terminate(Now); });
@@ -403,14 +401,26 @@
       if (Cancelled)
         return;
       checkSettings(false);
+      checkPolicies();
       checkSettingsLater();
     });
   }
 
+  /// @brief Puts changed policies in force; faulty ones leave the last.
+  void checkPolicies() {
+    auto Read = m_Policies.read();
+    if (!Read)
+      log({WriteLog::Level::Error,
+           "policies_refused",
+           {{"reason", Read.error()}}});
+    else if (*Read)
+      event([&](Instant Now) { m_Node.policiesRead(Now, **Read); });
+  }
+
   /// @brief Takes a changed settings file over as far as a running process
   /// can; addresses only hold from the next start on.
   void checkSettings(bool Asked) {
-    auto Text = readText(m_Options.SettingsPath);
+    auto Text = readTextFile(m_Options.SettingsPath);
     if (!Text || (!Asked && *Text == m_SettingsText)) {
       if (!Text)
         log({WriteLog::Level::Error,
@@ -440,6 +450,7 @@
   std::string m_SettingsText;
   platform::BootSettings m_Boot;
   Incarnation m_Start;
+  PolicyFile m_Policies;
   LogThread m_Log;
   LogBudget m_Budget;
   asio::io_context m_Io{1};
@@ -470,7 +481,7 @@
     Options.SettingsPath = platform::bootSettingsPath();
   if (Options.SettingsPath.empty())
     return tl::make_unexpected(std::string("no settings file is named"));
-  auto Text = readText(Options.SettingsPath);
+  auto Text = readTextFile(Options.SettingsPath);
   if (!Text)
     return tl::make_unexpected(Text.error());
   auto Boot = readSettings(*Text);
--- a/src/runtime/site/SiteDaemon.h
+++ b/src/runtime/site/SiteDaemon.h
@@ -11,6 +11,7 @@
 /// @brief What the command line says of a process on the platform's machines.
 struct SiteOptions {
   std::string SettingsPath;
+  std::string RulesPath; ///< The users' policies; empty for the defaults.
   std::uint16_t MetricsPort = 9464; ///< Of the VM's own address; 0 for none.
   std::string LogLevel = "info";
 };
--- a/test/unit-pool-choice.cpp
+++ b/test/unit-pool-choice.cpp
@@ -6,6 +6,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
+#include <memory>
+
 using namespace bergamotstage;
 using namespace bergamotstage::pooling;
 
@@ -177,6 +180,28 @@
   CHECK_TRUE(Choice.choose(Of, Op).Target == TargetId("far"));
 }
 
+TEST(TargetChoice, TheRuleOfTheSessionSteersItsReads) {
+  Choice.proofs(DatabaseId("g")).add(at(-1000), point(1, 5));
+  Choice.learnLoad(TargetId("near"), 100);
+  CHECK_TRUE(Choice.choose(Of, Op).Target == TargetId("far"));
+  ReadRule Rule;
+  Rule.What = ReadRule::Kind::NearestCovered;
+  Op.Reads = std::make_shared<ReadRule>(Rule);
+  CHECK_TRUE(Choice.choose(Of, Op).Target == TargetId("near"));
+  Rule.What = ReadRule::Kind::PrimaryOnly;
+  Op.Reads = std::make_shared<ReadRule>(Rule);
+  auto Made = Choice.choose(Of, Op);
+  CHECK_TRUE(Made.Target == TargetId("primary"));
+  CHECK_TRUE(Made.How == Access::Leader);
+  Rule.What = ReadRule::Kind::RandomReplica;
+  Op.Reads = std::make_shared<ReadRule>(Rule);
+  std::map<TargetId, unsigned> Counts;
+  for (unsigned Number = 0; Number < 100; ++Number)
+    ++Counts[Choice.choose(Of, Op).Target];
+  LONGS_EQUAL(2, Counts.size());
+  CHECK_TRUE(Counts[TargetId("near")] > 25 && Counts[TargetId("far")] > 25);
+}
+
 TEST(TargetChoice, WritesGoToThePrimaryOnly) {
   Op.AnyTarget = false;
   Op.How = Access::Leader;
