Do not repeat the numbers of operations after a restart

An owner lets an abandoned statement that was sent run to its end. The origin's next life numbered its operations from 1 again; one of them took the place of the abandoned one under the same number, and got its answer. Before: the new fleet test gets row-of-1-0 for request 1-1. Conclusion: a life's numbers begin at a random place below 2^40; an owner also refuses a number that is still running.

--- a/include/bergamotstage/pooling/Sessions.h
+++ b/include/bergamotstage/pooling/Sessions.h
@@ -31,7 +31,8 @@
            RateShare &Rates, metrics::Registry &Metrics, Hooks Ask)
       : m_Context(Shared), m_Targets(Targets), m_Choice(Choice), m_Rates(Rates),
         m_Metrics(Metrics), m_Hooks(std::move(Ask)),
-        m_Config(std::make_shared<SiteConfig>()) {}
+        m_Config(std::make_shared<SiteConfig>()),
+        m_LastNumber(Shared.random()() >> NumberFreeBits) {}
 
   /// @brief Puts a configuration in force for what begins from now on.
   void setConfig(SharedConfig Config);
@@ -66,6 +67,9 @@
   std::size_t busy() const { return m_ByNumber.size(); }
 
 private:
+  /// Numbers begin below 2^40, so that they take six bytes in messages.
+  static constexpr unsigned NumberFreeBits = 24;
+
   /// @brief A caller that came before the first configuration.
   struct EarlyStart {
     std::string Database;
@@ -114,7 +118,9 @@
   std::map<std::uint64_t, CallerId> m_ByNumber;
   std::map<std::uint64_t, CallerId> m_Held; ///< By operation number.
   std::map<DatabaseId, Instant> m_ProofAskedAt;
-  std::uint64_t m_LastNumber = 0;
+  /// Of the last operation. Each life of a process begins at another place:
+  /// other VMs may still run operations of the last life.
+  std::uint64_t m_LastNumber;
   std::optional<TimerId> m_RetryTimer;
   bool m_Closing = false;
 };
--- a/src/pooling/TargetPool.cpp
+++ b/src/pooling/TargetPool.cpp
@@ -56,7 +56,9 @@
   };
   if (!m_TakesWork)
     return Refuse(NotRunReason::Leaving);
-  if (m_Silent)
+  // An abandoned operation of that number still runs: its answer would be taken
+  // for this one's.
+  if (m_Silent || m_Jobs.count(Asked.Id) > 0)
     return Refuse(NotRunReason::Unreachable);
   if (m_Jobs.size() >= MaxWaiting || expectedWait() > Asked.QueueTime)
     return Refuse(NotRunReason::Overloaded);
--- a/src/standin/site/PoolCallers.h
+++ b/src/standin/site/PoolCallers.h
@@ -335,7 +335,8 @@
           Reply.Signature.compare(Reply.Signature.size() - Tail.size(),
                                   Tail.size(), Tail) == 0;
       if (!Signed)
-        fail("success without signature: " + Call.RequestId);
+        fail("success without signature: " + Call.RequestId + ", but '" +
+             Reply.Signature + "'");
     }
     if (Call.Kind == Verb::Read &&
         Reply.Rows != std::vector<std::string>{"row-of-" + Call.RequestId})
--- a/test/unit-pool-sessions.cpp
+++ b/test/unit-pool-sessions.cpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 using namespace bergamotstage;
+using namespace bergamotstage::pooling;
 using namespace bergamotstage::standin;
 
 namespace {
@@ -96,6 +97,42 @@
   CHECK_TRUE(Small.Runs.back().Visible >= 1);
 }
 
+TEST(PoolSessions, AnAnswerToAnEarlierLifeOfTheVmIsNotTakenForANewOne) {
+  auto Chosen = SmallFleet::settings(3, milliseconds(10));
+  Chosen.MeanWork = milliseconds(150);
+  PoolFleet Fleet(Chosen);
+  SiteConfig Config = poolConfig(1, 2, 1000);
+  std::vector<std::string> Rows;
+  std::optional<CallerId> Asking;
+  Fleet.onAnswer([&](const VmId &, CallerId Id, const CallerReply &Reply) {
+    if (Asking == Id && !Reply.Greeting && !Reply.Rows.empty())
+      Rows.push_back(Reply.Rows.front());
+  });
+  Fleet.configure(Config);
+  Fleet.start();
+  Fleet.run(seconds(6));
+  for (unsigned Round = 0; Round < 30; ++Round) {
+    VmId Origin("vm-" + std::to_string(Round % 3));
+    for (unsigned Life = 0; Life < 2; ++Life) {
+      Asking = Fleet.connect(Origin, "primary-0", "key-0");
+      Rows.clear();
+      Fleet.run(milliseconds(30));
+      Statement Call;
+      Call.Kind = Verb::Read;
+      Call.RequestId = std::to_string(Round) + "-" + std::to_string(Life);
+      Fleet.send(Origin, *Asking, Call);
+      Fleet.run(milliseconds(20));
+      if (Life == 0) {
+        Fleet.kill(Origin, milliseconds(5));
+        Fleet.run(milliseconds(30));
+      }
+    }
+    Fleet.run(seconds(2));
+    for (const std::string &Row : Rows)
+      CHECK_EQUAL("row-of-" + std::to_string(Round) + "-1", Row);
+  }
+}
+
 TEST(PoolSessions, AnUnknownDatabaseIsRefusedAndTheSessionClosed) {
   SmallFleet Small;
   Small.connect("nowhere");
--- a/test/unit-pool-target.cpp
+++ b/test/unit-pool-target.cpp
@@ -116,6 +116,18 @@
   CHECK_EQUAL("r1", Bench.Requests.back().Request.Call.RequestId);
 }
 
+TEST(TargetPool, ANumberOfAnOperationThatStillRunsIsRefused) {
+  PoolBench Bench;
+  Bench.start(1, Access::Follower, Bench.call(Verb::Read, "r1"));
+  Bench.openNext();
+  Bench.Pool.abandonAll(VmId("vm-a"));
+  Bench.start(1, Access::Follower, Bench.call(Verb::Read, "r2"));
+  LONGS_EQUAL(1, Bench.Replies.size());
+  CHECK_TRUE(Bench.Replies.front().second.What == WorkResult::Kind::NotRun);
+  Bench.reply(SessionState::Idle);
+  LONGS_EQUAL(1, Bench.Replies.size());
+}
+
 TEST(TargetPool, DoesNotLendALinkToAnotherAccount) {
   PoolBench Bench;
   Bench.start(1, Access::Follower, Bench.call(Verb::Read, "r1"), Ward);
