Pass over targets that fail statements; repeat a failed read once

Cause: a target whose health is good but that fails part of its statements kept its share of the reads; each failure went to the caller. Now the owner tells the share of the latest statements that failed with each answer. It raises the target's cost for three seconds, so that others serve and one read then tries it again; where all fail, the nearest serves. A single read that failed runs once more elsewhere if its account has a token at hand. Ruled out: leaving failing targets out, which could leave a group without any; repeating transactions or writes; comparing service times, as targets do not get the same mix of statements. After: at most 2 (all later ones are served by the primary); a read that fails everywhere runs twice, not without end.

--- a/include/bergamotstage/pooling/RateShare.h
+++ b/include/bergamotstage/pooling/RateShare.h
@@ -54,6 +54,9 @@
   /// Accounts without a contract are admitted.
   void admit(const AccountId &Account, AdmitCallback Done);
 
+  /// @brief Takes a token only if one is at hand.
+  bool takeNow(const AccountId &Account);
+
   /// @brief Gives back the token of an operation that was not run.
   void refund(const AccountId &Account);
 
--- a/include/bergamotstage/pooling/Session.h
+++ b/include/bergamotstage/pooling/Session.h
@@ -42,6 +42,7 @@
   bool Broken = false; ///< Its transaction is lost; it can only be ended.
   bool Wrote = false;
   bool AnyTarget = false;  ///< Followers may serve it.
+  bool Repeated = false;   ///< A target failed it, and it is run again.
   bool LeaderOnly = false; ///< Followers turned out to be behind.
   VmId Owner;
   TargetId Target;
--- a/include/bergamotstage/pooling/Sessions.h
+++ b/include/bergamotstage/pooling/Sessions.h
@@ -92,6 +92,7 @@
   void answered(Session &Of, const WorkResult &Result);
   void notRun(Session &Of, const WorkResult &Result);
   void lost(Session &Of, const std::string &Cause);
+  bool repeatRead(Session &Of);
   bool tryElsewhere(Session &Of, const char *Reason);
   void learn(const Operation &Op, const WorkResult &Result);
 
--- a/include/bergamotstage/pooling/TargetChoice.h
+++ b/include/bergamotstage/pooling/TargetChoice.h
@@ -6,6 +6,7 @@
 #include "bergamotstage/pooling/Session.h"
 #include "bergamotstage/pooling/SitePolicies.h"
 #include "bergamotstage/pooling/TargetTable.h"
+#include "bergamotstage/pooling/Work.h"
 
 #include <functional>
 #include <map>
@@ -46,15 +47,15 @@
   PositionProofs &proofs(const DatabaseId &Group) { return m_Proofs[Group]; }
 
   /// @brief Takes note of how a target answered: its queue and position.
-  void learnLoad(const TargetId &Target, unsigned Queued);
+  void learnLoad(const TargetId &Target, const TargetLoad &Load);
   void learnBehind(const TargetId &Target);
   void learnUnreachable(const TargetId &Target);
   void forget(const TargetId &Target) { m_Known.erase(Target); }
 
 private:
   struct Known {
-    unsigned Queued = 0;
-    Instant QueuedAt{};
+    TargetLoad Load;
+    Instant LoadAt{};
     Instant BehindUntil{};
     Instant UnreachableUntil{};
   };
--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -143,6 +143,8 @@
   void rollBack(PoolLink &On);
   void settleLink(PoolLink &On);
   void reply(const Job &Of, WorkResult Result);
+  TargetLoad load() const;
+  void noteOutcome(bool Failed);
   void refuse(const WorkId &Id, NotRunReason Reason);
   void loseJob(const WorkId &Id);
   void dropLink(LinkId Id, bool CloseIt);
@@ -171,7 +173,8 @@
   unsigned m_SlotsUsed = 0;
   std::uint64_t m_Arrivals = 0;
   std::uint64_t m_LastOwn = 0;
-  double m_MeanService; ///< Seconds that a statement holds a slot.
+  double m_FailedShare = 0; ///< Moving mean over the latest statements.
+  double m_MeanService;     ///< Seconds that a statement holds a slot.
   Instant m_LastHeard{};
   Instant m_OpenAfter{};       ///< No link is opened before.
   unsigned m_OpenFailures = 0; ///< Since the target last sent anything.
--- a/include/bergamotstage/pooling/Work.h
+++ b/include/bergamotstage/pooling/Work.h
@@ -65,6 +65,13 @@
 
 const char *notRunName(NotRunReason Reason);
 
+/// @brief How a target does, as the VM that owns its links sees it.
+struct TargetLoad {
+  unsigned Queued = 0; ///< Operations that wait for it.
+  /// Of the latest statements, those that failed or got no answer.
+  unsigned FailedPermille = 0;
+};
+
 /// @brief How a statement of an operation ended.
 struct WorkResult {
   enum class Kind : std::uint8_t {
@@ -81,8 +88,8 @@
   SessionState State = SessionState::Idle;
   std::optional<HistoryPoint> Position;
   bool LeaderProven = false; ///< The target led after it got the statement.
-  unsigned Queued = 0;       ///< Operations that wait for the target.
-  Duration RetryAfter{};     ///< Of NotRun: when capacity is expected.
+  TargetLoad Load;
+  Duration RetryAfter{}; ///< Of NotRun: when capacity is expected.
 };
 
 } // namespace bergamotstage::pooling
--- a/src/pooling/FleetMessage.cpp
+++ b/src/pooling/FleetMessage.cpp
@@ -135,7 +135,8 @@
   Out.byte(static_cast<std::uint8_t>(Result.State));
   write(Out, Result.Position);
   Out.byte(Result.LeaderProven ? 1 : 0);
-  Out.number(Result.Queued);
+  Out.number(Result.Load.Queued);
+  Out.number(Result.Load.FailedPermille);
   write(Out, Result.RetryAfter);
 }
 WorkResult readResult(ByteReader &In) {
@@ -153,7 +154,8 @@
   Result.State = readEnum(In, SessionState::Failed);
   Result.Position = readOptionalPoint(In);
   Result.LeaderProven = In.byte() != 0;
-  Result.Queued = static_cast<unsigned>(In.number());
+  Result.Load.Queued = static_cast<unsigned>(In.number());
+  Result.Load.FailedPermille = static_cast<unsigned>(In.number());
   Result.RetryAfter = readDuration(In);
   return Result;
 }
--- a/src/pooling/RateShare.cpp
+++ b/src/pooling/RateShare.cpp
@@ -143,6 +143,12 @@
   pump(Id);
 }
 
+bool RateShare::takeNow(const AccountId &Id) {
+  auto Found = m_Accounts.find(Id);
+  return Found == m_Accounts.end() ||
+         (Found->second.Waiting.empty() && take(Found->second));
+}
+
 void RateShare::refund(const AccountId &Id) {
   auto Found = m_Accounts.find(Id);
   if (Found != m_Accounts.end())
--- a/src/pooling/SessionsOutcome.cpp
+++ b/src/pooling/SessionsOutcome.cpp
@@ -49,7 +49,7 @@
 }
 
 void Sessions::learn(const Operation &Op, const WorkResult &Result) {
-  m_Choice.learnLoad(Op.Target, Result.Queued);
+  m_Choice.learnLoad(Op.Target, Result.Load);
   if (Result.LeaderProven && Result.Position)
     m_Choice.proofs(Op.Route.Group).add(Op.SentAt, *Result.Position);
   if (Result.Error == ErrorCode::Behind)
@@ -77,6 +77,23 @@
   return true;
 }
 
+/// @brief Runs a single read once more where a target failed it.
+///
+/// Targets may fail statements that others answer. The repeat is an operation
+/// of the account like any other, so that it needs a token at hand.
+bool Sessions::repeatRead(Session &Of) {
+  Operation &Op = *Of.Op;
+  bool Harmless = !isTransaction(Op.How) && !Op.Current.writes();
+  if (!Harmless || Op.Repeated || !m_Rates.takeNow(Op.Account))
+    return false;
+  Op.Repeated = true;
+  Op.AvoidTargets.insert(Op.Target);
+  if (tryElsewhere(Of, "failed"))
+    return true;
+  m_Rates.refund(Op.Account);
+  return false;
+}
+
 void Sessions::answered(Session &Of, const WorkResult &Result) {
   Operation &Op = *Of.Op;
   bool NotRun = Result.Error && meansNotRun(*Result.Error) &&
@@ -92,6 +109,8 @@
       return;
     return refuse(Of, *Result.Error, "not run by the target", BusyRetryAfter);
   }
+  if (Result.Error == ErrorCode::Failed && repeatRead(Of))
+    return;
   CallerReply Reply;
   Reply.Error = Result.Error;
   Reply.ErrorText = Result.ErrorText;
--- a/src/pooling/TargetChoice.cpp
+++ b/src/pooling/TargetChoice.cpp
@@ -11,10 +11,16 @@
 constexpr Duration UnreachablePause = milliseconds(400);
 /// What an answer said of a queue is believed for so long.
 constexpr Duration QueueKnowledge = milliseconds(300);
+/// That a target fails is believed for so long; then one read tries it again.
+constexpr Duration FailureKnowledge = seconds(3);
 /// Costs in milliseconds. A statement takes about StatementCost of one slot;
 /// another data centre adds a round trip and bytes that are paid for.
 constexpr double StatementCost = 15;
 constexpr double FarCost = 6;
+/// A failed read is run again elsewhere or by its caller, a silent one is
+/// waited for.
+constexpr double FailureCost = 200;
+constexpr double Permille = 1000;
 /// More than any follower costs.
 constexpr double LastResortCost = 1000;
 
@@ -29,10 +35,10 @@
 
 } // namespace
 
-void TargetChoice::learnLoad(const TargetId &Target, unsigned Queued) {
+void TargetChoice::learnLoad(const TargetId &Target, const TargetLoad &Load) {
   Known &Of = m_Known[Target];
-  Of.Queued = Queued;
-  Of.QueuedAt = m_Context.now();
+  Of.Load = Load;
+  Of.LoadAt = m_Context.now();
 }
 
 void TargetChoice::learnBehind(const TargetId &Target) {
@@ -95,9 +101,12 @@
   double Cost = StatementCost;
   auto Found = m_Known.find(Target.Id);
   if (Found != m_Known.end()) {
-    bool Fresh = Found->second.QueuedAt + QueueKnowledge > m_Context.now();
-    if (Fresh)
-      Cost += StatementCost * Found->second.Queued / Target.Slots;
+    const TargetLoad &Load = Found->second.Load;
+    Duration Age = m_Context.now() - Found->second.LoadAt;
+    if (Age < QueueKnowledge)
+      Cost += StatementCost * Load.Queued / Target.Slots;
+    if (Age < FailureKnowledge)
+      Cost += FailureCost * Load.FailedPermille / Permille;
   }
   if (Far)
     Cost += FarCost;
--- a/src/pooling/TargetPool.cpp
+++ b/src/pooling/TargetPool.cpp
@@ -13,6 +13,9 @@
 /// Mean time of a statement until enough have been seen.
 constexpr double FirstServiceSeconds = 0.02;
 constexpr double ServiceWeight = 0.05; ///< Of the newest in the moving mean.
+/// A target that fails four in ten is told from one that fails few of many
+/// after some ten statements.
+constexpr double FailureWeight = 0.1;
 /// Operations that may wait for one target; beyond that memory grows and none
 /// of them would be served in time.
 constexpr std::size_t MaxWaiting = 512;
@@ -51,7 +54,7 @@
     WorkResult Result;
     Result.Reason = Reason;
     Result.RetryAfter = std::max(MinRetryAfter, expectedWait());
-    Result.Queued = waiting();
+    Result.Load = load();
     m_Hooks.Reply(Asked.Id, std::move(Result));
   };
   if (!m_TakesWork)
@@ -125,10 +128,19 @@
 void TargetPool::reply(const Job &Of, WorkResult Result) {
   if (Of.Abandoned)
     return;
-  Result.Queued = waiting();
+  Result.Load = load();
   m_Hooks.Reply(Of.Asked.Id, std::move(Result));
 }
 
+TargetLoad TargetPool::load() const {
+  constexpr double Permille = 1000;
+  return {waiting(), static_cast<unsigned>(m_FailedShare * Permille)};
+}
+
+void TargetPool::noteOutcome(bool Failed) {
+  m_FailedShare += FailureWeight * ((Failed ? 1 : 0) - m_FailedShare);
+}
+
 void TargetPool::refuse(const WorkId &Id, NotRunReason Reason) {
   auto Found = m_Jobs.find(Id);
   Job Refused = std::move(Found->second);
@@ -152,6 +164,8 @@
   m_Jobs.erase(Found);
   WorkResult Result;
   bool Sent = Lost.At == Phase::Running;
+  if (Sent)
+    noteOutcome(true);
   Result.What = Sent ? WorkResult::Kind::Lost : WorkResult::Kind::NotRun;
   Result.Reason = NotRunReason::Unreachable;
   // A paused transaction learns of its loss with its next statement.
@@ -426,6 +440,9 @@
   bool Single = !isTransaction(Of.Asked.How);
   Duration Held = m_Context.now() - Of.SentAt;
   m_MeanService += ServiceWeight * (toSeconds(Held) - m_MeanService);
+  noteOutcome(Reply.Error == ErrorCode::Failed ||
+              Reply.Error == ErrorCode::Timeout ||
+              Reply.Error == ErrorCode::Busy);
   bool BusyNow = Reply.Error == ErrorCode::Busy &&
                  m_Context.now() + BusyDelay < Of.GiveUpAt && !Of.Abandoned;
   if (BusyNow && Single) {
--- a/src/standin/site/PoolFleet.h
+++ b/src/standin/site/PoolFleet.h
@@ -92,6 +92,11 @@
   /// @brief Part of the answers of targets that are lost.
   void setLostReplies(double Part) { m_LostReplies = Part; }
 
+  /// @brief Part of a target's reads that fail, from 0 to 1.
+  void setFailing(const TargetId &Target, double Part) {
+    m_Targets.at(Target).Failing = Part;
+  }
+
   std::uint64_t promotions() const { return m_Promotions; }
   std::uint64_t linksOpened() const { return m_LinksOpened; }
   const std::map<std::string, TableRow> &rows() const { return m_Rows; }
@@ -112,6 +117,7 @@
     DataCentreId DataCentre;
     bool Dark = false;
     bool Draining = false;
+    double Failing = 0;
     unsigned Busy = 0;
     std::uint64_t Version = 0;
     bool Claims = false;
--- a/src/standin/site/PoolFleetWorld.cpp
+++ b/src/standin/site/PoolFleetWorld.cpp
@@ -118,6 +118,13 @@
     after(Work, [this, Target = Of.Target] { --m_Targets[Target].Busy; });
   }
   std::uniform_real_distribution<double> Chance(0, 1);
+  bool Reads = Request.What == LinkRequest::Kind::Caller &&
+               Request.Call.Kind == pooling::Verb::Read && !Reply.Error;
+  if (Reads && At.Failing > 0 && Chance(m_Random) < At.Failing) {
+    Reply.Error = pooling::ErrorCode::Failed;
+    Reply.Rows.clear();
+    Reply.Signature.clear();
+  }
   if (Request.What == LinkRequest::Kind::Caller &&
       Chance(m_Random) < m_LostReplies)
     Of.Silent = true;
--- a/test/unit-pool-choice.cpp
+++ b/test/unit-pool-choice.cpp
@@ -180,9 +180,26 @@
   CHECK_TRUE(Choice.choose(Of, Op).Target == TargetId("far"));
 }
 
+TEST(TargetChoice, AFollowerThatFailsIsLeftAloneForAWhile) {
+  Choice.proofs(DatabaseId("g")).add(at(-1000), point(1, 5));
+  Op.Route.MaxStaleness = seconds(60);
+  Choice.learnLoad(TargetId("near"), {0, 20});
+  CHECK_TRUE(Choice.choose(Of, Op).Target == TargetId("near"));
+  Choice.learnLoad(TargetId("near"), {0, 400});
+  CHECK_TRUE(Choice.choose(Of, Op).Target == TargetId("far"));
+  Choice.learnLoad(TargetId("far"), {0, 400});
+  CHECK_TRUE(Choice.choose(Of, Op).Target == TargetId("primary"));
+  Choice.learnLoad(TargetId("primary"), {0, 400});
+  CHECK_TRUE(Choice.choose(Of, Op).Target == TargetId("near"));
+  Choice.learnLoad(TargetId("far"), {0, 0});
+  Shared.setNow(at(3001));
+  Op.Arrived = at(3001);
+  CHECK_TRUE(Choice.choose(Of, Op).Target == TargetId("near"));
+}
+
 TEST(TargetChoice, TheRuleOfTheSessionSteersItsReads) {
   Choice.proofs(DatabaseId("g")).add(at(-1000), point(1, 5));
-  Choice.learnLoad(TargetId("near"), 100);
+  Choice.learnLoad(TargetId("near"), {100, 0});
   CHECK_TRUE(Choice.choose(Of, Op).Target == TargetId("far"));
   ReadRule Rule;
   Rule.What = ReadRule::Kind::NearestCovered;
--- a/test/unit-pool-message.cpp
+++ b/test/unit-pool-message.cpp
@@ -42,7 +42,7 @@
   Result.State = SessionState::InTransaction;
   Result.Position = HistoryPoint{Term(4), LogPosition(5)};
   Result.LeaderProven = true;
-  Result.Queued = 12;
+  Result.Load = {12, 250};
   Result.RetryAfter = milliseconds(20);
   return Result;
 }
--- a/test/unit-pool-sessions.cpp
+++ b/test/unit-pool-sessions.cpp
@@ -133,6 +133,29 @@
   }
 }
 
+TEST(PoolSessions, AReadThatATargetFailsIsRunOnceMoreElsewhere) {
+  SmallFleet Small;
+  Small.connect("bounded-0");
+  for (const TargetId &Target : Small.Fleet.group(0).targets())
+    if (Target != Small.Fleet.group(0).leader())
+      Small.Fleet.setFailing(Target, 1);
+  unsigned Failed = 0;
+  for (unsigned Count = 0; Count < 20; ++Count)
+    Failed += Small.ask(Verb::Read, milliseconds(100)).Error ? 1 : 0;
+  // Until the failures of both are known, both may be tried by one read.
+  CHECK_TRUE(Failed <= 2);
+  CHECK_TRUE(Small.Runs.size() < 30);
+}
+
+TEST(PoolSessions, AReadThatFailsEverywhereIsRunTwiceOnly) {
+  SmallFleet Small;
+  Small.connect("bounded-0");
+  for (const TargetId &Target : Small.Fleet.group(0).targets())
+    Small.Fleet.setFailing(Target, 1);
+  CHECK_TRUE(Small.ask(Verb::Read).Error == ErrorCode::Failed);
+  LONGS_EQUAL(2, Small.Runs.size());
+}
+
 TEST(PoolSessions, AnUnknownDatabaseIsRefusedAndTheSessionClosed) {
   SmallFleet Small;
   Small.connect("nowhere");
