--- a/src/pooling/SitePolicies.cpp
+++ b/src/pooling/SitePolicies.cpp
@@ -39,6 +39,7 @@
 
 template <class Rules> std::vector<RuleRef> sourcesOf(const Rules &Known) {
   std::vector<RuleRef> Sources;
+  Sources.reserve(Known.size());
   for (const auto &[Id, Rule] : Known)
     Sources.push_back(Rule.Source);
   return Sources;
