Split the runtime by edge; remove the second check of a primary

Now callers, targets, peers and platform have a folder each; what all share stays above them. Ruled out: moving the shared rings and threads as well. Conclusion: a move and a removal; no decision changed.

--- a/include/bergamotstage/target/TargetDuty.h
+++ b/include/bergamotstage/target/TargetDuty.h
@@ -7,7 +7,6 @@
 #include "bergamotstage/target/GroupState.h"
 #include "bergamotstage/target/LinkPool.h"
 #include "bergamotstage/target/MonitorLinks.h"
-#include "bergamotstage/target/PrimaryCheck.h"
 #include "bergamotstage/target/WriteHold.h"
 
 #include <map>
@@ -38,11 +37,6 @@
   void linkFailed(const LinkFailed &Event);
   void linkAnswered(const LinkAnswered &Event);
 
-  /// @brief Tells whether the primary that this VM knows is the current one.
-  ///
-  /// False within a second where that cannot be told.
-  void verifyPrimary(const DatabaseId &Database, PrimaryCheck::Callback Done);
-
   /// @brief Lends a link to the primary, now or once the next one is known.
   ///
   /// The wait is bounded; the refusal is truly "not run".
@@ -75,7 +69,6 @@
   LinkPool m_Links;
   MonitorLinks m_Monitors;
   Confirmation m_Confirmation;
-  PrimaryCheck m_PrimaryCheck;
   Failover m_Failover;
   WriteHold m_Hold;
   std::map<DatabaseId, GroupState> m_Groups;
--- a/src/runtime/Commands.h
+++ b/src/runtime/Commands.h
@@ -3,7 +3,7 @@
 
 #include "bergamotstage/node/Action.h"
 #include "bergamotstage/node/Event.h"
-#include "runtime/RowCredit.h"
+#include "runtime/callers/RowCredit.h"
 
 #include <functional>
 #include <string>
--- a/src/runtime/Daemon.cpp
+++ b/src/runtime/Daemon.cpp
@@ -1,15 +1,15 @@
 #include "runtime/Daemon.h"
 
-#include "runtime/CallerThread.h"
 #include "runtime/DecisionThread.h"
-#include "runtime/ForwardReceiver.h"
-#include "runtime/ForwardSender.h"
 #include "runtime/LogThread.h"
 #include "runtime/OperatorService.h"
-#include "runtime/PeerThread.h"
-#include "runtime/PlatformThread.h"
-#include "runtime/TargetThread.h"
 #include "runtime/Tls.h"
+#include "runtime/callers/CallerThread.h"
+#include "runtime/peers/ForwardReceiver.h"
+#include "runtime/peers/ForwardSender.h"
+#include "runtime/peers/PeerThread.h"
+#include "runtime/platform/PlatformThread.h"
+#include "runtime/targets/TargetThread.h"
 
 #include <chrono>
 #include <csignal>
--- a/src/runtime/Settings.h
+++ b/src/runtime/Settings.h
@@ -2,8 +2,8 @@
 #define BERGAMOTSTAGE_RUNTIME_SETTINGS_H
 
 #include "bergamotstage/node/NodeSettings.h"
-#include "runtime/CallerLimits.h"
-#include "runtime/TargetLink.h"
+#include "runtime/callers/CallerLimits.h"
+#include "runtime/targets/TargetLink.h"
 
 #include <tl/expected.hpp>
 
--- a/src/runtime/Tls.h
+++ b/src/runtime/Tls.h
@@ -1,7 +1,7 @@
 #ifndef BERGAMOTSTAGE_RUNTIME_TLS_H
 #define BERGAMOTSTAGE_RUNTIME_TLS_H
 
-#include "runtime/CallerLimits.h"
+#include "runtime/callers/CallerLimits.h"
 
 #include <tl/expected.hpp>
 
--- a/src/runtime/CallerMessages.cpp
+++ b/src/runtime/callers/CallerMessages.cpp
@@ -1,7 +1,7 @@
 // How a caller's session treats each message of the protocol.
 
-#include "runtime/CallerSession.h"
 #include "runtime/StartupOptions.h"
+#include "runtime/callers/CallerSession.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/runtime/CallerSession.cpp
+++ b/src/runtime/callers/CallerSession.cpp
@@ -1,4 +1,4 @@
-#include "runtime/CallerSession.h"
+#include "runtime/callers/CallerSession.h"
 
 #include "runtime/Doorbell.h"
 
--- a/src/runtime/CallerSession.h
+++ b/src/runtime/callers/CallerSession.h
@@ -1,13 +1,13 @@
-#ifndef BERGAMOTSTAGE_RUNTIME_CALLERSESSION_H
-#define BERGAMOTSTAGE_RUNTIME_CALLERSESSION_H
+#ifndef BERGAMOTSTAGE_RUNTIME_CALLERS_CALLERSESSION_H
+#define BERGAMOTSTAGE_RUNTIME_CALLERS_CALLERSESSION_H
 
 #include "bergamotstage/request/Statement.h"
 #include "bergamotstage/wire/Backend.h"
 #include "bergamotstage/wire/Frontend.h"
-#include "runtime/CallerLimits.h"
-#include "runtime/CallerStream.h"
 #include "runtime/Commands.h"
-#include "runtime/PreparedSet.h"
+#include "runtime/callers/CallerLimits.h"
+#include "runtime/callers/CallerStream.h"
+#include "runtime/callers/PreparedSet.h"
 
 #include <cstdint>
 #include <functional>
@@ -146,4 +146,4 @@
 
 } // namespace bergamotstage::runtime
 
-#endif // BERGAMOTSTAGE_RUNTIME_CALLERSESSION_H
+#endif // BERGAMOTSTAGE_RUNTIME_CALLERS_CALLERSESSION_H
--- a/src/runtime/CallerStream.cpp
+++ b/src/runtime/callers/CallerStream.cpp
@@ -1,4 +1,4 @@
-#include "runtime/CallerStream.h"
+#include "runtime/callers/CallerStream.h"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
--- a/src/runtime/CallerThread.cpp
+++ b/src/runtime/callers/CallerThread.cpp
@@ -1,4 +1,4 @@
-#include "runtime/CallerThread.h"
+#include "runtime/callers/CallerThread.h"
 
 #include "runtime/Address.h"
 #include "runtime/Doorbell.h"
--- a/src/runtime/CallerThread.h
+++ b/src/runtime/callers/CallerThread.h
@@ -1,9 +1,9 @@
-#ifndef BERGAMOTSTAGE_RUNTIME_CALLERTHREAD_H
-#define BERGAMOTSTAGE_RUNTIME_CALLERTHREAD_H
+#ifndef BERGAMOTSTAGE_RUNTIME_CALLERS_CALLERTHREAD_H
+#define BERGAMOTSTAGE_RUNTIME_CALLERS_CALLERTHREAD_H
 
-#include "runtime/CallerSession.h"
 #include "runtime/Inbox.h"
 #include "runtime/Outbox.h"
+#include "runtime/callers/CallerSession.h"
 
 #include <tl/expected.hpp>
 
@@ -82,4 +82,4 @@
 
 } // namespace bergamotstage::runtime
 
-#endif // BERGAMOTSTAGE_RUNTIME_CALLERTHREAD_H
+#endif // BERGAMOTSTAGE_RUNTIME_CALLERS_CALLERTHREAD_H
--- a/src/runtime/PreparedSet.cpp
+++ b/src/runtime/callers/PreparedSet.cpp
@@ -1,4 +1,4 @@
-#include "runtime/PreparedSet.h"
+#include "runtime/callers/PreparedSet.h"
 
 #include <utility>
 
--- a/src/runtime/PreparedSet.h
+++ b/src/runtime/callers/PreparedSet.h
@@ -1,5 +1,5 @@
-#ifndef BERGAMOTSTAGE_RUNTIME_PREPAREDSET_H
-#define BERGAMOTSTAGE_RUNTIME_PREPAREDSET_H
+#ifndef BERGAMOTSTAGE_RUNTIME_CALLERS_PREPAREDSET_H
+#define BERGAMOTSTAGE_RUNTIME_CALLERS_PREPAREDSET_H
 
 #include "bergamotstage/request/StatementBody.h"
 #include "bergamotstage/wire/Frontend.h"
@@ -44,4 +44,4 @@
 
 } // namespace bergamotstage::runtime
 
-#endif // BERGAMOTSTAGE_RUNTIME_PREPAREDSET_H
+#endif // BERGAMOTSTAGE_RUNTIME_CALLERS_PREPAREDSET_H
--- a/src/runtime/RowCredit.h
+++ b/src/runtime/callers/RowCredit.h
@@ -1,5 +1,5 @@
-#ifndef BERGAMOTSTAGE_RUNTIME_ROWCREDIT_H
-#define BERGAMOTSTAGE_RUNTIME_ROWCREDIT_H
+#ifndef BERGAMOTSTAGE_RUNTIME_CALLERS_ROWCREDIT_H
+#define BERGAMOTSTAGE_RUNTIME_CALLERS_ROWCREDIT_H
 
 #include <atomic>
 #include <cstddef>
@@ -70,4 +70,4 @@
 
 } // namespace bergamotstage::runtime
 
-#endif // BERGAMOTSTAGE_RUNTIME_ROWCREDIT_H
+#endif // BERGAMOTSTAGE_RUNTIME_CALLERS_ROWCREDIT_H
--- a/src/runtime/ForwardFrames.cpp
+++ b/src/runtime/peers/ForwardFrames.cpp
@@ -1,4 +1,4 @@
-#include "runtime/ForwardFrames.h"
+#include "runtime/peers/ForwardFrames.h"
 
 #include <utility>
 
--- a/src/runtime/ForwardFrames.h
+++ b/src/runtime/peers/ForwardFrames.h
@@ -1,9 +1,9 @@
-#ifndef BERGAMOTSTAGE_RUNTIME_FORWARDFRAMES_H
-#define BERGAMOTSTAGE_RUNTIME_FORWARDFRAMES_H
+#ifndef BERGAMOTSTAGE_RUNTIME_PEERS_FORWARDFRAMES_H
+#define BERGAMOTSTAGE_RUNTIME_PEERS_FORWARDFRAMES_H
 
 #include "bergamotstage/node/Action.h"
 #include "bergamotstage/node/Event.h"
-#include "runtime/FrameQueue.h"
+#include "runtime/peers/FrameQueue.h"
 
 #include <cstdint>
 #include <string>
@@ -40,4 +40,4 @@
 
 } // namespace bergamotstage::runtime
 
-#endif // BERGAMOTSTAGE_RUNTIME_FORWARDFRAMES_H
+#endif // BERGAMOTSTAGE_RUNTIME_PEERS_FORWARDFRAMES_H
--- a/src/runtime/ForwardReceiver.cpp
+++ b/src/runtime/peers/ForwardReceiver.cpp
@@ -1,7 +1,7 @@
-#include "runtime/ForwardReceiver.h"
+#include "runtime/peers/ForwardReceiver.h"
 
-#include "runtime/ForwardFrames.h"
-#include "runtime/ForwardSender.h"
+#include "runtime/peers/ForwardFrames.h"
+#include "runtime/peers/ForwardSender.h"
 
 #include <utility>
 #include <variant>
--- a/src/runtime/ForwardReceiver.h
+++ b/src/runtime/peers/ForwardReceiver.h
@@ -1,8 +1,8 @@
-#ifndef BERGAMOTSTAGE_RUNTIME_FORWARDRECEIVER_H
-#define BERGAMOTSTAGE_RUNTIME_FORWARDRECEIVER_H
+#ifndef BERGAMOTSTAGE_RUNTIME_PEERS_FORWARDRECEIVER_H
+#define BERGAMOTSTAGE_RUNTIME_PEERS_FORWARDRECEIVER_H
 
 #include "runtime/Commands.h"
-#include "runtime/ForwardTransport.h"
+#include "runtime/peers/ForwardTransport.h"
 
 #include <cstdint>
 #include <functional>
@@ -76,4 +76,4 @@
 
 } // namespace bergamotstage::runtime
 
-#endif // BERGAMOTSTAGE_RUNTIME_FORWARDRECEIVER_H
+#endif // BERGAMOTSTAGE_RUNTIME_PEERS_FORWARDRECEIVER_H
--- a/src/runtime/ForwardSender.cpp
+++ b/src/runtime/peers/ForwardSender.cpp
@@ -1,6 +1,6 @@
-#include "runtime/ForwardSender.h"
+#include "runtime/peers/ForwardSender.h"
 
-#include "runtime/ForwardFrames.h"
+#include "runtime/peers/ForwardFrames.h"
 
 #include <chrono>
 #include <optional>
--- a/src/runtime/ForwardSender.h
+++ b/src/runtime/peers/ForwardSender.h
@@ -1,8 +1,8 @@
-#ifndef BERGAMOTSTAGE_RUNTIME_FORWARDSENDER_H
-#define BERGAMOTSTAGE_RUNTIME_FORWARDSENDER_H
+#ifndef BERGAMOTSTAGE_RUNTIME_PEERS_FORWARDSENDER_H
+#define BERGAMOTSTAGE_RUNTIME_PEERS_FORWARDSENDER_H
 
 #include "runtime/Commands.h"
-#include "runtime/FrameQueue.h"
+#include "runtime/peers/FrameQueue.h"
 
 #include <cstdint>
 #include <functional>
@@ -71,4 +71,4 @@
 
 } // namespace bergamotstage::runtime
 
-#endif // BERGAMOTSTAGE_RUNTIME_FORWARDSENDER_H
+#endif // BERGAMOTSTAGE_RUNTIME_PEERS_FORWARDSENDER_H
--- a/src/runtime/ForwardTransport.cpp
+++ b/src/runtime/peers/ForwardTransport.cpp
@@ -1,7 +1,7 @@
-#include "runtime/ForwardTransport.h"
+#include "runtime/peers/ForwardTransport.h"
 
-#include "runtime/HomeStream.h"
-#include "runtime/OriginStream.h"
+#include "runtime/peers/HomeStream.h"
+#include "runtime/peers/OriginStream.h"
 
 #include <iterator>
 #include <utility>
--- a/src/runtime/ForwardTransport.h
+++ b/src/runtime/peers/ForwardTransport.h
@@ -1,8 +1,8 @@
-#ifndef BERGAMOTSTAGE_RUNTIME_FORWARDTRANSPORT_H
-#define BERGAMOTSTAGE_RUNTIME_FORWARDTRANSPORT_H
+#ifndef BERGAMOTSTAGE_RUNTIME_PEERS_FORWARDTRANSPORT_H
+#define BERGAMOTSTAGE_RUNTIME_PEERS_FORWARDTRANSPORT_H
 
 #include "bergamotstage/core/Ids.h"
-#include "runtime/FrameQueue.h"
+#include "runtime/peers/FrameQueue.h"
 
 #include <grpcpp/grpcpp.h>
 
@@ -95,4 +95,4 @@
 
 } // namespace bergamotstage::runtime
 
-#endif // BERGAMOTSTAGE_RUNTIME_FORWARDTRANSPORT_H
+#endif // BERGAMOTSTAGE_RUNTIME_PEERS_FORWARDTRANSPORT_H
--- a/src/runtime/HomeStream.cpp
+++ b/src/runtime/peers/HomeStream.cpp
@@ -1,4 +1,4 @@
-#include "runtime/HomeStream.h"
+#include "runtime/peers/HomeStream.h"
 
 #include <utility>
 
--- a/src/runtime/HomeStream.h
+++ b/src/runtime/peers/HomeStream.h
@@ -1,7 +1,7 @@
-#ifndef BERGAMOTSTAGE_RUNTIME_HOMESTREAM_H
-#define BERGAMOTSTAGE_RUNTIME_HOMESTREAM_H
+#ifndef BERGAMOTSTAGE_RUNTIME_PEERS_HOMESTREAM_H
+#define BERGAMOTSTAGE_RUNTIME_PEERS_HOMESTREAM_H
 
-#include "runtime/ForwardTransport.h"
+#include "runtime/peers/ForwardTransport.h"
 
 #include <functional>
 #include <mutex>
@@ -47,4 +47,4 @@
 
 } // namespace bergamotstage::runtime
 
-#endif // BERGAMOTSTAGE_RUNTIME_HOMESTREAM_H
+#endif // BERGAMOTSTAGE_RUNTIME_PEERS_HOMESTREAM_H
--- a/src/runtime/OriginStream.cpp
+++ b/src/runtime/peers/OriginStream.cpp
@@ -1,4 +1,4 @@
-#include "runtime/OriginStream.h"
+#include "runtime/peers/OriginStream.h"
 
 #include <utility>
 
--- a/src/runtime/OriginStream.h
+++ b/src/runtime/peers/OriginStream.h
@@ -1,7 +1,7 @@
-#ifndef BERGAMOTSTAGE_RUNTIME_ORIGINSTREAM_H
-#define BERGAMOTSTAGE_RUNTIME_ORIGINSTREAM_H
+#ifndef BERGAMOTSTAGE_RUNTIME_PEERS_ORIGINSTREAM_H
+#define BERGAMOTSTAGE_RUNTIME_PEERS_ORIGINSTREAM_H
 
-#include "runtime/FrameQueue.h"
+#include "runtime/peers/FrameQueue.h"
 
 #include <grpcpp/grpcpp.h>
 
@@ -65,4 +65,4 @@
 
 } // namespace bergamotstage::runtime
 
-#endif // BERGAMOTSTAGE_RUNTIME_ORIGINSTREAM_H
+#endif // BERGAMOTSTAGE_RUNTIME_PEERS_ORIGINSTREAM_H
--- a/src/runtime/PeerThread.cpp
+++ b/src/runtime/peers/PeerThread.cpp
@@ -1,4 +1,4 @@
-#include "runtime/PeerThread.h"
+#include "runtime/peers/PeerThread.h"
 
 #include <chrono>
 #include <utility>
--- a/src/runtime/PeerThread.h
+++ b/src/runtime/peers/PeerThread.h
@@ -1,5 +1,5 @@
-#ifndef BERGAMOTSTAGE_RUNTIME_PEERTHREAD_H
-#define BERGAMOTSTAGE_RUNTIME_PEERTHREAD_H
+#ifndef BERGAMOTSTAGE_RUNTIME_PEERS_PEERTHREAD_H
+#define BERGAMOTSTAGE_RUNTIME_PEERS_PEERTHREAD_H
 
 #include "peer.grpc.pb.h"
 #include "runtime/Commands.h"
@@ -69,4 +69,4 @@
 
 } // namespace bergamotstage::runtime
 
-#endif // BERGAMOTSTAGE_RUNTIME_PEERTHREAD_H
+#endif // BERGAMOTSTAGE_RUNTIME_PEERS_PEERTHREAD_H
--- a/src/runtime/PlatformCalls.cpp
+++ b/src/runtime/platform/PlatformCalls.cpp
@@ -1,4 +1,4 @@
-#include "runtime/PlatformCalls.h"
+#include "runtime/platform/PlatformCalls.h"
 
 #include <utility>
 #include <variant>
--- a/src/runtime/PlatformCalls.h
+++ b/src/runtime/platform/PlatformCalls.h
@@ -1,5 +1,5 @@
-#ifndef BERGAMOTSTAGE_RUNTIME_PLATFORMCALLS_H
-#define BERGAMOTSTAGE_RUNTIME_PLATFORMCALLS_H
+#ifndef BERGAMOTSTAGE_RUNTIME_PLATFORM_PLATFORMCALLS_H
+#define BERGAMOTSTAGE_RUNTIME_PLATFORM_PLATFORMCALLS_H
 
 #include "bergamotstage/core/PlatformApi.h"
 #include "platform.grpc.pb.h"
@@ -34,4 +34,4 @@
 
 } // namespace bergamotstage::runtime
 
-#endif // BERGAMOTSTAGE_RUNTIME_PLATFORMCALLS_H
+#endif // BERGAMOTSTAGE_RUNTIME_PLATFORM_PLATFORMCALLS_H
--- a/src/runtime/PlatformThread.cpp
+++ b/src/runtime/platform/PlatformThread.cpp
@@ -1,6 +1,6 @@
-#include "runtime/PlatformThread.h"
+#include "runtime/platform/PlatformThread.h"
 
-#include "runtime/PlatformCalls.h"
+#include "runtime/platform/PlatformCalls.h"
 
 #include <chrono>
 #include <utility>
--- a/src/runtime/TargetLink.cpp
+++ b/src/runtime/targets/TargetLink.cpp
@@ -1,4 +1,4 @@
-#include "runtime/TargetLink.h"
+#include "runtime/targets/TargetLink.h"
 
 #include "bergamotstage/core/Parse.h"
 #include "bergamotstage/wire/Backend.h"
--- a/src/runtime/TargetThread.cpp
+++ b/src/runtime/targets/TargetThread.cpp
@@ -1,4 +1,4 @@
-#include "runtime/TargetThread.h"
+#include "runtime/targets/TargetThread.h"
 
 #include <utility>
 
--- a/src/runtime/TargetThread.h
+++ b/src/runtime/targets/TargetThread.h
@@ -1,9 +1,9 @@
-#ifndef BERGAMOTSTAGE_RUNTIME_TARGETTHREAD_H
-#define BERGAMOTSTAGE_RUNTIME_TARGETTHREAD_H
+#ifndef BERGAMOTSTAGE_RUNTIME_TARGETS_TARGETTHREAD_H
+#define BERGAMOTSTAGE_RUNTIME_TARGETS_TARGETTHREAD_H
 
 #include "runtime/Inbox.h"
 #include "runtime/Outbox.h"
-#include "runtime/TargetLink.h"
+#include "runtime/targets/TargetLink.h"
 
 #include <thread>
 #include <unordered_map>
@@ -42,4 +42,4 @@
 
 } // namespace bergamotstage::runtime
 
-#endif // BERGAMOTSTAGE_RUNTIME_TARGETTHREAD_H
+#endif // BERGAMOTSTAGE_RUNTIME_TARGETS_TARGETTHREAD_H
--- a/src/target/TargetDuty.cpp
+++ b/src/target/TargetDuty.cpp
@@ -9,7 +9,7 @@
 namespace bergamotstage {
 TargetDuty::TargetDuty(NodeContext &Context)
     : m_Context(Context), m_Links(Context), m_Monitors(Context),
-      m_Confirmation(Context, m_Monitors), m_PrimaryCheck(Context, m_Monitors),
+      m_Confirmation(Context, m_Monitors),
       m_Failover(
           Context, m_Monitors,
           [this](const DatabaseId &Database) { return group(Database); }),
@@ -141,14 +141,6 @@
   m_Monitors.answered(Event);
 }
 
-void TargetDuty::verifyPrimary(const DatabaseId &Database,
-                               PrimaryCheck::Callback Done) {
-  const GroupState *Group = group(Database);
-  if (Group == nullptr)
-    return Done(false);
-  m_PrimaryCheck.verify(*Group, std::move(Done));
-}
-
 GroupState *TargetDuty::groupOf(const TargetId &Target) {
   auto Database = m_DatabaseOf.find(Target);
   return Database == m_DatabaseOf.end() ? nullptr : group(Database->second);
--- a/test/unit-runtime-forward.cpp
+++ b/test/unit-runtime-forward.cpp
@@ -1,5 +1,5 @@
-#include "runtime/ForwardFrames.h"
-#include "runtime/ForwardTransport.h"
+#include "runtime/peers/ForwardFrames.h"
+#include "runtime/peers/ForwardTransport.h"
 
 #include <chrono>
 #include <condition_variable>
