Say truly when an account may come back; fold what many VMs log alike

Now the answer is when it earns one or may ask a lender again, at most the five seconds over which contracts are counted. Ruled out: leaving the hint out, which would have callers come back at once. Conclusion: admission itself is unchanged.

--- a/src/explain/RequestStory.cpp
+++ b/src/explain/RequestStory.cpp
@@ -1,7 +1,9 @@
 #include "bergamotstage/explain/RequestStory.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <string>
 
 namespace bergamotstage::explain {
 namespace {
@@ -64,14 +66,39 @@
                    });
 }
 
-std::string lineText(const LogLine &Line) {
-  std::string Text =
-      "  " + timeText(Line.At) + " " + Line.Source + " " + Line.Event;
+/// @brief What a line says, whoever said it and when.
+std::string contentText(const LogLine &Line) {
+  std::string Text = Line.Event;
   for (const auto &[Key, Value] : Line.Pairs)
     if (Key != "level" && Key != "request")
       Text.append(" ").append(Key).append("=").append(Value.empty() ? "\"\""
                                                                     : Value);
-  return Text + "\n";
+  return Text;
+}
+
+std::string lineText(const LogLine &Line) {
+  return "  " + timeText(Line.At) + " " + Line.Source + " " + contentText(Line);
+}
+
+/// @brief The lines as text; what several VMs say alike stands once, where the
+/// first of them says it.
+std::string foldedText(const std::vector<LogLine> &Lines) {
+  std::map<std::string, std::set<std::string>> Sources;
+  for (const LogLine &Line : Lines)
+    Sources[contentText(Line)].insert(Line.Source);
+  std::set<std::string> Told;
+  std::string Text;
+  for (const LogLine &Line : Lines) {
+    std::string Content = contentText(Line);
+    std::size_t Others = Sources[Content].size() - 1;
+    if (Others > 0 && !Told.insert(Content).second)
+      continue;
+    Text += lineText(Line);
+    if (Others > 0)
+      Text.append(" (and ").append(std::to_string(Others)).append(" more VMs)");
+    Text += "\n";
+  }
+  return Text;
 }
 
 } // namespace
@@ -104,12 +131,10 @@
            "was killed, or the line was left out\n";
   std::string Text = "request " + RequestId + "\n";
   for (const LogLine &Line : Story.Own)
-    Text += lineText(Line);
+    Text.append(lineText(Line)).append("\n");
   Text += Story.Beliefs.empty() ? "nothing else was learnt near it\n"
                                 : "what the VMs learnt near it\n";
-  for (const LogLine &Line : Story.Beliefs)
-    Text += lineText(Line);
-  return Text;
+  return Text + foldedText(Story.Beliefs);
 }
 
 } // namespace bergamotstage::explain
--- a/src/pooling/RateShare.cpp
+++ b/src/pooling/RateShare.cpp
@@ -13,6 +13,9 @@
 constexpr Duration AskTimeout = milliseconds(120);
 /// A VM that had nothing to give is not asked again sooner.
 constexpr Duration EmptyLenderPause = milliseconds(250);
+/// The span over which contracts are counted; who comes back later gains
+/// nothing.
+constexpr Duration MaxRetryAfter = seconds(5);
 /// Borrowed tokens are for the demand at hand; kept longer, they would add to
 /// what the fleet can spend at once.
 constexpr Duration BorrowedLife = seconds(1);
@@ -155,8 +158,18 @@
     Found->second.Own.giveBack(OneToken, m_Context.now());
 }
 
+/// @brief Until this VM earns a token, or can ask another one for tokens again.
 Duration RateShare::retryAfter(Account &Of) {
-  return std::max(MinRetryAfter, Of.Own.until(OneToken, m_Context.now()));
+  Instant Now = m_Context.now();
+  Duration Soonest = std::min(MaxRetryAfter, Of.Own.until(OneToken, Now));
+  for (const VmId &Peer : Of.Holders) {
+    auto Known = Of.Lenders.find(Peer);
+    bool Paused = Known != Of.Lenders.end() && Known->second.NotBefore > Now;
+    if (Peer != m_Context.self())
+      Soonest = std::min(Soonest, Paused ? Known->second.NotBefore - Now
+                                         : EmptyLenderPause);
+  }
+  return std::max(MinRetryAfter, Soonest);
 }
 
 std::optional<VmId> RateShare::chooseLender(const Account &Of) const {
--- a/test/unit-explain-log.cpp
+++ b/test/unit-explain-log.cpp
@@ -80,6 +80,23 @@
               storyText(Story, "r7"));
 }
 
+TEST(ExplainLog, WhatSeveralVmsSayAlikeStandsOnce) {
+  auto Lines = parsed(R"(
+vm-a time=2026-12-04T00:00:09.000 event=statement_failed request=r7 target=t1
+vm-a time=2026-12-04T00:00:08.000 event=target_listed target=t1 leads=yes
+vm-b time=2026-12-04T00:00:08.010 event=target_listed target=t1 leads=yes
+vm-c time=2026-12-04T00:00:08.020 event=target_listed target=t1 leads=no
+vm-c time=2026-12-04T00:00:08.030 event=target_listed target=t1 leads=yes
+)");
+  CHECK_EQUAL("request r7\n"
+              "  00:00:09.000 vm-a statement_failed target=t1\n"
+              "what the VMs learnt near it\n"
+              "  00:00:08.000 vm-a target_listed target=t1 leads=yes (and 2 "
+              "more VMs)\n"
+              "  00:00:08.020 vm-c target_listed target=t1 leads=no\n",
+              storyText(joinRequest(Lines, "r7", {}), "r7"));
+}
+
 TEST(ExplainLog, SaysWhyARequestMayHaveNoLine) {
   std::string Text = storyText(joinRequest({}, "r9", {}), "r9");
   CHECK_TRUE(Text.find("no line names request r9") == 0);
--- a/test/unit-pool-rate.cpp
+++ b/test/unit-pool-rate.cpp
@@ -183,6 +183,21 @@
   CHECK_TRUE(RetryAfter >= milliseconds(20));
 }
 
+TEST(RateShare, AVmWithoutAPartSaysWhenAnotherMayLend) {
+  TwoVms Both(10, 1);
+  auto Plan = std::make_shared<const RatePlan>(RatePlan::equal(vmNames(2)));
+  Both.First.setPlan(Plan, {});
+  RateShare::Decision Made{true, {}};
+  for (unsigned Count = 0; Count < 3; ++Count) {
+    Both.First.admit(Ward,
+                     [&](const RateShare::Decision &Told) { Made = Told; });
+    Both.pass(milliseconds(45));
+  }
+  CHECK_FALSE(Made.Admitted);
+  CHECK_TRUE(Made.RetryAfter > Duration(0));
+  CHECK_TRUE(Made.RetryAfter <= seconds(5));
+}
+
 TEST(RateShare, WithoutAPlanNothingIsSpent) {
   TwoVms Both(10, 10);
   Both.First.setPlan(nullptr, {});
