Bound what the unfinished lines of all callers hold

Cause: each caller may send a line of a megabyte, 3,500 may be connected, and the smallest VMs have 160 MB: lines without an end could fill a process's memory. Now a caller that takes the sum above 16 MB gets the protocol's error and a close; the others go on. The sockets of callers and the HTTP server have tests with bad input of their own (unit-runtime-site): garbage, statements before the start, lines without an end, callers that do not start, header bombs. Ruled out: a shorter line for all, as values may be long.

--- a/src/runtime/site/CallerSockets.cpp
+++ b/src/runtime/site/CallerSockets.cpp
@@ -42,7 +42,7 @@
         received(Id, Bytes);
       };
       Hooks.Ended = [this, Id](const std::string &) {
-        m_Callers.erase(Id);
+        forget(Id);
         m_Hooks.Closed(Id);
       };
       Caller &New = m_Callers[Id];
@@ -77,8 +77,11 @@
       return;
     auto Line = Found->second.Lines.next();
     if (!Line) {
+      countHeld(Found->second);
       if (Found->second.Lines.overflowed())
         refuse(Id, "a message is too long");
+      else if (m_Held > MaxHeld)
+        refuse(Id, "too many unfinished messages");
       return;
     }
     took(Id, Found->second, *Line);
@@ -103,11 +106,24 @@
   if (std::holds_alternative<platform::CallerFault>(Message))
     return refuse(Id, "not a message of the protocol");
   auto Stream = From.Stream;
-  m_Callers.erase(Id);
+  forget(Id);
   Stream->close();
   m_Hooks.Closed(Id);
 }
 
+void CallerSockets::countHeld(Caller &From) {
+  m_Held += From.Lines.held() - From.Held;
+  From.Held = From.Lines.held();
+}
+
+void CallerSockets::forget(CallerId Id) {
+  auto Found = m_Callers.find(Id);
+  if (Found == m_Callers.end())
+    return;
+  m_Held -= Found->second.Held;
+  m_Callers.erase(Found);
+}
+
 void CallerSockets::answer(CallerId Id, const pooling::CallerReply &Reply) {
   auto Found = m_Callers.find(Id);
   if (Found != m_Callers.end())
@@ -119,7 +135,7 @@
   if (Found == m_Callers.end())
     return;
   auto Stream = Found->second.Stream;
-  m_Callers.erase(Found);
+  forget(Id);
   Stream->closeAfterOutput();
 }
 
--- a/src/runtime/site/CallerSockets.h
+++ b/src/runtime/site/CallerSockets.h
@@ -38,10 +38,14 @@
 private:
   /// Below the descriptors that a process may have.
   static constexpr std::size_t MaxCallers = 3500;
+  /// Of unfinished lines of all callers: a tenth of the memory of the smallest
+  /// VMs (160 MB).
+  static constexpr std::size_t MaxHeld = std::size_t{16} * 1024 * 1024;
 
   struct Caller {
     std::shared_ptr<ByteStream> Stream;
     platform::LineSplitter Lines;
+    std::size_t Held = 0; ///< Its part of m_Held.
     bool Started = false;
   };
 
@@ -49,10 +53,13 @@
   void received(CallerId Id, std::string_view Bytes);
   void took(CallerId Id, Caller &From, const std::string &Line);
   void refuse(CallerId Id, const char *Reason);
+  void countHeld(Caller &From);
+  void forget(CallerId Id);
 
   asio::ip::tcp::acceptor m_Acceptor;
   Hooks m_Hooks;
   std::unordered_map<CallerId, Caller> m_Callers;
+  std::size_t m_Held = 0; ///< Bytes of unfinished lines.
   std::uint64_t m_LastCaller = 0;
 };
 
--- /dev/null
+++ b/test/unit-runtime-site.cpp
@@ -0,0 +1,182 @@
+#include "runtime/site/CallerSockets.h"
+#include "runtime/site/HttpServer.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace bergamotstage;
+using namespace bergamotstage::runtime;
+
+namespace {
+
+using Tcp = asio::ip::tcp;
+
+/// @brief An address on which nobody listens at present.
+std::string freeAddress(asio::io_context &Io) {
+  Tcp::acceptor Probe(Io, {asio::ip::address_v4::loopback(), 0});
+  return "127.0.0.1:" + std::to_string(Probe.local_endpoint().port());
+}
+
+/// @brief One client that writes and reads as it likes.
+class Client {
+public:
+  Client(asio::io_context &Io, const std::string &Address)
+      : m_Io(Io), m_Socket(Io) {
+    std::string Port = Address.substr(Address.rfind(':') + 1);
+    m_Socket.connect({asio::ip::address_v4::loopback(),
+                      static_cast<std::uint16_t>(std::stoul(Port))});
+    m_Socket.non_blocking(true);
+  }
+
+  /// Writes in pieces, so that one thread serves both ends.
+  void send(std::string_view Bytes) {
+    while (!Bytes.empty() && !m_Closed) {
+      std::error_code Failed;
+      std::size_t Sent =
+          m_Socket.write_some(asio::buffer(Bytes.data(), Bytes.size()), Failed);
+      Bytes.remove_prefix(Failed ? 0 : Sent);
+      m_Closed = Failed && Failed != asio::error::would_block;
+      m_Io.run_for(std::chrono::milliseconds(1));
+      m_Io.restart();
+    }
+    read();
+  }
+
+  void read(std::chrono::milliseconds Wait = std::chrono::milliseconds(20)) {
+    m_Io.run_for(Wait);
+    m_Io.restart();
+    char Bytes[4096];
+    std::error_code Failed;
+    while (!Failed) {
+      std::size_t Got = m_Socket.read_some(asio::buffer(Bytes), Failed);
+      m_Text.append(Bytes, Failed ? 0 : Got);
+    }
+    m_Closed = m_Closed || Failed != asio::error::would_block;
+  }
+
+  const std::string &text() const { return m_Text; }
+  bool closed() const { return m_Closed; }
+
+private:
+  asio::io_context &m_Io;
+  Tcp::socket m_Socket;
+  std::string m_Text;
+  bool m_Closed = false;
+};
+
+struct CallerBench {
+  asio::io_context Io;
+  std::string Address = freeAddress(Io);
+  std::vector<std::string> Databases;
+  std::vector<std::string> Requests;
+  std::vector<std::string> Refused;
+  std::unique_ptr<CallerSockets> Sockets;
+
+  CallerBench() {
+    CallerSockets::Hooks Ask;
+    Ask.Opened = [this](CallerId, const std::string &Database,
+                        const std::string &) {
+      Databases.push_back(Database);
+    };
+    Ask.Sent = [this](CallerId, const pooling::Statement &Call) {
+      Requests.push_back(Call.RequestId);
+    };
+    Ask.Closed = [](CallerId) {};
+    Ask.Refused = [this](const std::string &Reason) {
+      Refused.push_back(Reason);
+    };
+    auto Listening = CallerSockets::listen(Io, Address, std::move(Ask));
+    CHECK_TRUE(Listening.has_value());
+    Sockets = std::move(*Listening);
+  }
+};
+
+} // namespace
+
+TEST_GROUP(CallerSockets){};
+
+TEST(CallerSockets, GarbageGetsAnErrorAndACloseAndOthersGoOn) {
+  CallerBench Bench;
+  Client Good(Bench.Io, Bench.Address);
+  Good.send("START plots key\r\n");
+  for (const std::string &Bad :
+       {std::string("\x16\x03\x01\xee\r\n"), std::string("\0\0\r\n", 4),
+        std::string("GET / HTTP/1.1\r\n"), std::string("QUERY r1 READ a\r\n"),
+        std::string("START\r\n"), std::string("\r\n")}) {
+    Client Other(Bench.Io, Bench.Address);
+    Other.send(Bad);
+    CHECK_EQUAL("ERROR MALFORMED", Other.text().substr(0, 15));
+    CHECK_TRUE(Other.closed());
+  }
+  LONGS_EQUAL(6, Bench.Refused.size());
+  Good.send("QUERY r1 READ a\r\n");
+  LONGS_EQUAL(1, Bench.Databases.size());
+  LONGS_EQUAL(1, Bench.Requests.size());
+  CHECK_FALSE(Good.closed());
+}
+
+TEST(CallerSockets, ALineWithoutEndIsCutOff) {
+  CallerBench Bench;
+  Client Endless(Bench.Io, Bench.Address);
+  Endless.send("START plots key\r\n");
+  Endless.send(std::string(platform::MaxLine + 100, 'x'));
+  CHECK_TRUE(Endless.closed());
+  LONGS_EQUAL(1, Bench.Refused.size());
+}
+
+TEST(CallerSockets, UnfinishedLinesOfAllCallersAreBounded) {
+  CallerBench Bench;
+  std::vector<std::unique_ptr<Client>> Many;
+  constexpr std::size_t Part = std::size_t{800} * 1024;
+  for (unsigned Number = 0; Number < 40; ++Number) {
+    Many.push_back(std::make_unique<Client>(Bench.Io, Bench.Address));
+    Many.back()->send("START plots key\r\n");
+    Many.back()->send(std::string(Part, 'x'));
+  }
+  // 16 MB hold twenty of them.
+  LONGS_EQUAL(20, Bench.Refused.size());
+  Many.front()->send("\r\n");
+  Client Next(Bench.Io, Bench.Address);
+  Next.send("START plots key\r\nQUERY r9 READ a\r\n");
+  CHECK_EQUAL("r9", Bench.Requests.back());
+}
+
+TEST(CallerSockets, WhoDoesNotStartIsClosed) {
+  CallerBench Bench;
+  Client Idle(Bench.Io, Bench.Address);
+  Idle.send("STA");
+  CHECK_FALSE(Idle.closed());
+  Idle.read(std::chrono::milliseconds(3300));
+  CHECK_TRUE(Idle.closed());
+}
+
+TEST_GROUP(HttpServer){};
+
+TEST(HttpServer, ServesPathsAndEndsWhatIsNoHttp) {
+  asio::io_context Io;
+  std::string Address = freeAddress(Io);
+  auto Server = HttpServer::listen(Io, Address, [](const std::string &Path) {
+    return Path == "/ready" ? HttpAnswer{200, "yes"} : HttpAnswer{404, "no"};
+  });
+  CHECK_TRUE(Server.has_value());
+  Client Good(Io, Address);
+  Good.send("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK_TRUE(Good.text().find("HTTP/1.1 200") == 0);
+  Client Lost(Io, Address);
+  Lost.send("GET /other HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK_TRUE(Lost.text().find("HTTP/1.1 404") == 0);
+  Client Bad(Io, Address);
+  Bad.send(std::string("\x16\x03\x01 no http\r\n\r\n"));
+  CHECK_TRUE(Bad.closed());
+  Client Bomb(Io, Address);
+  Bomb.send("GET /ready HTTP/1.1\r\n" + std::string(200000, 'h'));
+  CHECK_TRUE(Bomb.closed());
+}
