Keep the order of owners until the members change

On virtual time without callers, three seconds of a fleet took 0.02 s of processor at 30 VMs, 0.62 at 100 and 4.3 at 200: each VM ranked all VMs anew for each target and group twice a second, and for each operation. Now a node keeps each order until a VM comes, goes or changes; the trial takes 0.02, 0.19 and 1.5 s. unit-pool-random, -sessions, -policy pass.

--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -22,6 +22,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bergamotstage::pooling {
@@ -169,6 +170,9 @@
   void limitPools();
   void dropPool(const TargetId &Id, const std::string &Reason);
   std::vector<VmId> owners(const TargetId &Id) const;
+  /// @brief rankOwners() over the members; the order is kept until they change.
+  const std::vector<VmId> &ranked(const std::string &Subject,
+                                  const DataCentreId &Near) const;
   std::vector<VmId> peers() const;
   AccountId anyAccount() const;
   bool applyTarget(const TargetEntry &Entry);
@@ -195,6 +199,9 @@
   metrics::Registry m_Metrics;
   TargetTable m_Targets;
   MemberMap m_Members;
+  /// Orders by subject and data centre; cleared where m_Members changes.
+  mutable std::map<std::pair<std::string, DataCentreId>, std::vector<VmId>>
+      m_Ranks;
   PeerHealth m_Health;
   TargetChoice m_Choice;
   RateShare m_Rates;
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -234,7 +234,15 @@
 std::vector<VmId> PoolNode::owners(const TargetId &Id) const {
   const TargetEntry *Target = m_Targets.find(Id);
   DataCentreId Near = Target == nullptr ? DataCentreId() : Target->DataCentre;
-  return rankOwners(Id.value(), Near, m_Members);
+  return ranked(Id.value(), Near);
+}
+
+const std::vector<VmId> &PoolNode::ranked(const std::string &Subject,
+                                          const DataCentreId &Near) const {
+  auto [Found, Added] = m_Ranks.try_emplace({Subject, Near});
+  if (Added)
+    Found->second = rankOwners(Subject, Near, m_Members);
+  return Found->second;
 }
 
 AccountId PoolNode::anyAccount() const {
@@ -324,8 +332,8 @@
   if (Duty && Duty->Holder != m_Context.self())
     send(Duty->Holder, FleetMessage(Word));
   bool HolderLost = !Duty || m_Health.isLost(Duty->Holder);
-  std::vector<VmId> Order =
-      rankOwners(dutySubject(Target->Group), DataCentreId(), m_Members);
+  // A copy: what is sent may change the members.
+  std::vector<VmId> Order = ranked(dutySubject(Target->Group), DataCentreId());
   if (HolderLost && !Order.empty() && Order.front() != m_Context.self())
     send(Order.front(), FleetMessage(Word));
   if (HolderLost)
@@ -346,8 +354,7 @@
   auto Pending = m_AcquiringSince.find(Group);
   bool Acquiring = Pending != m_AcquiringSince.end() &&
                    Pending->second + AcquireTimeout > m_Context.now();
-  std::vector<VmId> Order =
-      rankOwners(dutySubject(Group), DataCentreId(), m_Members);
+  const std::vector<VmId> &Order = ranked(dutySubject(Group), DataCentreId());
   bool First = !Order.empty() && Order.front() == m_Context.self();
   auto Duty = m_Rows.duty(Group);
   bool HolderGone = true;
@@ -446,6 +453,7 @@
     return;
   m_LeavingSince = m_Context.now();
   m_Members[m_Context.self()].Leaving = true;
+  m_Ranks.clear();
   m_Context.log(WriteLog::Level::Info, "shutdown_started",
                 {{"sessions", std::to_string(m_Sessions.size())},
                  {"operations", std::to_string(m_Sessions.busy())}});
--- a/src/pooling/PoolNodeMessages.cpp
+++ b/src/pooling/PoolNodeMessages.cpp
@@ -1,7 +1,5 @@
 #include "bergamotstage/pooling/PoolNode.h"
 
-#include "bergamotstage/forward/Rendezvous.h"
-
 #include <algorithm>
 #include <utility>
 #include <variant>
@@ -73,6 +71,7 @@
   bool Unknown = m_Members.count(From) == 0;
   m_Members[From] = {From, Body.DataCentre, Body.Address, Body.Start,
                      true, Body.Leaving,    Body.Cores};
+  m_Ranks.clear();
   if (Unknown || Body.Leaving || NewLife) {
     m_Context.log(WriteLog::Level::Info, "vm_seen",
                   {{"vm", From.value()},
@@ -107,8 +106,7 @@
   auto Teller = m_Members.find(From);
   bool Near = Teller != m_Members.end() &&
               Teller->second.DataCentre == m_Context.dataCentre();
-  std::vector<VmId> Order =
-      rankOwners(ConfigSubject, m_Context.dataCentre(), m_Members);
+  std::vector<VmId> Order = ranked(ConfigSubject, m_Context.dataCentre());
   bool First = !Order.empty() && Order.front() == m_Context.self();
   if (Near)
     send(From, ConfigAsk{});
@@ -267,6 +265,7 @@
     m_Members.erase(Id);
     m_Health.forget(Id);
   }
+  m_Ranks.clear();
   limitPools();
 }
 
@@ -275,6 +274,7 @@
   if (Found == m_Members.end() || Found->second.Reachable == Reachable)
     return;
   Found->second.Reachable = Reachable;
+  m_Ranks.clear();
   m_Context.log(Reachable ? WriteLog::Level::Info : WriteLog::Level::Warning,
                 Reachable ? "vm_reachable" : "vm_unreachable",
                 {{"vm", Vm.value()}});
