Let the members keep the order of owners themselves

Cause: the cache of orders was five calls of clear() beside changes of a bare map, so that a sixth change could forget it; each use copied the whole list, the readers of the store ranked beside it without it, and housekeeping ranked each pool's owners twice. Now RankedMembers owns the map and the orders: put, erase, setReachable and setLeaving are the only ways to change it. Orders are handed out by reference, and the life of a free link is one of the pool's limits. Ruled out: references kept while messages are sent; those two places take a copy. Conclusion: the same owners in the same order; test harnesses only pass the members in another type.

--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -8,6 +8,7 @@
 #include "bergamotstage/pooling/FleetRows.h"
 #include "bergamotstage/pooling/PeerHealth.h"
 #include "bergamotstage/pooling/PromotionDuty.h"
+#include "bergamotstage/pooling/RankedMembers.h"
 #include "bergamotstage/pooling/RateShare.h"
 #include "bergamotstage/pooling/Sessions.h"
 #include "bergamotstage/pooling/SiteConfig.h"
@@ -22,7 +23,6 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace bergamotstage::pooling {
@@ -169,10 +169,9 @@
   TargetPool *poolOf(LinkId Link);
   void limitPools();
   void dropPool(const TargetId &Id, const std::string &Reason);
-  std::vector<VmId> owners(const TargetId &Id) const;
-  /// @brief rankOwners() over the members; the order is kept until they change.
-  const std::vector<VmId> &ranked(const std::string &Subject,
-                                  const DataCentreId &Near) const;
+  const std::vector<VmId> &owners(const TargetId &Id) const;
+  /// @brief The VMs that may hold a group's duty, the best first.
+  const std::vector<VmId> &dutyOrder(const DatabaseId &Group) const;
   std::vector<VmId> peers() const;
   AccountId anyAccount() const;
   bool applyTarget(const TargetEntry &Entry);
@@ -198,10 +197,7 @@
   bool m_FairQueues = true;
   metrics::Registry m_Metrics;
   TargetTable m_Targets;
-  MemberMap m_Members;
-  /// Orders by subject and data centre; cleared where m_Members changes.
-  mutable std::map<std::pair<std::string, DataCentreId>, std::vector<VmId>>
-      m_Ranks;
+  RankedMembers m_Members;
   PeerHealth m_Health;
   TargetChoice m_Choice;
   RateShare m_Rates;
--- a/include/bergamotstage/pooling/StoreReaders.h
+++ b/include/bergamotstage/pooling/StoreReaders.h
@@ -4,6 +4,7 @@
 #include "bergamotstage/fleet/MemberState.h"
 #include "bergamotstage/pooling/Context.h"
 #include "bergamotstage/pooling/FleetMessage.h"
+#include "bergamotstage/pooling/RankedMembers.h"
 
 #include <functional>
 #include <map>
@@ -24,7 +25,7 @@
   struct Hooks {
     std::function<void(const VmId &, FleetMessage &&)> Ask;
     std::function<void(const VmId &, FleetMessage &&)> Answer;
-    std::function<const MemberMap &()> Members;
+    std::function<const RankedMembers &()> Members;
     std::function<std::uint64_t()> ConfigVersion;
     /// All targets that this VM knows of.
     std::function<std::vector<TargetEntry>()> Targets;
--- a/include/bergamotstage/pooling/TargetChoice.h
+++ b/include/bergamotstage/pooling/TargetChoice.h
@@ -18,8 +18,9 @@
 /// @brief Chooses the target of an operation and the VM that owns its links.
 class TargetChoice {
 public:
-  /// @brief VMs that can run work on a target, the best first.
-  using OwnersHook = std::function<std::vector<VmId>(const TargetId &)>;
+  /// @brief VMs that can run work on a target, the best first. The list is
+  /// used before anything else is called.
+  using OwnersHook = std::function<const std::vector<VmId> &(const TargetId &)>;
 
   /// @brief Where an operation goes, or why it has to wait.
   struct Choice {
--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -39,8 +39,9 @@
 
   /// @brief Limits of one target.
   struct Limits {
-    unsigned Slots = 1;    ///< Statements at once.
-    unsigned MaxLinks = 2; ///< Connections that this VM may hold.
+    unsigned Slots = 1;             ///< Statements at once.
+    unsigned MaxLinks = 2;          ///< Connections that this VM may hold.
+    Duration LinkLife = seconds(3); ///< Of a free link without use.
     Duration TransactionIdle = seconds(3);
     bool Fair = true; ///< Accounts take turns; else first come, first served.
   };
@@ -88,7 +89,7 @@
   void linkReplied(LinkId Id, LinkReply Reply);
 
   /// @brief Closes free links that are beyond the limit or long unused.
-  void trim(Duration UnusedFor);
+  void trim();
 
   /// @brief Closes all links; in-flight statements are lost.
   void shutDown(const std::string &Reason);
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -1,6 +1,5 @@
 #include "bergamotstage/pooling/PoolNode.h"
 
-#include "bergamotstage/forward/Rendezvous.h"
 #include "bergamotstage/rules/PolicyChoice.h"
 
 #include <algorithm>
@@ -34,9 +33,6 @@
 constexpr Duration DrainInterval = milliseconds(50);
 /// Left of the grace period when the process ends in any case.
 constexpr Duration EndMargin = milliseconds(500);
-std::string dutySubject(const DatabaseId &Group) {
-  return "duty " + Group.value();
-}
 bool expectsAnswer(const FleetMessage &Message) {
   return std::holds_alternative<StartWork>(Message) ||
          std::holds_alternative<NextWork>(Message) ||
@@ -50,9 +46,11 @@
 PoolNode::PoolNode(Settings Chosen, std::uint64_t Seed, Hooks Ask)
     : m_Settings(std::move(Chosen)), m_Hooks(std::move(Ask)),
       m_Context(m_Settings.Self.Vm, m_Settings.Self.DataCentre, Seed),
-      m_Config(std::make_shared<SiteConfig>()),
+      m_Config(std::make_shared<SiteConfig>()), m_Members(m_Settings.Self),
       m_Choice(m_Context, m_Targets,
-               [this](const TargetId &Id) { return owners(Id); }),
+               [this](const TargetId &Id) -> const std::vector<VmId> & {
+                 return owners(Id);
+               }),
       m_Rates(
           m_Context,
           [this](const VmId &To, FleetMessage &&Message) {
@@ -67,9 +65,7 @@
       m_Readers(m_Context, readerHooks()),
       m_Promotion(m_Context, m_Targets, promotionHooks()),
       m_Sessions(m_Context, m_Targets, m_Choice, m_Rates, m_Metrics,
-                 sessionHooks()) {
-  m_Members[m_Settings.Self.Vm] = m_Settings.Self;
-}
+                 sessionHooks()) {}
 
 void PoolNode::begin(Instant Now) { m_Context.setNow(Now); }
 
@@ -100,12 +96,12 @@
     m_Local.push_back({To, std::move(Message)});
     return;
   }
-  auto Found = m_Members.find(To);
-  if (Found == m_Members.end())
+  const MemberState *Member = m_Members.find(To);
+  if (Member == nullptr)
     return;
   if (expectsAnswer(Message))
     m_Health.expectAnswer(To, m_Context.now());
-  m_Hooks.SendPeer(Found->second, Message);
+  m_Hooks.SendPeer(*Member, Message);
 }
 
 // Callers.
@@ -196,9 +192,10 @@
     auto Group = m_Config->Groups.find(Target->Group);
     unsigned Cap = Group == m_Config->Groups.end() ? OtherLinks * 2
                                                    : Group->second.MaxLinks;
-    std::vector<VmId> Order = owners(Id);
+    const std::vector<VmId> &Order = owners(Id);
     auto Place =
         std::find(Order.begin(), Order.end(), m_Context.self()) - Order.begin();
+    bool Owner = Place == 0 && !Order.empty();
     TargetPool::Limits Limits;
     Limits.Slots = std::max(1U, Target->Slots);
     Limits.MaxLinks = OtherLinks;
@@ -207,6 +204,7 @@
     else if (Place == 1)
       Limits.MaxLinks = static_cast<unsigned>(Cap * NextOwnerLinkShare);
     Limits.MaxLinks = std::max(Limits.MaxLinks, OtherLinks);
+    Limits.LinkLife = Owner ? OwnerLinkLife : OtherLinkLife;
     Limits.TransactionIdle = m_Config->TransactionIdle;
     Limits.Fair = m_FairQueues;
     At->setLimits(Limits);
@@ -231,18 +229,10 @@
 
 // Targets.
 
-std::vector<VmId> PoolNode::owners(const TargetId &Id) const {
+const std::vector<VmId> &PoolNode::owners(const TargetId &Id) const {
   const TargetEntry *Target = m_Targets.find(Id);
   DataCentreId Near = Target == nullptr ? DataCentreId() : Target->DataCentre;
-  return ranked(Id.value(), Near);
-}
-
-const std::vector<VmId> &PoolNode::ranked(const std::string &Subject,
-                                          const DataCentreId &Near) const {
-  auto [Found, Added] = m_Ranks.try_emplace({Subject, Near});
-  if (Added)
-    Found->second = rankOwners(Subject, Near, m_Members);
-  return Found->second;
+  return m_Members.order(Id.value(), Near);
 }
 
 AccountId PoolNode::anyAccount() const {
@@ -333,7 +323,7 @@
     send(Duty->Holder, FleetMessage(Word));
   bool HolderLost = !Duty || m_Health.isLost(Duty->Holder);
   // A copy: what is sent may change the members.
-  std::vector<VmId> Order = ranked(dutySubject(Target->Group), DataCentreId());
+  std::vector<VmId> Order = dutyOrder(Target->Group);
   if (HolderLost && !Order.empty() && Order.front() != m_Context.self())
     send(Order.front(), FleetMessage(Word));
   if (HolderLost)
@@ -343,6 +333,10 @@
 
 // Duties.
 
+const std::vector<VmId> &PoolNode::dutyOrder(const DatabaseId &Group) const {
+  return m_Members.order("duty " + Group.value(), DataCentreId());
+}
+
 bool PoolNode::holdsDuty(const DatabaseId &Group) const {
   auto Duty = m_Rows.duty(Group);
   return Duty && Duty->Holder == m_Context.self() && !m_LeavingSince;
@@ -354,14 +348,14 @@
   auto Pending = m_AcquiringSince.find(Group);
   bool Acquiring = Pending != m_AcquiringSince.end() &&
                    Pending->second + AcquireTimeout > m_Context.now();
-  const std::vector<VmId> &Order = ranked(dutySubject(Group), DataCentreId());
+  const std::vector<VmId> &Order = dutyOrder(Group);
   bool First = !Order.empty() && Order.front() == m_Context.self();
   auto Duty = m_Rows.duty(Group);
   bool HolderGone = true;
   if (Duty) {
-    auto Holder = m_Members.find(Duty->Holder);
+    const MemberState *Holder = m_Members.find(Duty->Holder);
     HolderGone =
-        Holder == m_Members.end() || Holder->second.Leaving ||
+        Holder == nullptr || Holder->Leaving ||
         m_Health.lostFor(Duty->Holder, m_Context.now()) >= HolderLostTime;
   }
   if (Acquiring || !First || !HolderGone)
@@ -426,11 +420,8 @@
   for (const TargetId &Id : m_Targets.expire(m_Context.now(), MissingGrace))
     dropPool(Id, "the target's entry is gone");
   limitPools();
-  for (auto &[Id, At] : m_Pools) {
-    std::vector<VmId> Order = owners(Id);
-    bool Owner = !Order.empty() && Order.front() == m_Context.self();
-    At->trim(Owner ? OwnerLinkLife : OtherLinkLife);
-  }
+  for (auto &[Id, At] : m_Pools)
+    At->trim();
   acquireDuties();
   std::vector<DatabaseId> Groups;
   for (const auto &[Group, Rule] : m_Config->Groups)
@@ -452,8 +443,7 @@
   if (m_LeavingSince)
     return;
   m_LeavingSince = m_Context.now();
-  m_Members[m_Context.self()].Leaving = true;
-  m_Ranks.clear();
+  m_Members.setLeaving(m_Context.self());
   m_Context.log(WriteLog::Level::Info, "shutdown_started",
                 {{"sessions", std::to_string(m_Sessions.size())},
                  {"operations", std::to_string(m_Sessions.busy())}});
--- a/src/pooling/PoolNodeHooks.cpp
+++ b/src/pooling/PoolNodeHooks.cpp
@@ -109,7 +109,7 @@
   Ask.Answer = [this](const VmId &To, FleetMessage &&Message) {
     answerPeer(To, std::move(Message));
   };
-  Ask.Members = [this]() -> const MemberMap & { return m_Members; };
+  Ask.Members = [this]() -> const RankedMembers & { return m_Members; };
   Ask.ConfigVersion = [this] { return m_Config->Version; };
   Ask.Targets = [this] {
     std::vector<TargetEntry> All;
--- a/src/pooling/PoolNodeMessages.cpp
+++ b/src/pooling/PoolNodeMessages.cpp
@@ -68,10 +68,9 @@
     for (auto &[Id, At] : m_Pools)
       At->abandonAll(From);
   m_Origins[From] = Body.Start;
-  bool Unknown = m_Members.count(From) == 0;
-  m_Members[From] = {From, Body.DataCentre, Body.Address, Body.Start,
-                     true, Body.Leaving,    Body.Cores};
-  m_Ranks.clear();
+  bool Unknown = m_Members.find(From) == nullptr;
+  m_Members.put({From, Body.DataCentre, Body.Address, Body.Start, true,
+                 Body.Leaving, Body.Cores});
   if (Unknown || Body.Leaving || NewLife) {
     m_Context.log(WriteLog::Level::Info, "vm_seen",
                   {{"vm", From.value()},
@@ -103,10 +102,10 @@
   if (Version <= m_Fetching)
     return;
   m_Fetching = Version;
-  auto Teller = m_Members.find(From);
-  bool Near = Teller != m_Members.end() &&
-              Teller->second.DataCentre == m_Context.dataCentre();
-  std::vector<VmId> Order = ranked(ConfigSubject, m_Context.dataCentre());
+  const MemberState *Teller = m_Members.find(From);
+  bool Near = Teller != nullptr && Teller->DataCentre == m_Context.dataCentre();
+  std::vector<VmId> Order =
+      m_Members.order(ConfigSubject, m_Context.dataCentre());
   bool First = !Order.empty() && Order.front() == m_Context.self();
   if (Near)
     send(From, ConfigAsk{});
@@ -237,7 +236,7 @@
 
 std::vector<VmId> PoolNode::peers() const {
   std::vector<VmId> Reachable;
-  for (const auto &[Id, Member] : m_Members)
+  for (const auto &[Id, Member] : m_Members.all())
     if (Id != m_Context.self() && Member.Reachable)
       Reachable.push_back(Id);
   return Reachable;
@@ -247,14 +246,16 @@
   for (const MemberState &Member : Members) {
     if (Member.Vm == m_Context.self())
       continue;
-    auto [Found, Added] = m_Members.try_emplace(Member.Vm, Member);
-    if (!Added && Found->second.Start < Member.Start) {
-      Found->second = Member;
-      Found->second.Reachable = !m_Health.isLost(Member.Vm);
-    }
+    const MemberState *Known = m_Members.find(Member.Vm);
+    if (Known != nullptr && !(Known->Start < Member.Start))
+      continue;
+    MemberState New = Member;
+    if (Known != nullptr)
+      New.Reachable = !m_Health.isLost(Member.Vm);
+    m_Members.put(New);
   }
   std::vector<VmId> Unlisted;
-  for (const auto &[Id, Member] : m_Members) {
+  for (const auto &[Id, Member] : m_Members.all()) {
     bool Listed = std::any_of(
         Members.begin(), Members.end(),
         [Id = Id](const MemberState &Entry) { return Entry.Vm == Id; });
@@ -265,16 +266,12 @@
     m_Members.erase(Id);
     m_Health.forget(Id);
   }
-  m_Ranks.clear();
   limitPools();
 }
 
 void PoolNode::setReachable(const VmId &Vm, bool Reachable) {
-  auto Found = m_Members.find(Vm);
-  if (Found == m_Members.end() || Found->second.Reachable == Reachable)
+  if (!m_Members.setReachable(Vm, Reachable))
     return;
-  Found->second.Reachable = Reachable;
-  m_Ranks.clear();
   m_Context.log(Reachable ? WriteLog::Level::Info : WriteLog::Level::Warning,
                 Reachable ? "vm_reachable" : "vm_unreachable",
                 {{"vm", Vm.value()}});
@@ -282,7 +279,7 @@
 }
 
 void PoolNode::losePeer(const VmId &Vm, const char *Reason) {
-  if (m_Members.count(Vm) == 0)
+  if (m_Members.find(Vm) == nullptr)
     return;
   bool Was = m_Health.isLost(Vm);
   m_Health.broken(Vm, m_Context.now());
--- a/src/pooling/StoreReaders.cpp
+++ b/src/pooling/StoreReaders.cpp
@@ -1,7 +1,5 @@
 #include "bergamotstage/pooling/StoreReaders.h"
 
-#include "bergamotstage/forward/Rendezvous.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -36,9 +34,9 @@
 }
 
 std::vector<VmId> StoreReaders::readers() const {
-  const MemberMap &Members = m_Hooks.Members();
-  std::vector<VmId> Order = rankOwners(Subject, DataCentreId(), Members);
-  std::size_t Count = FewestReaders + Members.size() / VmsPerReader;
+  const RankedMembers &Members = m_Hooks.Members();
+  std::vector<VmId> Order = Members.order(Subject, DataCentreId());
+  std::size_t Count = FewestReaders + Members.all().size() / VmsPerReader;
   if (Order.size() > Count)
     Order.resize(Count);
   return Order;
--- a/src/pooling/TargetPoolLinks.cpp
+++ b/src/pooling/TargetPoolLinks.cpp
@@ -390,13 +390,13 @@
   m_Hooks.Reachable(m_Id, false);
 }
 
-void TargetPool::trim(Duration UnusedFor) {
+void TargetPool::trim() {
   std::vector<LinkId> Unused;
   std::size_t Surplus = m_Links.size() > m_Limits.MaxLinks
                             ? m_Links.size() - m_Limits.MaxLinks
                             : 0;
   for (const auto &[Id, On] : m_Links) {
-    bool Old = On.UsedAt + UnusedFor <= m_Context.now();
+    bool Old = On.UsedAt + m_Limits.LinkLife <= m_Context.now();
     if (On.free() && (Old || Unused.size() < Surplus))
       Unused.push_back(Id);
   }
--- a/test/unit-pool-choice.cpp
+++ b/test/unit-pool-choice.cpp
@@ -124,9 +124,10 @@
 TEST_GROUP(TargetChoice) {
   Context Shared{VmId("vm-a"), DataCentreId("east"), 1};
   TargetTable Table;
-  TargetChoice Choice{Shared, Table, [](const TargetId &) {
-                        return std::vector<VmId>{VmId("vm-a"), VmId("vm-b")};
-                      }};
+  std::vector<VmId> Owners{VmId("vm-a"), VmId("vm-b")};
+  TargetChoice Choice{
+      Shared, Table,
+      [this](const TargetId &) -> const std::vector<VmId> & { return Owners; }};
   Session Of;
   Operation Op;
 
--- a/test/unit-pool-store.cpp
+++ b/test/unit-pool-store.cpp
@@ -237,7 +237,7 @@
 /// @brief A VM that reads for others or is read for.
 struct ReaderVm {
   Context Shared;
-  MemberMap Members;
+  RankedMembers Members;
   bool Follows = true;
   std::uint64_t Config = 1;
   std::vector<TargetEntry> Targets;
@@ -246,8 +246,10 @@
   StoreReaders Readers;
 
   explicit ReaderVm(const std::string &Name, const MemberMap &Fleet)
-      : Shared(VmId(Name), DataCentreId("east"), 1), Members(Fleet),
-        Readers(Shared, hooks()) {
+      : Shared(VmId(Name), DataCentreId("east"), 1),
+        Members(Fleet.at(VmId(Name))), Readers(Shared, hooks()) {
+    for (const auto &[Vm, Member] : Fleet)
+      Members.put(Member);
     Shared.setNow(Instant(seconds(100)));
   }
 
@@ -257,7 +259,7 @@
       Out.emplace_back(To, std::move(Message));
     };
     Ask.Answer = Ask.Ask;
-    Ask.Members = [this]() -> const MemberMap & { return Members; };
+    Ask.Members = [this]() -> const RankedMembers & { return Members; };
     Ask.ConfigVersion = [this] { return Config; };
     Ask.Targets = [this] { return Targets; };
     Ask.Follow = [this](bool Now) { Follows = Now; };
