--- a/include/bergamotstage/core/Parse.h
+++ b/include/bergamotstage/core/Parse.h
@@ -25,6 +25,12 @@
 /// @brief Bytes of hexadecimal digits, or nothing if the text is not such.
 std::optional<std::string> fromHex(std::string_view Digits);
 
+/// @brief Bytes as base64 with padding.
+std::string toBase64(std::string_view Bytes);
+
+/// @brief Bytes of a base64 text, or nothing if the text is not such.
+std::optional<std::string> fromBase64(std::string_view Text);
+
 } // namespace bergamotstage
 
 #endif // BERGAMOTSTAGE_CORE_PARSE_H
--- a/include/bergamotstage/core/Time.h
+++ b/include/bergamotstage/core/Time.h
@@ -32,6 +32,12 @@
   return std::chrono::duration<double, std::milli>(Span).count();
 }
 
+/// @brief A duration times a factor, cut to whole microseconds.
+inline Duration scaled(Duration Span, double Factor) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(Span.count()) * Factor));
+}
+
 /// @brief Fractional seconds of a duration, for rates.
 inline double toSeconds(Duration Span) {
   return std::chrono::duration<double>(Span).count();
--- a/include/bergamotstage/pooling/FleetMessage.h
+++ b/include/bergamotstage/pooling/FleetMessage.h
@@ -127,6 +127,14 @@
   std::vector<TargetId> Gone;
 };
 
+/// @brief A time of this VM's clock in messages that come back to it.
+inline std::uint64_t stampOf(Instant Time) {
+  return static_cast<std::uint64_t>(Time.time_since_epoch().count());
+}
+inline Instant instantOf(std::uint64_t Stamp) {
+  return Instant(Duration(static_cast<Duration::rep>(Stamp)));
+}
+
 /// @brief All messages between two VMs.
 using FleetMessage =
     std::variant<Hello, Ping, Pong, StartWork, NextWork, AbandonWork, WorkReply,
--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -178,6 +178,7 @@
   void applyTargets(const std::vector<TargetEntry> &All);
   void removeTarget(const TargetId &Id);
   void targetReachable(const TargetId &Id, bool Reachable);
+  void promoted(const DatabaseId &Group, const TargetId &Id, Term NewTerm);
   bool holdsDuty(const DatabaseId &Group) const;
   void acquireDuties();
   void acquireIfFirst(const DatabaseId &Group);
--- a/include/bergamotstage/pooling/Session.h
+++ b/include/bergamotstage/pooling/Session.h
@@ -53,6 +53,11 @@
   std::set<TargetId> AvoidTargets;
   SharedValues SentValues; ///< Session values that the owner knows.
   std::string HeldFor;     ///< Why it has no target yet; for the log.
+
+  /// @brief When Current came.
+  Instant currentSince() const { return HoldUntil - Route.LatencyTarget; }
+  /// @brief Whether it can be run again without harm.
+  bool isSingleRead() const { return !isTransaction(How) && !Current.writes(); }
 };
 
 /// @brief One caller's connection.
--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -145,6 +145,7 @@
   void settleLink(PoolLink &On);
   void reply(const Job &Of, WorkResult Result);
   TargetLoad load() const;
+  WorkResult notRun(NotRunReason Reason) const;
   void noteOutcome(bool Failed);
   void refuse(const WorkId &Id, NotRunReason Reason);
   void loseJob(const WorkId &Id);
--- a/include/bergamotstage/pooling/Work.h
+++ b/include/bergamotstage/pooling/Work.h
@@ -67,6 +67,8 @@
 
 /// @brief How a target does, as the VM that owns its links sees it.
 struct TargetLoad {
+  static constexpr double Permille = 1000; ///< Of FailedPermille, a whole.
+
   unsigned Queued = 0; ///< Operations that wait for it.
   /// Of the latest statements, those that failed or got no answer.
   unsigned FailedPermille = 0;
--- a/soak/StoreStandIn.cpp
+++ b/soak/StoreStandIn.cpp
@@ -1,11 +1,11 @@
 #include "StoreStandIn.h"
 
+#include "bergamotstage/core/Parse.h"
+
 #include <asio/steady_timer.hpp>
 #include <http_parser.h>
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
-#include <algorithm>
 #include <utility>
 
 namespace bergamotstage::soak {
@@ -21,16 +21,6 @@
 constexpr Duration SilenceLimit = seconds(600);
 constexpr double LostPart = 0.3;
 
-std::string toBase64(const std::string &Bytes) {
-  std::string Out((Bytes.size() + 2) / 3 * 4 + 1, '\0');
-  int Size =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
-                      reinterpret_cast<const unsigned char *>(Bytes.data()),
-                      static_cast<int>(Bytes.size()));
-  Out.resize(static_cast<std::size_t>(Size));
-  return Out;
-}
-
 std::string unescape(const std::string &Text) {
   std::string Out;
   for (std::size_t At = 0; At < Text.size(); ++At) {
@@ -294,14 +284,7 @@
   }
   ++m_Version;
   for (const Json &Made : Body["put"]) {
-    std::string Text = Made["value"];
-    std::string Value(Text.size() / 4 * 3, '\0');
-    int Size =
-        EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Value.data()),
-                        reinterpret_cast<const unsigned char *>(Text.data()),
-                        static_cast<int>(Text.size()));
-    auto Padding = std::count(Text.begin(), Text.end(), '=');
-    Value.resize(static_cast<std::size_t>(Size - Padding));
+    std::string Value = fromBase64(Made["value"].get<std::string>()).value();
     RowOf(Made) = {Value, m_Version, false};
   }
   for (const Json &Gone : Body["remove"])
--- a/soak/TargetStandIn.cpp
+++ b/soak/TargetStandIn.cpp
@@ -220,9 +220,7 @@
                  " " + std::to_string(Reply.Status->HeldTerm.value()) + " " +
                  pointText(Reply.Status->Received) + " " +
                  std::to_string(Reply.Status->HeldTerm.value()) + " 0 0 0"};
-  auto Span = Duration(
-      static_cast<Duration::rep>(static_cast<double>(MeanWork.count()) *
-                                 std::min(LongestWork, Work(m_Random))));
+  Duration Span = scaled(MeanWork, std::min(LongestWork, Work(m_Random)));
   sendAfter(From, Runs ? Span : Duration(0), platform::encodeReply(Told));
 }
 
--- a/src/core/Parse.cpp
+++ b/src/core/Parse.cpp
@@ -1,5 +1,7 @@
 #include "bergamotstage/core/Parse.h"
 
+#include <openssl/evp.h>
+
 #include <charconv>
 #include <cmath>
 #include <cstddef>
@@ -90,4 +92,34 @@
   return Bytes;
 }
 
+std::string toBase64(std::string_view Bytes) {
+  std::string Out((Bytes.size() + 2) / 3 * 4 + 1, '\0');
+  int Size =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
+                      reinterpret_cast<const unsigned char *>(Bytes.data()),
+                      static_cast<int>(Bytes.size()));
+  Out.resize(static_cast<std::size_t>(Size));
+  return Out;
+}
+
+std::optional<std::string> fromBase64(std::string_view Text) {
+  if (Text.empty())
+    return std::string();
+  if (Text.size() % 4 != 0)
+    return std::nullopt;
+  std::string Out(Text.size() / 4 * 3, '\0');
+  int Size =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
+                      reinterpret_cast<const unsigned char *>(Text.data()),
+                      static_cast<int>(Text.size()));
+  if (Size < 0)
+    return std::nullopt;
+  // The decoder counts the padding as bytes.
+  std::size_t Padding = Text[Text.size() - 2] == '=' ? 2
+                        : Text.back() == '='         ? 1
+                                                     : 0;
+  Out.resize(static_cast<std::size_t>(Size) - Padding);
+  return Out;
+}
+
 } // namespace bergamotstage
--- a/src/pooling/FleetRows.cpp
+++ b/src/pooling/FleetRows.cpp
@@ -52,13 +52,14 @@
       Cores};
 }
 
-std::optional<LeadDuty> parseDuty(const std::string &Text) {
-  std::istringstream In(Text);
+std::optional<LeadDuty> parseDuty(const TableRow &Row) {
+  std::istringstream In(Row.Value);
   std::string Holder;
   LeadDuty Duty;
   if (!(In >> Holder >> Duty.Fence))
     return std::nullopt;
   Duty.Holder = VmId(Holder);
+  Duty.Version = Row.Version;
   return Duty;
 }
 
@@ -120,11 +121,9 @@
     taken(*Rows, AskedAt);
     bool Settling = !m_Plan;
     std::uniform_real_distribution<double> Jitter(0.8, 1.2);
-    auto Span = Duration(static_cast<Duration::rep>(
-        static_cast<double>(
-            std::max<Duration>(ReadInterval, ReadIntervalPerVm * m_Rows.size())
-                .count()) *
-        Jitter(m_Context.random())));
+    Duration Span = scaled(
+        std::max<Duration>(ReadInterval, ReadIntervalPerVm * m_Rows.size()),
+        Jitter(m_Context.random()));
     schedule(Settling ? SettleTime : Span);
   });
 }
@@ -157,10 +156,8 @@
       Listed.push_back(*Member);
     } else if (startsWith(Row.Key, DutyPrefix)) {
       DatabaseId Group(Row.Key.substr(std::string(DutyPrefix).size()));
-      if (auto Duty = parseDuty(Row.Value)) {
-        Duty->Version = Row.Version;
+      if (auto Duty = parseDuty(Row))
         m_Duties[Group] = *Duty;
-      }
     }
   }
   m_Rows = std::move(Rows);
@@ -319,10 +316,9 @@
                        Rows->Rows.front().Key == DutyPrefix + Group.value();
                    if (!Found)
                      return Done(std::nullopt);
-                   auto Duty = parseDuty(Rows->Rows.front().Value);
+                   auto Duty = parseDuty(Rows->Rows.front());
                    if (!Duty)
                      return Done(std::nullopt);
-                   Duty->Version = Rows->Rows.front().Version;
                    m_Duties[Group] = *Duty;
                    bool Mine =
                        Duty->Holder == m_Self.Vm && Duty->Fence == Fence;
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -331,6 +331,12 @@
   m_Promotion.suspected(Target->Group, Id);
 }
 
+void PoolNode::promoted(const DatabaseId &Group, const TargetId &Id,
+                        Term NewTerm) {
+  m_Targets.promoted(Group, Id, NewTerm);
+  m_Sessions.retryHeld();
+}
+
 // Duties.
 
 const std::vector<VmId> &PoolNode::dutyOrder(const DatabaseId &Group) const {
--- a/src/pooling/PoolNodeHooks.cpp
+++ b/src/pooling/PoolNodeHooks.cpp
@@ -78,8 +78,7 @@
     return Found == m_Config->Groups.end() ? 0U : Found->second.SyncReplicas;
   };
   Ask.Led = [this](const DatabaseId &Group, const TargetId &Id, Term NewTerm) {
-    m_Targets.promoted(Group, Id, NewTerm);
-    m_Sessions.retryHeld();
+    promoted(Group, Id, NewTerm);
   };
   return Ask;
 }
--- a/src/pooling/PoolNodeMessages.cpp
+++ b/src/pooling/PoolNodeMessages.cpp
@@ -212,8 +212,7 @@
 }
 
 void PoolNode::take(const VmId & /*From*/, Promoted &&Body) {
-  m_Targets.promoted(Body.Group, Body.Target, Body.NewTerm);
-  m_Sessions.retryHeld();
+  promoted(Body.Group, Body.Target, Body.NewTerm);
 }
 
 void PoolNode::take(const VmId &From, ConfigAsk && /*Body*/) {
--- a/src/pooling/RankedMembers.cpp
+++ b/src/pooling/RankedMembers.cpp
@@ -33,9 +33,8 @@
   return true;
 }
 
-const std::vector<VmId> &
-RankedMembers::order(const std::string &Subject,
-                     const DataCentreId &Near) const {
+const std::vector<VmId> &RankedMembers::order(const std::string &Subject,
+                                              const DataCentreId &Near) const {
   auto [Found, Added] = m_Orders.try_emplace({Subject, Near});
   if (Added)
     Found->second = rankOwners(Subject, Near, m_Members);
--- a/src/pooling/Sessions.cpp
+++ b/src/pooling/Sessions.cpp
@@ -22,10 +22,6 @@
 constexpr Duration ProofTimeout = milliseconds(250);
 /// Statements that a caller may send ahead of answers.
 constexpr std::size_t MaxBacklog = 64;
-Duration scaled(Duration Span, double Factor) {
-  return Duration(
-      static_cast<Duration::rep>(static_cast<double>(Span.count()) * Factor));
-}
 
 } // namespace
 
@@ -311,9 +307,8 @@
   Asked.After = Made.After;
   Asked.Priority = Op.Route.Priority;
   Asked.QueueTime =
-      std::max(Duration(0),
-               scaled(Op.Route.LatencyTarget, QueueTargets) -
-                   (m_Context.now() - (Op.HoldUntil - Op.Route.LatencyTarget)));
+      std::max(Duration(0), scaled(Op.Route.LatencyTarget, QueueTargets) -
+                                (m_Context.now() - Op.currentSince()));
   Asked.StatementTimeout = Op.Route.StatementTimeout;
   Asked.Values = Of.Values;
   Asked.First = Op.Current;
@@ -378,9 +373,7 @@
     return;
   m_ProofAskedAt[Group] = m_Context.now();
   m_Hooks.Send(Made.Owner,
-               ProofAsk{Made.Target, Account,
-                        static_cast<std::uint64_t>(
-                            m_Context.now().time_since_epoch().count())});
+               ProofAsk{Made.Target, Account, stampOf(m_Context.now())});
 }
 
 void Sessions::proven(const ProofReply &Reply) {
@@ -393,8 +386,8 @@
   m_ProofAskedAt.erase(Target->Group);
   // The owner answered no sooner than it was asked, so that the target was
   // asked no sooner than the proof's age before that.
-  Instant AskedAt(Duration(static_cast<Duration::rep>(Reply.Stamp)));
-  m_Choice.proofs(Target->Group).add(AskedAt - Reply.Age, Reply.Position);
+  m_Choice.proofs(Target->Group)
+      .add(instantOf(Reply.Stamp) - Reply.Age, Reply.Position);
   retryHeld();
 }
 
--- a/src/pooling/SessionsOutcome.cpp
+++ b/src/pooling/SessionsOutcome.cpp
@@ -83,8 +83,7 @@
 /// of the account like any other, so that it needs a token at hand.
 bool Sessions::repeatRead(Session &Of) {
   Operation &Op = *Of.Op;
-  bool Harmless = !isTransaction(Op.How) && !Op.Current.writes();
-  if (!Harmless || Op.Repeated || !m_Rates.takeNow(Op.Account))
+  if (!Op.isSingleRead() || Op.Repeated || !m_Rates.takeNow(Op.Account))
     return false;
   Op.Repeated = true;
   Op.AvoidTargets.insert(Op.Target);
@@ -160,8 +159,7 @@
       isTransaction(Op.How) ? Commits && Op.Wrote : Op.Current.writes();
   Op.Avoid.insert({Op.Owner, Op.Target});
   Op.AvoidTargets.insert(Op.Target);
-  bool Repeatable = !isTransaction(Op.How) && !Op.Current.writes();
-  if (Repeatable && tryElsewhere(Of, "no answer"))
+  if (Op.isSingleRead() && tryElsewhere(Of, "no answer"))
     return;
   Op.Placed = false;
   if (MayHaveTakenEffect)
@@ -257,7 +255,7 @@
   Ended.Class = isTransaction(Op.How) ? metrics::StatementClass::Transaction
                 : Op.Current.writes() ? metrics::StatementClass::Write
                                       : metrics::StatementClass::Read;
-  Ended.Latency = m_Context.now() - (Op.HoldUntil - Op.Route.LatencyTarget);
+  Ended.Latency = m_Context.now() - Op.currentSince();
   Ended.OnReplica = !needsLeader(Op.How);
   if (Reply.Error) {
     bool Unknown = *Reply.Error == ErrorCode::OutcomeUnknown ||
@@ -273,7 +271,7 @@
 
 void Sessions::logOutcome(const Session &Of, const CallerReply &Reply) {
   const Operation &Op = *Of.Op;
-  Duration Took = m_Context.now() - (Op.HoldUntil - Op.Route.LatencyTarget);
+  Duration Took = m_Context.now() - Op.currentSince();
   bool Plain = !Reply.Error && Took <= Op.Route.LatencyTarget;
   if (Plain && Op.Number % SuccessSample != 0)
     return;
--- a/src/pooling/StoreReaders.cpp
+++ b/src/pooling/StoreReaders.cpp
@@ -62,9 +62,7 @@
 }
 
 NewsAsk StoreReaders::askOf(std::uint64_t TargetsVersion) const {
-  return {
-      m_Hooks.ConfigVersion(), TargetsVersion,
-      static_cast<std::uint64_t>(m_Context.now().time_since_epoch().count())};
+  return {m_Hooks.ConfigVersion(), TargetsVersion, stampOf(m_Context.now())};
 }
 
 /// @brief Extends the time for which readers' words are good enough.
@@ -74,7 +72,7 @@
 void StoreReaders::trust(const News &Told) {
   if (Told.Stamp == 0)
     return;
-  Instant AskedAt(Duration(static_cast<Duration::rep>(Told.Stamp)));
+  Instant AskedAt = instantOf(Told.Stamp);
   Duration Good = std::min(NewsLife, MaxStoreAge - Told.StoreAge);
   if (AskedAt > m_Context.now() || AskedAt + Good <= m_NewsUntil)
     return;
--- a/src/pooling/TargetChoice.cpp
+++ b/src/pooling/TargetChoice.cpp
@@ -20,7 +20,6 @@
 /// A failed read is run again elsewhere or by its caller, a silent one is
 /// waited for.
 constexpr double FailureCost = 200;
-constexpr double Permille = 1000;
 /// More than any follower costs.
 constexpr double LastResortCost = 1000;
 
@@ -29,10 +28,6 @@
   return Op.Reads ? *Op.Reads : Default;
 }
 
-double inMillisecondsOf(Duration Span) {
-  return std::chrono::duration<double, std::milli>(Span).count();
-}
-
 } // namespace
 
 void TargetChoice::learnLoad(const TargetId &Target, const TargetLoad &Load) {
@@ -106,12 +101,12 @@
     if (Age < QueueKnowledge)
       Cost += StatementCost * Load.Queued / Target.Slots;
     if (Age < FailureKnowledge)
-      Cost += FailureCost * Load.FailedPermille / Permille;
+      Cost += FailureCost * Load.FailedPermille / TargetLoad::Permille;
   }
   if (Far)
     Cost += FarCost;
   if (Leads)
-    Cost += inMillisecondsOf(Rule.PrimaryCost);
+    Cost += toMilliseconds(Rule.PrimaryCost);
   return Cost;
 }
 
--- a/src/pooling/TargetPool.cpp
+++ b/src/pooling/TargetPool.cpp
@@ -20,6 +20,12 @@
 /// of them would be served in time.
 constexpr std::size_t MaxWaiting = 512;
 constexpr Duration MinRetryAfter = milliseconds(20);
+
+/// @brief Whether an operation is one read that only a leader may answer.
+bool isLeaderRead(const Work &Asked) {
+  return Asked.How == Access::Leader && !Asked.First.writes();
+}
+
 bool takesSlot(Verb Kind) { return Kind != Verb::Rollback; }
 
 } // namespace
@@ -43,19 +49,15 @@
 }
 
 Duration TargetPool::expectedWait() const {
-  double Seconds = m_MeanService * waiting() / std::max(1U, m_Limits.Slots);
-  return Duration(static_cast<Duration::rep>(Seconds * 1e6));
+  return scaled(seconds(1),
+                m_MeanService * waiting() / std::max(1U, m_Limits.Slots));
 }
 
 // Operations.
 
 void TargetPool::start(Work Asked) {
   auto Refuse = [&](NotRunReason Reason) {
-    WorkResult Result;
-    Result.Reason = Reason;
-    Result.RetryAfter = std::max(MinRetryAfter, expectedWait());
-    Result.Load = load();
-    m_Hooks.Reply(Asked.Id, std::move(Result));
+    m_Hooks.Reply(Asked.Id, notRun(Reason));
   };
   if (!m_TakesWork)
     return Refuse(NotRunReason::Leaving);
@@ -132,9 +134,17 @@
   m_Hooks.Reply(Of.Asked.Id, std::move(Result));
 }
 
+WorkResult TargetPool::notRun(NotRunReason Reason) const {
+  WorkResult Result;
+  Result.Reason = Reason;
+  Result.RetryAfter = std::max(MinRetryAfter, expectedWait());
+  Result.Load = load();
+  return Result;
+}
+
 TargetLoad TargetPool::load() const {
-  constexpr double Permille = 1000;
-  return {waiting(), static_cast<unsigned>(m_FailedShare * Permille)};
+  return {waiting(),
+          static_cast<unsigned>(m_FailedShare * TargetLoad::Permille)};
 }
 
 void TargetPool::noteOutcome(bool Failed) {
@@ -150,10 +160,7 @@
     On.Job.reset();
     rollBack(On);
   }
-  WorkResult Result;
-  Result.Reason = Reason;
-  Result.RetryAfter = std::max(MinRetryAfter, expectedWait());
-  reply(Refused, std::move(Result));
+  reply(Refused, notRun(Reason));
 }
 
 void TargetPool::loseJob(const WorkId &Id) {
@@ -262,9 +269,8 @@
   m_VirtualTime = Start;
   m_Served[Next.Asked.Account] = Start + m_MeanService;
   prepareLink(On, Next);
-  const Statement &Call = Next.Asked.First;
-  bool SingleRead = Next.Asked.How == Access::Leader && !Call.writes();
-  bool Opens = !Next.Begun && (isTransaction(Next.Asked.How) || SingleRead);
+  bool Opens = !Next.Begun &&
+               (isTransaction(Next.Asked.How) || isLeaderRead(Next.Asked));
   if (!Opens)
     return sendStatement(Next, On);
   // The statement follows once the transaction is open: sent together with a
@@ -322,14 +328,10 @@
     Request.After = Running.Asked.After;
   if (Request.Call.Kind == Verb::Execute)
     Request.Name = On.Prepared.at(Request.Call.Prepared);
-  bool SingleRead =
-      Running.Asked.How == Access::Leader && !Request.Call.writes();
+  bool LeaderRead = isLeaderRead(Running.Asked);
   send(On, Request);
-  if (!SingleRead)
-    return;
-  LinkRequest End;
-  End.What = LinkRequest::Kind::Rollback;
-  send(On, End);
+  if (LeaderRead)
+    rollBack(On);
 }
 
 void TargetPool::linkReplied(LinkId Id, LinkReply Reply) {
@@ -387,12 +389,9 @@
     m_Hooks.Proven(m_Id, Asked.At, *Reply.Position);
   }
   if (Asked.Own) {
-    if (Reply.State == SessionState::InTransaction) {
-      On.Own.reset();
+    On.Own.reset();
+    if (Reply.State == SessionState::InTransaction)
       rollBack(On);
-    } else {
-      On.Own.reset();
-    }
     return finishOwn(*Asked.Own, Reply);
   }
   auto Found = m_Jobs.find(*Asked.Job);
--- a/src/standin/Instance.cpp
+++ b/src/standin/Instance.cpp
@@ -223,7 +223,7 @@
   SqlResult Result = success("SELECT 1");
   Result.Columns = {"pg_sleep"};
   Result.Rows = {{""}};
-  Result.Takes = Duration(static_cast<Duration::rep>(Statement.Seconds * 1e6));
+  Result.Takes = scaled(seconds(1), Statement.Seconds);
   return Result;
 }
 
--- a/src/standin/site/PoolFleetWorld.cpp
+++ b/src/standin/site/PoolFleetWorld.cpp
@@ -108,9 +108,7 @@
     Reply = Group.run(Key, Request);
     if (Request.What == LinkRequest::Kind::Caller) {
       std::exponential_distribution<double> Draw(1.0);
-      Work = Duration(static_cast<Duration::rep>(
-          static_cast<double>(m_Settings.MeanWork.count()) *
-          std::min(5.0, Draw(m_Random))));
+      Work = scaled(m_Settings.MeanWork, std::min(5.0, Draw(m_Random)));
     }
   }
   if (TakesSlot && !Full) {
