Let the two calling threads of the runtime share one queue

Now CallQueue holds them; a thread says what begins a call and what ends one. Ruled out: a common base class for the threads, which share nothing else.

--- a/src/runtime/peers/PeerThread.cpp
+++ b/src/runtime/peers/PeerThread.cpp
@@ -24,7 +24,7 @@
 PeerThread::PeerThread(VmId Self, Incarnation Start,
                        std::shared_ptr<grpc::ChannelCredentials> Credentials)
     : m_Self(std::move(Self)), m_Start(Start),
-      m_Credentials(std::move(Credentials)), m_Ring(RingCapacity) {}
+      m_Credentials(std::move(Credentials)), m_Queue(RingCapacity) {}
 
 PeerThread::~PeerThread() { stop(); }
 
@@ -35,46 +35,19 @@
 void PeerThread::stop() {
   if (!m_Thread.joinable())
     return;
-  {
-    std::lock_guard<std::mutex> Guard(m_WakeLock);
-    m_Stopped = true;
-    m_Queue.Shutdown();
-  }
+  m_Queue.stop();
   m_Thread.join();
 }
 
 bool PeerThread::push(SendPeer &&Message) {
-  if (!m_Ring.push(std::move(Message)))
-    return false;
-  std::lock_guard<std::mutex> Guard(m_WakeLock);
-  if (!m_WakeSet && !m_Stopped) {
-    m_WakeSet = true;
-    m_Wake.Set(&m_Queue, std::chrono::system_clock::now(), nullptr);
-  }
-  return true;
+  return m_Queue.push(std::move(Message));
 }
 
 void PeerThread::run() {
-  void *Tag = nullptr;
-  bool Succeeded = false;
-  while (m_Queue.Next(&Tag, &Succeeded)) {
-    if (Tag == nullptr)
-      takeMessages();
-    else
-      std::unique_ptr<Delivery>(static_cast<Delivery *>(Tag)).reset();
-  }
-}
-
-void PeerThread::takeMessages() {
-  {
-    std::lock_guard<std::mutex> Guard(m_WakeLock);
-    m_WakeSet = false;
-    if (m_Stopped)
-      return;
-  }
-  SendPeer Next;
-  while (m_Ring.pop(Next))
-    begin(Next);
+  m_Queue.run([this](const SendPeer &Next) { begin(Next); },
+              [](void *Tag) {
+                std::unique_ptr<Delivery>(static_cast<Delivery *>(Tag)).reset();
+              });
 }
 
 void PeerThread::begin(const SendPeer &Message) {
@@ -90,7 +63,7 @@
   auto Sent = std::make_unique<Delivery>();
   Sent->Context.set_deadline(std::chrono::system_clock::now() +
                              DeliveryTimeout);
-  Sent->Reader = Stub->AsyncDeliver(&Sent->Context, Envelope, &m_Queue);
+  Sent->Reader = Stub->AsyncDeliver(&Sent->Context, Envelope, &m_Queue.calls());
   Sent->Reader->Finish(&Sent->Answer, &Sent->Status, Sent.get());
   // The queue owns the delivery until it hands its tag back.
   static_cast<void>(Sent.release());
--- a/src/runtime/peers/PeerThread.h
+++ b/src/runtime/peers/PeerThread.h
@@ -2,15 +2,13 @@
 #define BERGAMOTSTAGE_RUNTIME_PEERS_PEERTHREAD_H
 
 #include "peer.grpc.pb.h"
+#include "runtime/CallQueue.h"
 #include "runtime/Commands.h"
-#include "runtime/Ring.h"
 
-#include <grpcpp/alarm.h>
 #include <grpcpp/grpcpp.h>
 
 #include <map>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <thread>
 
@@ -38,19 +36,13 @@
   struct Delivery;
 
   void run();
-  void takeMessages();
   void begin(const SendPeer &Message);
 
   VmId m_Self;
   Incarnation m_Start;
   std::shared_ptr<grpc::ChannelCredentials> m_Credentials;
-  Ring<SendPeer> m_Ring;
   std::map<std::string, std::unique_ptr<wire::peer::Peer::Stub>> m_Stubs;
-  grpc::CompletionQueue m_Queue;
-  grpc::Alarm m_Wake;
-  std::mutex m_WakeLock;
-  bool m_WakeSet = false;
-  bool m_Stopped = false;
+  CallQueue<SendPeer> m_Queue;
   std::thread m_Thread;
 };
 
--- a/src/runtime/platform/PlatformThread.cpp
+++ b/src/runtime/platform/PlatformThread.cpp
@@ -18,7 +18,7 @@
     EventSink Events)
     : m_Channel(grpc::CreateChannel(Address, Credentials)),
       m_Stub(wire::platform::Platform::NewStub(m_Channel)),
-      m_Events(std::move(Events)), m_Ring(RingCapacity) {}
+      m_Events(std::move(Events)), m_Queue(RingCapacity) {}
 
 PlatformThread::~PlatformThread() { stop(); }
 
@@ -29,51 +29,25 @@
 void PlatformThread::stop() {
   if (!m_Thread.joinable())
     return;
-  {
-    std::lock_guard<std::mutex> Guard(m_WakeLock);
-    m_Stopped = true;
-    m_Queue.Shutdown();
-  }
+  m_Queue.stop();
   m_Thread.join();
 }
 
 bool PlatformThread::push(CallPlatform &&Call) {
-  if (!m_Ring.push(std::move(Call)))
-    return false;
-  std::lock_guard<std::mutex> Guard(m_WakeLock);
-  if (!m_WakeSet && !m_Stopped) {
-    m_WakeSet = true;
-    m_Wake.Set(&m_Queue, std::chrono::system_clock::now(), nullptr);
-  }
-  return true;
+  return m_Queue.push(std::move(Call));
 }
 
 void PlatformThread::run() {
-  void *Tag = nullptr;
-  bool Succeeded = false;
-  while (m_Queue.Next(&Tag, &Succeeded)) {
-    if (Tag == nullptr) {
-      takeCalls();
-      continue;
-    }
-    std::unique_ptr<PendingCall> Call(static_cast<PendingCall *>(Tag));
-    Event Answered = PlatformAnswered{Call->Id, Call->answer()};
-    // NOLINTNEXTLINE(bugprone-use-after-move): a full ring moves nothing.
-    while (!m_Events(std::move(Answered)))
-      std::this_thread::yield();
-  }
+  m_Queue.run([this](const CallPlatform &Next) { begin(Next); },
+              [this](void *Tag) { end(Tag); });
 }
 
-void PlatformThread::takeCalls() {
-  {
-    std::lock_guard<std::mutex> Guard(m_WakeLock);
-    m_WakeSet = false;
-    if (m_Stopped)
-      return;
-  }
-  CallPlatform Next;
-  while (m_Ring.pop(Next))
-    begin(Next);
+void PlatformThread::end(void *Tag) {
+  std::unique_ptr<PendingCall> Call(static_cast<PendingCall *>(Tag));
+  Event Answered = PlatformAnswered{Call->Id, Call->answer()};
+  // NOLINTNEXTLINE(bugprone-use-after-move): a full ring moves nothing.
+  while (!m_Events(std::move(Answered)))
+    std::this_thread::yield();
 }
 
 void PlatformThread::begin(const CallPlatform &Call) {
@@ -81,7 +55,7 @@
   Pending->Id = Call.Call;
   Pending->Context.set_deadline(std::chrono::system_clock::now() +
                                 Call.Timeout);
-  Pending->begin(*m_Stub, m_Queue);
+  Pending->begin(*m_Stub, m_Queue.calls());
   // The queue owns the call until it hands its tag back.
   static_cast<void>(Pending.release());
 }
--- a/src/runtime/platform/PlatformThread.h
+++ b/src/runtime/platform/PlatformThread.h
@@ -2,14 +2,12 @@
 #define BERGAMOTSTAGE_RUNTIME_PLATFORM_PLATFORMTHREAD_H
 
 #include "platform.grpc.pb.h"
+#include "runtime/CallQueue.h"
 #include "runtime/Commands.h"
-#include "runtime/Ring.h"
 
-#include <grpcpp/alarm.h>
 #include <grpcpp/grpcpp.h>
 
 #include <memory>
-#include <mutex>
 #include <string>
 #include <thread>
 
@@ -36,18 +34,13 @@
 
 private:
   void run();
-  void takeCalls();
   void begin(const CallPlatform &Call);
+  void end(void *Tag);
 
   std::shared_ptr<grpc::Channel> m_Channel;
   std::unique_ptr<wire::platform::Platform::Stub> m_Stub;
   EventSink m_Events;
-  Ring<CallPlatform> m_Ring;
-  grpc::CompletionQueue m_Queue;
-  grpc::Alarm m_Wake;
-  std::mutex m_WakeLock;
-  bool m_WakeSet = false;
-  bool m_Stopped = false;
+  CallQueue<CallPlatform> m_Queue;
   std::thread m_Thread;
 };
 
