Pause replicas before their logs are compared in a synchronous group

Cause: the first query of a failover sent Status instead of Pause, as no term was known yet, and its answers chose the candidate. A primary that only this VM had lost could go on acknowledging commits that the other replica had received; the candidate then lacked them. A draining primary that did not answer the step-down, or whose log did not reach the candidate in time, was replaced although acknowledged commits could be lost.

Change: in a group with synchronous replicas the first query reads the terms, a second one pauses, and only replies of replicas that had stopped choose the candidate. Replicas that were paused for an attempt that ended otherwise are resumed while this VM still holds the lease. A planned replacement without the old log end becomes an unplanned one; one whose candidate lags is tried again.

Ruled out: pausing in the first query at the term of the target table; that table may be behind, and a pause at too low a term is ignored.

--- a/include/bergamotstage/pooling/FailoverController.h
+++ b/include/bergamotstage/pooling/FailoverController.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace bergamotstage::pooling {
@@ -80,7 +81,11 @@
     Instant ConfirmDeadline{};
     bool OrderPending = false;
     std::map<TargetId, int> FailedOrders; ///< Orders without effect.
+    bool TermsKnown = false;       ///< All replicas asked have replied once.
+    std::optional<Term> PauseTerm; ///< Term of the latest query, if it paused.
+    std::set<TargetId> PausedReplicas; ///< Asked to pause in this attempt.
 
+    bool hasFinalLogEnds() const;
     std::map<TargetId, TargetStatus>::const_iterator
     bestReplica(bool SkipUnresponsive) const;
   };
@@ -95,6 +100,9 @@
                      const std::optional<LinkReply> &Reply);
   void chooseCandidate(const DatabaseId &Group, std::uint64_t Number);
   bool maySkipUnresponsive(const DatabaseId &Group) const;
+  bool mustPauseReplicas(const DatabaseId &Group, const Attempt &Current) const;
+  void resumeReplicas(const DatabaseId &Group,
+                      const std::set<TargetId> &Paused);
   void stepDown(const DatabaseId &Group, std::uint64_t Number);
   void awaitCatchUp(const DatabaseId &Group, std::uint64_t Number,
                     Instant Until);
--- a/src/pooling/FailoverController.cpp
+++ b/src/pooling/FailoverController.cpp
@@ -65,6 +65,24 @@
          static_cast<std::size_t>(Unresponsive) <= SyncReplicas;
 }
 
+/// @brief Whether replicas must stop receiving before their logs are compared.
+///
+/// A primary that this VM cannot reach may go on acknowledging commits that
+/// one replica has received.
+bool FailoverController::mustPauseReplicas(const DatabaseId &Group,
+                                           const Attempt &Current) const {
+  return m_Hooks.SyncReplicas(Group) > 0 && !Current.Planned;
+}
+
+/// @brief Whether every reply was sent by a replica that had stopped.
+bool FailoverController::Attempt::hasFinalLogEnds() const {
+  return PauseTerm &&
+         std::all_of(Statuses.begin(), Statuses.end(),
+                     [this](const auto &Entry) {
+                       return Entry.second.HighestTerm < *PauseTerm;
+                     });
+}
+
 FailoverController::Attempt *
 FailoverController::findAttempt(const DatabaseId &Group, std::uint64_t Number) {
   auto Found = m_Attempts.find(Group);
@@ -83,7 +101,33 @@
        {"candidate", Ended.Candidate.value()},
        {"planned", Ended.Planned ? "yes" : "no"},
        {"ms", formatMilliseconds(m_Context.now() - Ended.StartedAt)}});
+  std::set<TargetId> Paused = Ended.PausedReplicas;
   m_Attempts.erase(Group);
+  resumeReplicas(Group, Paused);
+}
+
+/// @brief Ends the pauses of an attempt, unless another VM may rely on them.
+void FailoverController::resumeReplicas(const DatabaseId &Group,
+                                        const std::set<TargetId> &Paused) {
+  if (Paused.empty())
+    return;
+  if (!m_Hooks.HoldsLease(Group)) {
+    m_Context.log(WriteLog::Level::Warning, "replicas_left_paused",
+                  {{"group", Group.value()},
+                   {"reason", "another VM holds the promotion lease"}});
+    return;
+  }
+  for (const TargetId &Id : Paused) {
+    LinkRequest Request;
+    Request.Type = LinkRequest::Kind::Resume;
+    m_Hooks.SendControlRequest(
+        Id, std::move(Request),
+        [this, Group, Id](const std::optional<LinkReply> &Reply) {
+          if (!Reply)
+            m_Context.log(WriteLog::Level::Warning, "resume_unanswered",
+                          {{"group", Group.value()}, {"target", Id.value()}});
+        });
+  }
 }
 
 void FailoverController::scheduleRetry(const DatabaseId &Group,
@@ -201,6 +245,7 @@
   Current->ReceivedReplies = 0;
   Current->RequiredLogEnd.reset();
   Current->ChosenAt = Instant();
+  Current->PauseTerm.reset();
   std::vector<TargetId> Replicas;
   std::vector<TargetId> Members = m_Targets.groupMembers(Group);
   std::size_t &Largest = m_LargestGroupSize[Group];
@@ -212,12 +257,15 @@
     return scheduleRetry(Group, Number, "no replica is known");
   Current->ExpectedReplies = Replicas.size();
   std::uint64_t AttemptNumber = Current->Number;
-  // Once their term is known, synchronous replicas stop replication, so that
-  // the log end that they report is final.
-  bool Pause = m_Hooks.SyncReplicas(Group) > 0 &&
-               Current->HighestTerm.value() > 0 && !Current->Planned;
-  // A callback that runs at once may end the attempt and invalidate Current.
+  // A replica only stops at a term above its own, so that the first query of
+  // an attempt reads the terms and the second one pauses.
+  bool Pause = mustPauseReplicas(Group, *Current) && Current->TermsKnown;
   Term PauseTerm(Current->HighestTerm.value() + 1);
+  if (Pause) {
+    Current->PauseTerm = PauseTerm;
+    Current->PausedReplicas.insert(Replicas.begin(), Replicas.end());
+  }
+  // A callback that runs at once may end the attempt and invalidate Current.
   for (const TargetId &Id : Replicas) {
     LinkRequest Request;
     Request.Type = Pause ? LinkRequest::Kind::Pause : LinkRequest::Kind::Status;
@@ -269,6 +317,9 @@
     return scheduleRetry(
         Group, Number,
         "a replica that may hold acknowledged commits did not answer");
+  Current->TermsKnown = true;
+  if (mustPauseReplicas(Group, *Current) && !Current->hasFinalLogEnds())
+    return queryReplicas(Group, Number);
   auto Best = Current->bestReplica(maySkipUnresponsive(Group));
   Current->Candidate = Best->first;
   m_Context.log(WriteLog::Level::Info, "promotion_candidate",
@@ -302,6 +353,10 @@
           m_Context.log(WriteLog::Level::Warning, "step_down_unanswered",
                         {{"group", Group.value()},
                          {"target", Continued->OldPrimary->value()}});
+        if (!HasStatus && m_Hooks.SyncReplicas(Group) > 0) {
+          Continued->Planned = false;
+          return queryReplicas(Group, Number);
+        }
         awaitCatchUp(Group, Number, m_Context.now() + CatchUpTimeout);
       });
 }
@@ -313,6 +368,9 @@
   bool CaughtUp =
       !Current->RequiredLogEnd || !(Last.Received < *Current->RequiredLogEnd);
   if (CaughtUp || m_Context.now() >= Until) {
+    if (!CaughtUp && m_Hooks.SyncReplicas(Group) > 0)
+      return scheduleRetry(Group, Number,
+                           "the candidate lacks commits of the old primary");
     if (!CaughtUp)
       m_Context.log(
           WriteLog::Level::Error, "promotion_loses_commits",
--- a/test/unit-pool-promotion.cpp
+++ b/test/unit-pool-promotion.cpp
@@ -24,6 +24,8 @@
   TargetTable Targets;
   std::map<TargetId, TargetStatus> Statuses;
   std::set<TargetId> Unresponsive; ///< Ignore promotion orders.
+  std::set<TargetId> Paused;
+  std::uint64_t Acknowledged = 0; ///< Newest commit a caller was told of.
   std::vector<TargetId> Ordered;
   unsigned SyncReplicas = 1;
   FailoverController Controller;
@@ -53,18 +55,23 @@
                                           : std::nullopt);
         };
     Callbacks.SendControlRequest =
-        [this](const TargetId &Id, const LinkRequest &,
+        [this](const TargetId &Id, const LinkRequest &Request,
                const FailoverController::ReplyCallback &Callback) {
+          execute(Id, Request);
           LinkReply Reply;
           Reply.Status = Statuses[Id];
-          Callback(Reply);
+          if (UnansweredStepDown && Request.Type == LinkRequest::Kind::StepDown)
+            return Callback(std::nullopt);
+          Ctx.scheduleAfter(ReplyDelay, [Callback, Reply] { Callback(Reply); });
         };
     Callbacks.OrderPromotion =
         [this](const Promote &Order,
                const FailoverController::PromoteCallback &Callback) {
           Ordered.push_back(Order.Candidate);
-          if (Unresponsive.count(Order.Candidate) == 0)
+          if (Unresponsive.count(Order.Candidate) == 0) {
             Statuses[Order.Candidate].IsPrimary = true;
+            Paused.clear();
+          }
           Callback(PromotionDecided{true, Order.NewTerm, ""});
         };
     Callbacks.HoldsLease = [](const DatabaseId &) { return true; };
@@ -87,6 +94,14 @@
     return Callbacks;
   }
 
+  /// A replica receives the next commit, which the primary acknowledges.
+  void commitOn(const char *Id) {
+    if (Paused.count(TargetId(Id)) > 0)
+      return;
+    ++Acknowledged;
+    Statuses[TargetId(Id)].Received = point(Acknowledged);
+  }
+
   /// Advances the time and runs the periodic checks.
   void advance(Duration Span) {
     for (; Span > Duration(0); Span -= milliseconds(100)) {
@@ -95,7 +110,18 @@
     }
   }
 
+  Duration ReplyDelay{0};
+  bool UnansweredStepDown = false;
+
 private:
+  void execute(const TargetId &Id, const LinkRequest &Request) {
+    bool Applies = Request.AtTerm > Statuses[Id].HighestTerm;
+    if (Request.Type == LinkRequest::Kind::Pause && Applies)
+      Paused.insert(Id);
+    if (Request.Type == LinkRequest::Kind::Resume)
+      Paused.erase(Id);
+  }
+
   std::uint64_t m_FencingToken = 1;
 };
 
@@ -160,3 +186,67 @@
   for (const TargetId &Id : Bench.Ordered)
     CHECK_TRUE(Id == TargetId("a"));
 }
+
+TEST(FailoverController, KeepsCommitsThatArriveDuringTheQuery) {
+  FailoverBench Bench;
+  Bench.add("old", 9);
+  Bench.add("a", 9);
+  Bench.add("b", 8);
+  Bench.Acknowledged = 9;
+  Bench.Targets.recordPromotion(Group, TargetId("old"), Term(1));
+  Bench.Statuses.erase(TargetId("old"));
+  Bench.ReplyDelay = milliseconds(2);
+  // The primary serves callers that the lease holder cannot see. The replicas
+  // are queried after 120 ms.
+  for (int Step = 121; Step < 400; ++Step)
+    Bench.Ctx.scheduleAfter(milliseconds(1) * Step,
+                            [&Bench] { Bench.commitOn("b"); });
+  Bench.Controller.onPrimarySuspected(Group, TargetId("old"));
+  Bench.advance(seconds(2));
+  auto Primary = Bench.Targets.primary(Group);
+  CHECK_TRUE(Primary && *Primary != TargetId("old"));
+  CHECK_TRUE(Bench.Statuses[*Primary].Received == point(Bench.Acknowledged));
+}
+
+TEST(FailoverController, ResumesReplicationIfThereIsNothingToReplace) {
+  FailoverBench Bench;
+  Bench.add("old", 9);
+  Bench.add("a", 9);
+  Bench.add("b", 9);
+  Bench.Targets.recordPromotion(Group, TargetId("old"), Term(1));
+  Bench.Statuses.erase(TargetId("old"));
+  Bench.ReplyDelay = milliseconds(2);
+  Bench.Controller.onPrimarySuspected(Group, TargetId("old"));
+  advanceTime(Bench.Ctx, milliseconds(123));
+  LONGS_EQUAL(2, Bench.Paused.size());
+  Bench.Statuses[TargetId("b")].IsPrimary = true;
+  Bench.Unresponsive = {TargetId("a")};
+  Bench.Statuses[TargetId("a")].Received = point(10);
+  Bench.advance(seconds(4));
+  CHECK_TRUE(Bench.Targets.primary(Group) == TargetId("b"));
+  LONGS_EQUAL(0, Bench.Paused.size());
+}
+
+TEST(FailoverController, KeepsCommitsOfADrainingPrimaryThatIsSilent) {
+  FailoverBench Bench;
+  Bench.add("old", 9);
+  Bench.add("a", 9);
+  Bench.add("b", 8);
+  Bench.Acknowledged = 9;
+  Bench.Targets.recordPromotion(Group, TargetId("old"), Term(1));
+  TargetEntry Leaving;
+  Leaving.Id = TargetId("old");
+  Leaving.Group = Group;
+  Leaving.Version = 100;
+  Leaving.Draining = true;
+  Bench.Targets.apply(Leaving, Bench.Ctx.now());
+  Bench.UnansweredStepDown = true;
+  Bench.ReplyDelay = milliseconds(2);
+  for (int Step = 0; Step < 2000; ++Step)
+    Bench.Ctx.scheduleAfter(milliseconds(1) * Step,
+                            [&Bench] { Bench.commitOn("b"); });
+  Bench.advance(seconds(3));
+  auto Primary = Bench.Targets.primary(Group);
+  CHECK_TRUE(Primary && *Primary != TargetId("old"));
+  CHECK_TRUE(Bench.Statuses[*Primary].Received == point(Bench.Acknowledged));
+}
