Reject a message between VMs whose count of session values is excessive

Cause: readValues() returned without values for a count above its limit and went on reading the values' bytes as the next fields, so a malformed message could pass as a well-formed one. Change: the reader marks the message as malformed, and it is dropped with the stream that it came on. Other lists have no limit of their own: each entry takes at least a byte and a frame has 4 MiB at most.

--- a/include/bergamotstage/fleet/detail/ByteCodec.h
+++ b/include/bergamotstage/fleet/detail/ByteCodec.h
@@ -95,6 +95,9 @@
     return Value;
   }
 
+  /// @brief Marks the message as malformed, for a value that its type forbids.
+  void invalidate() { m_Valid = false; }
+
   bool isValid() const { return m_Valid; }
   /// @brief Whether all bytes were read and all values were well formed.
   bool isComplete() const { return m_Valid && m_Rest.empty(); }
--- a/src/pooling/FleetMessage.cpp
+++ b/src/pooling/FleetMessage.cpp
@@ -65,7 +65,9 @@
 }
 SharedValues readValues(ByteReader &In) {
   std::uint64_t Count = In.varint();
-  if (Count == 0 || Count > MaxSessionValues)
+  if (Count > MaxSessionValues)
+    In.invalidate();
+  if (Count == 0 || !In.isValid())
     return nullptr;
   auto Values = std::make_shared<SessionValues>();
   for (; Count > 0 && In.isValid(); --Count) {
--- a/test/unit-pool-message.cpp
+++ b/test/unit-pool-message.cpp
@@ -1,3 +1,4 @@
+#include "bergamotstage/fleet/detail/ByteCodec.h"
 #include "bergamotstage/pooling/FleetMessage.h"
 
 #include <CppUTest/TestHarness.h>
@@ -130,6 +131,19 @@
   }
 }
 
+TEST(FleetMessage, AnExcessiveCountIsRejected) {
+  NextStatement Next;
+  Next.Number = 8;
+  std::string Bytes = encodeMessage(Next);
+  // The count of session values precedes the queue time, one byte each.
+  CHECK_TRUE(Bytes.substr(Bytes.size() - 2) == std::string(2, '\0'));
+  detail::ByteWriter Excessive;
+  Excessive.varint(100'001);
+  Excessive.varint(0);
+  Bytes.replace(Bytes.size() - 2, 2, Excessive.release());
+  CHECK_FALSE(decodeMessage(Bytes).has_value());
+}
+
 TEST(FleetMessage, MutatedBytesAreParsedWithinBounds) {
   std::mt19937_64 Random(20261204);
   std::vector<FleetMessage> All = samples();
