Answer statements that arrive before the first configuration

Cause: a session waits for the first configuration, but statements that its caller had pipelined meanwhile were dropped: the caller got the greeting and no answer. Change: they wait with the session, up to the limit of pipelined statements. Measured: the new test gets 1 reply on, 3 now.

--- a/include/bergamotstage/pooling/Sessions.h
+++ b/include/bergamotstage/pooling/Sessions.h
@@ -9,6 +9,7 @@
 #include "bergamotstage/pooling/TargetSelector.h"
 #include "bergamotstage/pooling/TargetTable.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -74,9 +75,12 @@
   struct PendingStart {
     std::string Database;
     std::string Key;
+    std::deque<Statement> Backlog;
   };
 
   Session *find(CallerId Caller);
+  void queueStatement(CallerId Caller, std::deque<Statement> &Backlog,
+                      Statement Stmt);
   void execute(Session &CallerSession, Statement Stmt);
   void answerLocally(Session &CallerSession, const Statement &Stmt);
   void beginTransaction(Session &CallerSession, const Statement &Stmt);
--- a/src/pooling/Sessions.cpp
+++ b/src/pooling/Sessions.cpp
@@ -52,8 +52,11 @@
     return;
   std::map<CallerId, PendingStart> Pending;
   Pending.swap(m_PendingStarts);
-  for (auto &[Caller, Start] : Pending)
+  for (auto &[Caller, Start] : Pending) {
     onCallerOpened(Caller, std::move(Start.Database), std::move(Start.Key));
+    for (Statement &Stmt : Start.Backlog)
+      onStatement(Caller, std::move(Stmt));
+  }
 }
 
 void Sessions::setPolicies(SitePolicies Policies) {
@@ -66,7 +69,7 @@
                               std::string Key) {
   // Before the first configuration arrives, no database name is known.
   if (m_Config->Version == 0) {
-    m_PendingStarts[Caller] = {std::move(Database), std::move(Key)};
+    m_PendingStarts[Caller] = {std::move(Database), std::move(Key), {}};
     return;
   }
   auto Route = m_Config->Routes.find(Database);
@@ -88,19 +91,26 @@
 }
 
 void Sessions::onStatement(CallerId Caller, Statement Stmt) {
+  auto Pending = m_PendingStarts.find(Caller);
+  if (Pending != m_PendingStarts.end())
+    return queueStatement(Caller, Pending->second.Backlog, std::move(Stmt));
   Session *CallerSession = find(Caller);
   if (CallerSession == nullptr)
     return;
   bool AwaitingReply = CallerSession->Op && CallerSession->Op->AwaitingReply;
   if (!AwaitingReply)
     return execute(*CallerSession, std::move(Stmt));
-  if (CallerSession->Backlog.size() >= MaxBacklog) {
-    m_Context.log(WriteLog::Level::Warning, "backlog_full",
-                  {{"caller", std::to_string(Caller.value())}});
-    m_Hooks.Close(Caller);
-    return onCallerClosed(Caller);
-  }
-  CallerSession->Backlog.push_back(std::move(Stmt));
+  queueStatement(Caller, CallerSession->Backlog, std::move(Stmt));
+}
+
+void Sessions::queueStatement(CallerId Caller, std::deque<Statement> &Backlog,
+                              Statement Stmt) {
+  if (Backlog.size() < MaxBacklog)
+    return Backlog.push_back(std::move(Stmt));
+  m_Context.log(WriteLog::Level::Warning, "backlog_full",
+                {{"caller", std::to_string(Caller.value())}});
+  m_Hooks.Close(Caller);
+  onCallerClosed(Caller);
 }
 
 void Sessions::onCallerClosed(CallerId Caller) {
--- a/test/unit-pool-sessions.cpp
+++ b/test/unit-pool-sessions.cpp
@@ -180,6 +180,21 @@
   CHECK_FALSE(Small.Replies.back().Error.has_value());
 }
 
+TEST(PoolSessions, StatementsBeforeTheFirstConfigurationAreAnswered) {
+  SmallFleet Small;
+  Small.Fleet.setStoreDown(true);
+  Small.Fleet.kill(Vm, milliseconds(100));
+  Small.Fleet.run(milliseconds(300));
+  Small.connect("own-0");
+  Small.send(Verb::SetValue, "SET a 1");
+  Small.send(Verb::Rollback, "ROLLBACK");
+  Small.Fleet.setStoreDown(false);
+  Small.Config.Version = 2;
+  Small.Fleet.configure(Small.Config);
+  Small.Fleet.run(milliseconds(100));
+  LONGS_EQUAL(3, Small.Replies.size());
+}
+
 TEST(PoolSessions, AnUnknownKeyIsRefused) {
   SmallFleet Small;
   Small.connect("own-0", "stolen");
