--- a/src/fleet/RulesEditor.cpp
+++ b/src/fleet/RulesEditor.cpp
@@ -109,7 +109,9 @@
 }
 
 void RulesEditor::moveHead(const EditPtr &Edit) {
-  Edit->WriteTime = m_Context.now();
+  // The head may have moved at the first try, and again by another edit since.
+  if (Edit->WriteTime == DistantPast)
+    Edit->WriteTime = m_Context.now();
   m_Context.callPlatform(makeHeadWrite(Edit->Head, Edit->HeadVersion),
                          [this, Edit](const PlatformAnswer &Answer) {
                            onWriteDecided(Edit, Answer);
--- a/test/unit-config.cpp
+++ b/test/unit-config.cpp
@@ -1,11 +1,14 @@
 #include "bergamotstage/fleet/LineDiff.h"
+#include "bergamotstage/fleet/RulesEditor.h"
 #include "bergamotstage/fleet/RulesHead.h"
 #include "standin/SmallSite.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <map>
+#include <optional>
 #include <string>
+#include <variant>
 
 using namespace bergamotstage;
 using namespace bergamotstage::standin;
@@ -217,6 +220,48 @@
   CHECK(Site.revisionInForce(0) == Revision(1));
 }
 
+TEST(Config, AnEditIsDatedByItsFirstWrite) {
+  // Between a write whose answer was lost and its retry, another edit may have
+  // moved the head again.
+  NodeContext Context(smallSiteVm("vm-0", "hoan-kiem"), 1);
+  Actions Out;
+  RulesHead Head;
+  std::string Text;
+  std::optional<Instant> Dated;
+  RulesEditor Editor(Context, {[&]() -> const RulesHead & { return Head; },
+                               [&]() -> const std::string & { return Text; },
+                               [&](const RulesHead &, const std::string &,
+                                   Instant WriteTime) { Dated = WriteTime; }});
+  const Instant FirstWrite(seconds(100));
+  Context.beginStep(FirstWrite, Out);
+  Editor.apply(
+      {OperatorCallId(1),
+       "apply",
+       {{"text", smallSiteRules()}, {"expect", "0"}, {"edit-id", "e"}}});
+  unsigned Writes = 0;
+  while (!Out.empty()) {
+    Action Next = std::move(Out.front());
+    Out.erase(Out.begin());
+    const auto *Call = std::get_if<CallPlatform>(&Next);
+    if (Call == nullptr)
+      continue;
+    PlatformAnswer Answer = RowsRead{};
+    if (std::holds_alternative<PutObject>(Call->Request))
+      Answer = ObjectStored{};
+    if (std::holds_alternative<ConditionalWrite>(Call->Request) && ++Writes > 1)
+      Answer = WriteDecided{true, true};
+    else if (Writes == 1)
+      Answer = PlatformFailed{true, "no answer"};
+    Context.onPlatformAnswered({Call->Call, Answer});
+    if (Writes == 1) {
+      Context.beginStep(FirstWrite + seconds(1), Out);
+      Context.timers().runDue(FirstWrite + seconds(1));
+    }
+  }
+  LONGS_EQUAL(2, Writes);
+  CHECK_TRUE(Dated == FirstWrite);
+}
+
 TEST(Config, LineDiffNumbersLinesOfBothTexts) {
   STRCMP_EQUAL("-2: b\n+2: c\n+4: e\n",
                lineDiff("a\nb\nd\n", "a\nc\nd\ne\n").c_str());
