Fail for keys without random bytes and for unknown benchmark names

Cause: `keys` ignored the result of RAND_bytes and of the digest, so that a key of zero bytes could be issued; `bench` with a name that does not exist printed nothing and exited with 0. Change: both end with an error that names the key or the known benchmarks. Ruled out: a test of RAND_bytes failing; OpenSSL offers no way to make it fail without a replaced engine. Shown by the command line for `bench`.

--- a/src/cli/BenchCommand.cpp
+++ b/src/cli/BenchCommand.cpp
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
@@ -25,8 +26,28 @@
           {"unit", Row.Unit}};
 }
 
+bool isBenchCase(const std::string &Name) {
+  const auto &Cases = bench::benchCases();
+  return std::any_of(
+      Cases.begin(), Cases.end(),
+      [&Name](const bench::BenchCase &Case) { return Name == Case.Name; });
+}
+
+std::string benchCaseNames() {
+  std::string Names;
+  for (const bench::BenchCase &Case : bench::benchCases())
+    Names += (Names.empty() ? "" : " ") + std::string(Case.Name);
+  return Names;
+}
+
 int runBench(const std::vector<std::string> &Names,
              const std::string &JsonFile) {
+  for (const std::string &Name : Names)
+    if (!isBenchCase(Name)) {
+      std::cerr << "bench: no benchmark is named \"" << Name
+                << "\"; known: " << benchCaseNames() << "\n";
+      return ExitUsage;
+    }
   nlohmann::json Figures = nlohmann::json::array();
   for (const bench::BenchCase &Case : bench::benchCases()) {
     bool Selected = Names.empty();
--- a/src/cli/Keys.cpp
+++ b/src/cli/Keys.cpp
@@ -5,6 +5,7 @@
 #include "cli/Edit.h"
 
 #include <openssl/rand.h>
+#include <tl/expected.hpp>
 
 #include <iostream>
 #include <memory>
@@ -14,11 +15,13 @@
 namespace bergamotstage::cli {
 namespace {
 
-std::string randomHex(std::size_t Bytes) {
+/// @brief Returns random bytes, or nothing if OpenSSL has no entropy.
+std::optional<std::string> randomBytes(std::size_t Bytes) {
   std::string Raw(Bytes, '\0');
-  RAND_bytes(reinterpret_cast<unsigned char *>(Raw.data()),
-             static_cast<int>(Bytes));
-  return toHex(Raw);
+  if (RAND_bytes(reinterpret_cast<unsigned char *>(Raw.data()),
+                 static_cast<int>(Bytes)) != 1)
+    return std::nullopt;
+  return Raw;
 }
 
 struct KeyOptions {
@@ -35,14 +38,25 @@
   std::string Line;
 };
 
-IssuedKey makeKey(const KeyOptions &Options) {
+tl::expected<IssuedKey, std::string> makeKey(const KeyOptions &Options) {
   constexpr std::size_t SaltBytes = 8;
   constexpr std::size_t KeyBytes = 20;
-  std::string Key = randomHex(KeyBytes);
-  std::string Salt = randomHex(SaltBytes);
-  std::string Digest = keyDigest(Salt, Key).value_or("");
-  return {Key, "key " + Options.Account + " " + Options.Id + " salt=" + Salt +
-                   " digest=" + Digest + " # " + Options.Author + "\n"};
+  auto RawKey = randomBytes(KeyBytes);
+  auto RawSalt = randomBytes(SaltBytes);
+  if (!RawKey || !RawSalt)
+    return tl::make_unexpected("key " + Options.Id + " of account " +
+                               Options.Account +
+                               ": no random bytes are available");
+  std::string Key = toHex(*RawKey);
+  std::string Salt = toHex(*RawSalt);
+  auto Digest = keyDigest(Salt, Key);
+  if (!Digest)
+    return tl::make_unexpected("key " + Options.Id + " of account " +
+                               Options.Account +
+                               ": its digest was not computed");
+  return IssuedKey{Key, "key " + Options.Account + " " + Options.Id +
+                            " salt=" + Salt + " digest=" + *Digest + " # " +
+                            Options.Author + "\n"};
 }
 
 /// @brief Removes the line of a key; returns nothing if there is no such line.
@@ -72,11 +86,15 @@
     std::cerr << Rules.error() << "\n";
     return ExitFailure;
   }
-  IssuedKey Issued = makeKey(Options);
+  auto Issued = makeKey(Options);
+  if (!Issued) {
+    std::cerr << Issued.error() << "\n";
+    return ExitFailure;
+  }
   bool EndsWithNewline = Rules->Text.empty() || Rules->Text.back() == '\n';
-  std::string Text = Rules->Text + (EndsWithNewline ? "" : "\n") + Issued.Line;
+  std::string Text = Rules->Text + (EndsWithNewline ? "" : "\n") + Issued->Line;
   // Printed first, as the edit can take effect even if its answer is lost.
-  std::cout << Issued.Key << "\n" << std::flush;
+  std::cout << Issued->Key << "\n" << std::flush;
   return applyEdit(Options.Vm, {Rules->Revision, "", Text});
 }
 
@@ -126,9 +144,12 @@
       *Keys, "line", "Create a key and print it with its rule line.", *Options);
   addAuthorOption(*Line, *Options);
   Line->callback([Options, &Code] {
-    IssuedKey Issued = makeKey(*Options);
-    std::cout << Issued.Key << "\n" << Issued.Line;
-    Code = ExitSuccess;
+    auto Issued = makeKey(*Options);
+    Code = Issued ? ExitSuccess : ExitFailure;
+    if (Issued)
+      std::cout << Issued->Key << "\n" << Issued->Line;
+    else
+      std::cerr << Issued.error() << "\n";
   });
   CLI::App *Issue = addKeyCommand(
       *Keys, "issue", "Create a key, apply its rule and print the key.",
