Read a model link's state without a control request

Cause: the model of a full target sent itself a Resume to learn the state of a link, which ended the pause of a replica. Change: an accessor.

--- a/src/standin/site/ModelGroup.h
+++ b/src/standin/site/ModelGroup.h
@@ -58,6 +58,9 @@
 
   void openLink(const TargetId &Target, LinkKey Link, const AccountId &Account);
   void closeLink(LinkKey Link) { m_Links.erase(Link); }
+  pooling::SessionState linkState(LinkKey Link) const {
+    return m_Links.at(Link).State;
+  }
   void closeLinksTo(const TargetId &Target);
   bool hasLink(LinkKey Link) const { return m_Links.count(Link) > 0; }
 
--- a/src/standin/site/PoolFleetEnvironment.cpp
+++ b/src/standin/site/PoolFleetEnvironment.cpp
@@ -105,10 +105,7 @@
   Duration ServiceTime(0);
   if (Full) {
     Reply.Error = pooling::ErrorCode::Busy;
-    Reply.State = pooling::SessionState::Idle;
-    LinkRequest StateProbe;
-    StateProbe.Type = LinkRequest::Kind::Resume;
-    Reply.State = Group.run(Key, StateProbe).State;
+    Reply.State = Group.linkState(Key);
   } else {
     Reply = Group.run(Key, Request);
     if (Request.Type == LinkRequest::Kind::CallerStatement) {
