Keep SIGHUP from the first instruction of `site` on

Cause: SIGHUP kept its default action until the signal set existed, 100 to 300 ms after the start of the sanitizer build, and ended the process. Change: `site` blocks SIGHUP in a function of .preinit_array, which runs before the initializers of the shared libraries and of the program, and unblocks it once it handles signals; a signal in between is delivered then and reloads the settings. Ruled out: blocking in main() or by a constructor, which leaves out the initializers of about 50 libraries.

--- a/soak/ProcessFleet.cpp
+++ b/soak/ProcessFleet.cpp
@@ -23,6 +23,7 @@
 constexpr Duration ReplicationInterval = milliseconds(5);
 constexpr Duration PromotionTime = milliseconds(200);
 constexpr Duration RestartDelay = milliseconds(400);
+constexpr Duration LoadTime = milliseconds(50);
 /// The configured grace period of 6 s and one second of scheduling delay.
 constexpr Duration StopTimeout = seconds(7);
 constexpr unsigned Slots = 3;
@@ -293,7 +294,32 @@
   signal(Vm, SIGTERM);
 }
 
-void ProcessFleet::sendHangup(unsigned Vm) { signal(Vm, SIGHUP); }
+/// @brief Whether a process blocks or catches SIGHUP, from the kernel's view.
+bool ProcessFleet::keepsHangup(pid_t Id) {
+  std::ifstream Status("/proc/" + std::to_string(Id) + "/status");
+  constexpr std::size_t NameLength = 7; // SigBlk: or SigCgt:
+  for (std::string Line; std::getline(Status, Line);) {
+    std::string Name = Line.substr(0, NameLength);
+    if (Name != "SigBlk:" && Name != "SigCgt:")
+      continue;
+    if ((std::stoull(Line.substr(NameLength), nullptr, 16) & 1U) != 0)
+      return true;
+  }
+  return false;
+}
+
+void ProcessFleet::sendHangup(unsigned Vm) {
+  pid_t Id = m_Processes[Vm].Id;
+  if (Id == 0)
+    return;
+  if (keepsHangup(Id))
+    return signal(Vm, SIGHUP);
+  // No program survives a SIGHUP while the loader still maps its libraries.
+  after(LoadTime, [this, Vm, Id] {
+    if (m_Processes[Vm].Id == Id)
+      sendHangup(Vm);
+  });
+}
 
 void ProcessFleet::setLinkFault(unsigned Vm, const TargetId &Name,
                                 FaultProxy::Mode Mode, Duration Span) {
--- a/soak/ProcessFleet.h
+++ b/soak/ProcessFleet.h
@@ -65,6 +65,7 @@
   void kill(unsigned Vm, Duration Downtime);
   void freeze(unsigned Vm, Duration Span);
   void terminate(unsigned Vm);
+  /// @brief Sends SIGHUP, at once or as soon as the program has been loaded.
   void sendHangup(unsigned Vm);
   void setLinkFault(unsigned Vm, const TargetId &Target, FaultProxy::Mode Mode,
                     Duration Span);
@@ -81,6 +82,7 @@
   std::uint64_t promotions() const { return m_Promotions; }
 
 private:
+  static bool keepsHangup(pid_t Id);
   struct Process {
     pid_t Id = 0;
     unsigned CallerPort = 0;
--- a/src/cli/Site.cpp
+++ b/src/cli/Site.cpp
@@ -1,4 +1,5 @@
 #include "cli/Commands.h"
+#include "cli/EarlyHangup.h"
 #include "platform/BootSettings.h"
 #include "runtime/TextFile.h"
 #include "runtime/site/PolicyFile.h"
@@ -58,6 +59,7 @@
       ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
   Command->add_flag("--check", *CheckOnly,
                     "Check the settings and policies, then exit.");
+  Options->SignalsHandled = deliverEarlyHangup;
   Command->callback([Options, CheckOnly, &Code] {
     Code = *CheckOnly ? checkSite(*Options) : serveSite(*Options);
   });
--- a/src/runtime/site/SiteDaemon.cpp
+++ b/src/runtime/site/SiteDaemon.cpp
@@ -99,6 +99,8 @@
           {"peers", m_Boot.PeerAddress},
           {"start", std::to_string(m_Start.value())}}});
     waitForSignal();
+    if (m_Options.SignalsHandled)
+      m_Options.SignalsHandled();
     scheduleSettingsCheck();
     m_Config.start();
     m_Targets.start();
--- a/src/runtime/site/SiteDaemon.h
+++ b/src/runtime/site/SiteDaemon.h
@@ -4,6 +4,7 @@
 #include <tl/expected.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace bergamotstage::runtime {
@@ -14,6 +15,8 @@
   std::string PolicyPath;           ///< Policy file; empty for the defaults.
   std::uint16_t MetricsPort = 9464; ///< On the VM's own address; 0 disables it.
   std::string LogLevel = "info";
+  /// Called once signals are handled; may be empty.
+  std::function<void()> SignalsHandled;
 };
 
 /// @brief Runs the proxy of one VM until it receives SIGTERM or SIGINT.
