Pause before accepting again after an error

Cause: the three listeners of `site` accepted again at once after any error. A process without free descriptors spun: each try fails at once as long as no connection ends, and takes the processor from everything else. Change: one class accepts for all three; after an error it pauses 100 ms and reports the first one as an event.

--- a/src/runtime/site/CallerSockets.cpp
+++ b/src/runtime/site/CallerSockets.cpp
@@ -19,40 +19,36 @@
 tl::expected<std::unique_ptr<CallerSockets>, std::string>
 CallerSockets::listen(asio::io_context &Io, const std::string &Address,
                       Hooks Callbacks) {
-  auto Acceptor = openListener(Io, Address);
-  if (!Acceptor)
-    return tl::make_unexpected(Acceptor.error());
-  auto Sockets = std::make_unique<CallerSockets>(std::move(*Acceptor),
-                                                 std::move(Callbacks));
-  Sockets->accept();
+  auto Sockets = std::make_unique<CallerSockets>(std::move(Callbacks));
+  CallerSockets *Self = Sockets.get();
+  Listener::Hooks Hooks;
+  Hooks.Accepted = [Self](asio::ip::tcp::socket Socket) {
+    Self->onAccepted(std::move(Socket));
+  };
+  Hooks.Failed = Self->m_Hooks.Refused;
+  auto Opened = Listener::open(Io, Address, std::move(Hooks));
+  if (!Opened)
+    return tl::make_unexpected(Opened.error());
+  Sockets->m_Listener = std::move(*Opened);
   return Sockets;
 }
 
-void CallerSockets::accept() {
-  m_Acceptor.async_accept(
-      [this](std::error_code Failure, asio::ip::tcp::socket Socket) {
-        if (Failure == asio::error::operation_aborted || !m_Acceptor.is_open())
-          return;
-        if (!Failure && m_Callers.size() >= MaxCallers)
-          m_Hooks.Refused("too many callers");
-        else if (!Failure) {
-          CallerId Id(++m_LastCaller);
-          ByteStream::Hooks Hooks;
-          Hooks.Received = [this, Id](std::string_view Bytes) {
-            onReceived(Id, Bytes);
-          };
-          Hooks.Ended = [this, Id](const std::string &) {
-            removeCaller(Id);
-            m_Hooks.Closed(Id);
-          };
-          Caller &Entry = m_Callers[Id];
-          Entry.Stream = ByteStream::adopt(std::move(Socket), SilenceTimeout,
-                                           std::move(Hooks));
-          Entry.Stream->setDeadline(StartTimeout,
-                                    "the session did not start in time");
-        }
-        accept();
-      });
+void CallerSockets::onAccepted(asio::ip::tcp::socket Socket) {
+  if (m_Callers.size() >= MaxCallers)
+    return m_Hooks.Refused("too many callers");
+  CallerId Id(++m_LastCaller);
+  ByteStream::Hooks Hooks;
+  Hooks.Received = [this, Id](std::string_view Bytes) {
+    onReceived(Id, Bytes);
+  };
+  Hooks.Ended = [this, Id](const std::string &) {
+    removeCaller(Id);
+    m_Hooks.Closed(Id);
+  };
+  Caller &Entry = m_Callers[Id];
+  Entry.Stream =
+      ByteStream::adopt(std::move(Socket), SilenceTimeout, std::move(Hooks));
+  Entry.Stream->setDeadline(StartTimeout, "the session did not start in time");
 }
 
 void CallerSockets::rejectCaller(CallerId Id, const char *Reason) {
@@ -142,9 +138,6 @@
   Stream->closeAfterOutput();
 }
 
-void CallerSockets::stopAccepting() {
-  std::error_code Ignored; // The descriptor is released in any case.
-  m_Acceptor.close(Ignored);
-}
+void CallerSockets::stopAccepting() { m_Listener->stop(); }
 
 } // namespace bergamotstage::runtime
--- a/src/runtime/site/CallerSockets.h
+++ b/src/runtime/site/CallerSockets.h
@@ -4,6 +4,7 @@
 #include "bergamotstage/pooling/Session.h"
 #include "platform/LineCodec.h"
 #include "runtime/site/ByteStream.h"
+#include "runtime/site/Listener.h"
 
 #include <tl/expected.hpp>
 
@@ -27,8 +28,7 @@
   static tl::expected<std::unique_ptr<CallerSockets>, std::string>
   listen(asio::io_context &Io, const std::string &Address, Hooks Callbacks);
 
-  CallerSockets(asio::ip::tcp::acceptor Acceptor, Hooks Callbacks)
-      : m_Acceptor(std::move(Acceptor)), m_Hooks(std::move(Callbacks)) {}
+  explicit CallerSockets(Hooks Callbacks) : m_Hooks(std::move(Callbacks)) {}
 
   void answer(CallerId Caller, const pooling::CallerReply &Reply);
   /// @brief Closes a connection after its pending replies have been written.
@@ -49,15 +49,15 @@
     bool Started = false;
   };
 
-  void accept();
+  void onAccepted(asio::ip::tcp::socket Socket);
   void onReceived(CallerId Id, std::string_view Bytes);
   void handleLine(CallerId Id, Caller &Source, const std::string &Line);
   void rejectCaller(CallerId Id, const char *Reason);
   void updateBufferedBytes(Caller &Source);
   void removeCaller(CallerId Id);
 
-  asio::ip::tcp::acceptor m_Acceptor;
   Hooks m_Hooks;
+  std::unique_ptr<Listener> m_Listener;
   std::unordered_map<CallerId, Caller> m_Callers;
   std::size_t m_BufferedBytes = 0; ///< Bytes of incomplete lines.
   std::uint64_t m_LastCaller = 0;
--- a/src/runtime/site/HttpServer.cpp
+++ b/src/runtime/site/HttpServer.cpp
@@ -89,40 +89,38 @@
 
 tl::expected<std::unique_ptr<HttpServer>, std::string>
 HttpServer::listen(asio::io_context &Io, const std::string &Address,
-                   Handler OnRequest) {
-  auto Acceptor = openListener(Io, Address);
-  if (!Acceptor)
-    return tl::make_unexpected(Acceptor.error());
-  auto Server =
-      std::make_unique<HttpServer>(std::move(*Acceptor), std::move(OnRequest));
-  Server->accept();
+                   Handler OnRequest,
+                   std::function<void(const std::string &)> OnFailed) {
+  auto Server = std::make_unique<HttpServer>(std::move(OnRequest));
+  HttpServer *Self = Server.get();
+  Listener::Hooks Hooks;
+  Hooks.Accepted = [Self](asio::ip::tcp::socket Socket) {
+    Self->onAccepted(std::move(Socket));
+  };
+  Hooks.Failed = std::move(OnFailed);
+  auto Opened = Listener::open(Io, Address, std::move(Hooks));
+  if (!Opened)
+    return tl::make_unexpected(Opened.error());
+  Server->m_Listener = std::move(*Opened);
   return Server;
 }
 
-void HttpServer::accept() {
-  m_Acceptor.async_accept([this](std::error_code Error,
-                                 asio::ip::tcp::socket Socket) {
-    if (Error == asio::error::operation_aborted)
-      return;
-    bool HasCapacity = !Error && *m_OpenConnections < MaxConnections;
-    if (HasCapacity) {
-      ++*m_OpenConnections;
-      auto Connection = std::make_shared<HttpConnection>(m_Handler);
-      ByteStream::Hooks Hooks;
-      Hooks.Received = [Connection](std::string_view Bytes) {
-        Connection->onReceived(Bytes);
-      };
-      // Destroying the last copy of the hooks decrements the count.
-      std::shared_ptr<void> ConnectionCount(
-          nullptr, [OpenConnections = m_OpenConnections](void *) {
-            --*OpenConnections;
-          });
-      Hooks.Ended = [ConnectionCount](const std::string &) {};
-      Connection->setStream(
-          ByteStream::adopt(std::move(Socket), IdleTimeout, std::move(Hooks)));
-    }
-    accept();
-  });
+void HttpServer::onAccepted(asio::ip::tcp::socket Socket) {
+  if (*m_OpenConnections >= MaxConnections)
+    return;
+  ++*m_OpenConnections;
+  auto Connection = std::make_shared<HttpConnection>(m_Handler);
+  ByteStream::Hooks Hooks;
+  Hooks.Received = [Connection](std::string_view Bytes) {
+    Connection->onReceived(Bytes);
+  };
+  // Destroying the last copy of the hooks decrements the count.
+  std::shared_ptr<void> ConnectionCount(
+      nullptr,
+      [OpenConnections = m_OpenConnections](void *) { --*OpenConnections; });
+  Hooks.Ended = [ConnectionCount](const std::string &) {};
+  Connection->setStream(
+      ByteStream::adopt(std::move(Socket), IdleTimeout, std::move(Hooks)));
 }
 
 } // namespace bergamotstage::runtime
--- a/src/runtime/site/HttpServer.h
+++ b/src/runtime/site/HttpServer.h
@@ -1,6 +1,8 @@
 #ifndef BERGAMOTSTAGE_RUNTIME_SITE_HTTPSERVER_H
 #define BERGAMOTSTAGE_RUNTIME_SITE_HTTPSERVER_H
 
+#include "runtime/site/Listener.h"
+
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
@@ -27,20 +29,21 @@
   using Handler = std::function<HttpResponse(const std::string &Path)>;
 
   /// @brief Listens on an IP address and port.
+  /// @param OnFailed called when connections cannot be accepted
   /// @return the server, or why it cannot listen
   static tl::expected<std::unique_ptr<HttpServer>, std::string>
-  listen(asio::io_context &Io, const std::string &Address, Handler OnRequest);
+  listen(asio::io_context &Io, const std::string &Address, Handler OnRequest,
+         std::function<void(const std::string &Reason)> OnFailed);
 
-  HttpServer(asio::ip::tcp::acceptor Acceptor, Handler OnRequest)
-      : m_Acceptor(std::move(Acceptor)), m_Handler(std::move(OnRequest)) {}
+  explicit HttpServer(Handler OnRequest) : m_Handler(std::move(OnRequest)) {}
 
 private:
   static constexpr std::size_t MaxConnections = 64;
 
-  void accept();
+  void onAccepted(asio::ip::tcp::socket Socket);
 
-  asio::ip::tcp::acceptor m_Acceptor;
   Handler m_Handler;
+  std::unique_ptr<Listener> m_Listener;
   std::shared_ptr<std::size_t> m_OpenConnections =
       std::make_shared<std::size_t>(0);
 };
--- a/src/runtime/site/PeerStreams.cpp
+++ b/src/runtime/site/PeerStreams.cpp
@@ -51,12 +51,17 @@
 tl::expected<std::unique_ptr<PeerStreams>, std::string>
 PeerStreams::listen(asio::io_context &Io, const std::string &Address,
                     Hooks Callbacks) {
-  auto Acceptor = openListener(Io, Address);
-  if (!Acceptor)
-    return tl::make_unexpected(Acceptor.error());
-  auto Streams = std::make_unique<PeerStreams>(Io, std::move(*Acceptor),
-                                               std::move(Callbacks));
-  Streams->accept();
+  auto Streams = std::make_unique<PeerStreams>(Io, std::move(Callbacks));
+  PeerStreams *Self = Streams.get();
+  Listener::Hooks Hooks;
+  Hooks.Accepted = [Self](asio::ip::tcp::socket Socket) {
+    Self->onAccepted(std::move(Socket));
+  };
+  Hooks.Failed = Self->m_Hooks.Refused;
+  auto Opened = Listener::open(Io, Address, std::move(Hooks));
+  if (!Opened)
+    return tl::make_unexpected(Opened.error());
+  Streams->m_Listener = std::move(*Opened);
   return Streams;
 }
 
@@ -106,33 +111,25 @@
   Stream->close();
 }
 
-void PeerStreams::accept() {
-  m_Acceptor.async_accept([this](std::error_code Error,
-                                 asio::ip::tcp::socket Socket) {
-    if (Error == asio::error::operation_aborted)
+void PeerStreams::onAccepted(asio::ip::tcp::socket Socket) {
+  auto Source = std::make_shared<Incoming>();
+  ByteStream::Hooks Hooks;
+  Hooks.Received = [this, Source](std::string_view Bytes) {
+    handleBytes(Source, Bytes);
+  };
+  Hooks.Ended = [this, Source](const std::string &) {
+    auto Found = m_Incoming.find(Source->Vm);
+    bool IsCurrentStream =
+        Found != m_Incoming.end() && Found->second == Source->Stream.lock();
+    if (!IsCurrentStream)
       return;
-    if (!Error) {
-      auto Source = std::make_shared<Incoming>();
-      ByteStream::Hooks Hooks;
-      Hooks.Received = [this, Source](std::string_view Bytes) {
-        handleBytes(Source, Bytes);
-      };
-      Hooks.Ended = [this, Source](const std::string &) {
-        auto Found = m_Incoming.find(Source->Vm);
-        bool IsCurrentStream =
-            Found != m_Incoming.end() && Found->second == Source->Stream.lock();
-        if (!IsCurrentStream)
-          return;
-        m_Incoming.erase(Found);
-        m_Hooks.OriginLost(Source->Vm);
-      };
-      auto Stream = ByteStream::adopt(std::move(Socket), SilenceTimeout,
-                                      std::move(Hooks));
-      Source->Stream = Stream;
-      Stream->setDeadline(IntroductionTimeout, "no Hello message in time");
-    }
-    accept();
-  });
+    m_Incoming.erase(Found);
+    m_Hooks.OriginLost(Source->Vm);
+  };
+  auto Stream =
+      ByteStream::adopt(std::move(Socket), SilenceTimeout, std::move(Hooks));
+  Source->Stream = Stream;
+  Stream->setDeadline(IntroductionTimeout, "no Hello message in time");
 }
 
 bool PeerStreams::handleIntroduction(const std::shared_ptr<Incoming> &Source,
--- a/src/runtime/site/PeerStreams.h
+++ b/src/runtime/site/PeerStreams.h
@@ -4,6 +4,7 @@
 #include "bergamotstage/fleet/MemberState.h"
 #include "bergamotstage/pooling/FleetMessage.h"
 #include "runtime/site/ByteStream.h"
+#include "runtime/site/Listener.h"
 
 #include <tl/expected.hpp>
 
@@ -35,10 +36,8 @@
   static tl::expected<std::unique_ptr<PeerStreams>, std::string>
   listen(asio::io_context &Io, const std::string &Address, Hooks Callbacks);
 
-  PeerStreams(asio::io_context &Io, asio::ip::tcp::acceptor Acceptor,
-              Hooks Callbacks)
-      : m_Io(Io), m_Acceptor(std::move(Acceptor)),
-        m_Hooks(std::move(Callbacks)) {}
+  PeerStreams(asio::io_context &Io, Hooks Callbacks)
+      : m_Io(Io), m_Hooks(std::move(Callbacks)) {}
 
   /// @brief Sends on the stream to a VM and opens it if needed.
   void send(const MemberState &To, const pooling::FleetMessage &Message);
@@ -66,14 +65,14 @@
     VmId Vm; ///< Empty until its Hello arrives.
   };
 
-  void accept();
+  void onAccepted(asio::ip::tcp::socket Socket);
   void handleBytes(const std::shared_ptr<Incoming> &Source,
                    std::string_view Bytes);
   bool handleIntroduction(const std::shared_ptr<Incoming> &Source,
                           const pooling::FleetMessage &First);
 
   asio::io_context &m_Io;
-  asio::ip::tcp::acceptor m_Acceptor;
+  std::unique_ptr<Listener> m_Listener;
   Hooks m_Hooks;
   std::map<VmId, std::shared_ptr<ByteStream>> m_Outgoing;
   std::map<VmId, std::shared_ptr<ByteStream>> m_Incoming;
--- a/src/runtime/site/SiteDaemon.cpp
+++ b/src/runtime/site/SiteDaemon.cpp
@@ -323,7 +323,11 @@
       return tl::make_unexpected(Peers.error());
     m_Peers = std::move(*Peers);
     auto Serve = [this](const std::string &Path) { return serve(Path); };
-    auto Probe = HttpServer::listen(m_Io, m_Boot.ProbeAddress, Serve);
+    auto LogFailure = [this](const std::string &Reason) {
+      log({WriteLog::Level::Warning, "probe_refused", {{"reason", Reason}}});
+    };
+    auto Probe =
+        HttpServer::listen(m_Io, m_Boot.ProbeAddress, Serve, LogFailure);
     if (!Probe)
       return tl::make_unexpected(Probe.error());
     m_Probe = std::move(*Probe);
@@ -332,7 +336,7 @@
     auto Metrics = HttpServer::listen(m_Io,
                                       hostOf(m_Boot.PeerAddress) + ":" +
                                           std::to_string(m_Options.MetricsPort),
-                                      Serve);
+                                      Serve, LogFailure);
     if (!Metrics)
       return tl::make_unexpected(Metrics.error());
     m_Metrics = std::move(*Metrics);
--- a/test/unit-runtime-site.cpp
+++ b/test/unit-runtime-site.cpp
@@ -8,6 +8,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <sys/resource.h>
+
 #include <memory>
 #include <string>
 #include <vector>
@@ -25,14 +27,18 @@
   return "127.0.0.1:" + std::to_string(Probe.local_endpoint().port());
 }
 
+Tcp::endpoint endpointOf(const std::string &Address) {
+  std::string Port = Address.substr(Address.rfind(':') + 1);
+  return {asio::ip::address_v4::loopback(),
+          static_cast<std::uint16_t>(std::stoul(Port))};
+}
+
 /// @brief A TCP client that sends arbitrary bytes.
 class Client {
 public:
   Client(asio::io_context &Io, const std::string &Address)
       : m_Io(Io), m_Socket(Io) {
-    std::string Port = Address.substr(Address.rfind(':') + 1);
-    m_Socket.connect({asio::ip::address_v4::loopback(),
-                      static_cast<std::uint16_t>(std::stoul(Port))});
+    m_Socket.connect(endpointOf(Address));
     m_Socket.non_blocking(true);
   }
 
@@ -159,15 +165,37 @@
   CHECK_TRUE(Idle.closed());
 }
 
+TEST(CallerSockets, AcceptsAgainOnceDescriptorsAreFree) {
+  CallerFixture Fixture;
+  Tcp::socket Waiting(Fixture.Io);
+  Waiting.open(Tcp::v4());
+  rlimit Usual{};
+  getrlimit(RLIMIT_NOFILE, &Usual);
+  rlimit Exhausted = Usual;
+  Exhausted.rlim_cur = static_cast<rlim_t>(Waiting.native_handle()) + 1;
+  setrlimit(RLIMIT_NOFILE, &Exhausted);
+  Waiting.connect(endpointOf(Fixture.Address));
+  // Spinning would run thousands of handlers.
+  CHECK_TRUE(Fixture.Io.run_for(std::chrono::milliseconds(350)) < 20);
+  LONGS_EQUAL(1, Fixture.Refused.size());
+  setrlimit(RLIMIT_NOFILE, &Usual);
+  Waiting.write_some(asio::buffer(std::string("START plots key\r\n")));
+  Fixture.Io.run_for(std::chrono::milliseconds(200));
+  LONGS_EQUAL(1, Fixture.Databases.size());
+}
+
 TEST_GROUP(HttpServer){};
 
 TEST(HttpServer, ServesPathsAndClosesNonHttpConnections) {
   asio::io_context Io;
   std::string Address = freeAddress(Io);
-  auto Server = HttpServer::listen(Io, Address, [](const std::string &Path) {
-    return Path == "/ready" ? HttpResponse{200, "yes"}
-                            : HttpResponse{404, "no"};
-  });
+  auto Server = HttpServer::listen(
+      Io, Address,
+      [](const std::string &Path) {
+        return Path == "/ready" ? HttpResponse{200, "yes"}
+                                : HttpResponse{404, "no"};
+      },
+      [](const std::string &) {});
   CHECK_TRUE(Server.has_value());
   Client Valid(Io, Address);
   Valid.send("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n");
