Keep one function that formats milliseconds

Settings had a copy of pooling's formatMilliseconds(); it stands in core/Time.h now. Ruled out: keeping "ms" inside, as logs name the unit in the key. Texts stay as they were; unit-runtime-settings covers them.

--- a/include/bergamotstage/core/Time.h
+++ b/include/bergamotstage/core/Time.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 namespace bergamotstage {
 
@@ -33,6 +34,11 @@
   return std::chrono::duration<double, std::milli>(Span).count();
 }
 
+/// @brief Formats a duration for logs and errors in whole milliseconds.
+inline std::string formatMilliseconds(Duration Span) {
+  return std::to_string(std::chrono::duration_cast<milliseconds>(Span).count());
+}
+
 /// @brief A duration times a factor, truncated to whole microseconds.
 inline Duration scaled(Duration Span, double Factor) {
   return Duration(
--- a/include/bergamotstage/pooling/Context.h
+++ b/include/bergamotstage/pooling/Context.h
@@ -62,11 +62,6 @@
   std::uint64_t m_LastLinkId = 0;
 };
 
-/// @brief Formats a duration for the log in whole milliseconds.
-inline std::string formatMilliseconds(Duration Span) {
-  return std::to_string(std::chrono::duration_cast<milliseconds>(Span).count());
-}
-
 /// @brief Formats a position for the log as term.position.
 inline std::string formatPosition(const HistoryPoint &Point) {
   return std::to_string(Point.AtTerm.value()) + "." +
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -14,11 +14,6 @@
 
 using Json = nlohmann::json;
 
-std::string millisecondsText(Duration Span) {
-  auto Milliseconds = std::chrono::duration_cast<milliseconds>(Span);
-  return std::to_string(Milliseconds.count()) + "ms";
-}
-
 /// @brief Reads members of one JSON object and collects all errors.
 class MemberReader {
 public:
@@ -78,8 +73,8 @@
     if (!Parsed)
       return addError(Name, "must be a duration such as \"500ms\"");
     if (*Parsed < Min || *Parsed > Max)
-      return addError(Name, "must be from " + millisecondsText(Min) + " to " +
-                                millisecondsText(Max));
+      return addError(Name, "must be from " + formatMilliseconds(Min) +
+                                "ms to " + formatMilliseconds(Max) + "ms");
     Out = *Parsed;
   }
 
