Remove fields that nothing reads

ForwardedSession::TokenMissing repeated what the token says of itself: an incomplete token carries its own mark, which the home VM decodes. LinkState::IdleSince was only written. ForwardedSession::InTransaction is read by agreesOnTransaction() and stays.

--- a/include/bergamotstage/node/Forward.h
+++ b/include/bergamotstage/node/Forward.h
@@ -30,8 +30,8 @@
   std::string KeyId;     ///< Empty on open routes.
   std::string KeyDigest; ///< Digest of the key in the rules.
   RouteId Route;
-  std::string Token;         ///< Encoded session token; may be empty.
-  bool TokenMissing = false; ///< The token may not cover all writes.
+  std::string Token; ///< Encoded session token; marks itself
+                     ///< if it may not cover all writes.
   std::optional<Duration> MaxAge;
   std::string RequestId;
   bool Idempotent = false;
--- a/include/bergamotstage/target/LinkPool.h
+++ b/include/bergamotstage/target/LinkPool.h
@@ -120,7 +120,6 @@
     bool NeedsReset = false; ///< Ran a caller's statement since its reset.
     AccountId Account;
     Instant AcquiredAt{};
-    Instant IdleSince{};
     StatementId Running;
     AnswerCallback Callback; ///< Set while a statement runs.
     TimerId Timeout;         ///< Of the current phase or statement.
--- a/src/request/StatementForwarding.cpp
+++ b/src/request/StatementForwarding.cpp
@@ -23,7 +23,6 @@
   }
   Session.Route = Caller.Route.Id;
   Session.Token = encodeToken(Caller.Token, Caller.Account, Secret);
-  Session.TokenMissing = !Caller.Token.Complete;
   Session.MaxAge = Caller.MaxAge;
   Session.RequestId = Caller.RequestId;
   Session.Idempotent = Caller.Idempotent;
--- a/src/runtime/peers/ForwardFrames.cpp
+++ b/src/runtime/peers/ForwardFrames.cpp
@@ -12,7 +12,6 @@
   Out.set_key_digest(Session.KeyDigest);
   Out.set_route(Session.Route.value());
   Out.set_token(Session.Token);
-  Out.set_token_missing(Session.TokenMissing);
   if (Session.MaxAge)
     Out.set_max_age_us(Session.MaxAge->count());
   Out.set_request_id(Session.RequestId);
@@ -45,7 +44,6 @@
   Session.KeyDigest = Message.key_digest();
   Session.Route = RouteId(Message.route());
   Session.Token = Message.token();
-  Session.TokenMissing = Message.token_missing();
   if (Message.has_max_age_us())
     Session.MaxAge = Duration(Message.max_age_us());
   Session.RequestId = Message.request_id();
--- a/src/target/LinkPool.cpp
+++ b/src/target/LinkPool.cpp
@@ -255,7 +255,6 @@
   LinkState &State = m_Links.at(Link);
   State.Phase = LinkPhase::Idle;
   State.NeedsReset = false;
-  State.IdleSince = m_Context.now();
   m_Targets.at(State.Target).IdleLinks.push_front(Link);
   State.Timeout =
       m_Context.timers().schedule(m_Context.now() + IdleLinkLifetime,
