Report the reasons of errors that were dropped

Cause: HttpClient replaced each failure by "status 0", a failed refresh of a table left no trace, the callers' listener of `serve` hid why it did not accept, a link to a target lacked libpq's message, the local site ignored that its stand-in platform did not start, and the stand-in confirmed a leaving VM that it does not list. Change: each reason reaches an event, an answer or standard error. Accept errors are reported once until a connection is accepted again. Ruled out: a second producer of the log's queue, which has one by design; the callers' thread sends an event instead. No decision changes.

--- a/include/bergamotstage/node/Event.h
+++ b/include/bergamotstage/node/Event.h
@@ -101,12 +101,18 @@
 /// running statements.
 struct ShutdownRequested {};
 
+/// @brief The listener could not accept a connection, for example because the
+/// process has no descriptors left. Reported once until it succeeds again.
+struct AcceptFailed {
+  std::string Reason;
+};
+
 /// @brief Any event that a node handles.
-using Event =
-    std::variant<CallerOpened, StatementReceived, CancelRequested, CallerClosed,
-                 LinkOpened, LinkFailed, LinkAnswered, ForwardReceived,
-                 ForwardAnswered, ForwardLost, PlatformAnswered, PeerReceived,
-                 OperatorRequested, TimerFired, ShutdownRequested>;
+using Event = std::variant<CallerOpened, StatementReceived, CancelRequested,
+                           CallerClosed, LinkOpened, LinkFailed, LinkAnswered,
+                           ForwardReceived, ForwardAnswered, ForwardLost,
+                           PlatformAnswered, PeerReceived, OperatorRequested,
+                           TimerFired, ShutdownRequested, AcceptFailed>;
 
 } // namespace bergamotstage
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -95,6 +95,10 @@
     void operator()(const OperatorRequested &E) { Self.onOperatorRequested(E); }
     void operator()(const TimerFired &) {}
     void operator()(const ShutdownRequested &) { Self.shutdown(); }
+    void operator()(const AcceptFailed &E) {
+      Self.m_Context.log(WriteLog::Level::Warning, "accept_failed",
+                         {{"reason", E.Reason}});
+    }
   };
   std::visit(Dispatcher{*this}, Input);
 }
--- a/src/runtime/callers/CallerThread.cpp
+++ b/src/runtime/callers/CallerThread.cpp
@@ -102,7 +102,8 @@
         if (!m_Acceptor.is_open())
           return;
         if (Error)
-          return scheduleAccept();
+          return scheduleAccept(Error);
+        m_AcceptFails = false;
         if (m_Sessions.size() < m_Limits.MaxConnections)
           add(std::move(Socket));
         else
@@ -111,7 +112,9 @@
       });
 }
 
-void CallerThread::scheduleAccept() {
+void CallerThread::scheduleAccept(std::error_code Reason) {
+  if (!m_AcceptFails)
+    m_AcceptFails = m_Events(AcceptFailed{Reason.message()});
   // Errors such as running out of descriptors persist, so retrying at once
   // would spin.
   m_AcceptTimer.expires_after(AcceptRetryInterval);
--- a/src/runtime/callers/CallerThread.h
+++ b/src/runtime/callers/CallerThread.h
@@ -50,7 +50,7 @@
 
 private:
   void accept();
-  void scheduleAccept();
+  void scheduleAccept(std::error_code Reason);
   void rejectConnection(asio::ip::tcp::socket Socket);
   void cancel(const wire::CancelRequest &Request);
   void checkSessions();
@@ -75,6 +75,7 @@
   Inbox<RowChunk> m_Chunks;
   Inbox<RowChunk, MpscQueue> m_ForwardedChunks;
   std::unordered_map<CallerId, std::shared_ptr<CallerSession>> m_Sessions;
+  bool m_AcceptFails = false; ///< Since the last accepted connection.
   std::uint64_t m_LastCaller = 0;
   std::uint64_t m_LastStatement = 0;
   std::thread m_Thread;
--- a/src/runtime/site/HttpClient.cpp
+++ b/src/runtime/site/HttpClient.cpp
@@ -108,7 +108,7 @@
   CompletedCall.OnComplete(Status, std::move(Body));
 }
 
-void HttpClient::fail(const std::string & /*Reason*/) {
+void HttpClient::fail(const std::string &Reason) {
   if (m_Stream)
     m_Stream->close();
   m_Stream.reset();
@@ -119,7 +119,7 @@
   m_Queue.pop_front();
   m_Busy = false;
   sendNext();
-  FailedCall.OnComplete(0, {});
+  FailedCall.OnComplete(0, Reason);
 }
 
 } // namespace bergamotstage::runtime
--- a/src/runtime/site/HttpClient.h
+++ b/src/runtime/site/HttpClient.h
@@ -19,7 +19,8 @@
 /// be matched to another call.
 class HttpClient {
 public:
-  /// @brief Receives status and body; status 0 means that the call failed.
+  /// @brief Receives status and body; status 0 means that the call failed for
+  /// the reason in the body.
   using Callback = std::function<void(unsigned Status, std::string Body)>;
 
   HttpClient(asio::io_context &Io, std::string Address);
--- a/src/runtime/site/SiteDaemon.cpp
+++ b/src/runtime/site/SiteDaemon.cpp
@@ -246,6 +246,9 @@
     Hooks.Reachable = [this](bool Reachable, const std::string &Reason) {
       logStore(platform::ConfigTable, Reachable, Reason);
     };
+    Hooks.RefreshFailed = [this](const std::string &Reason) {
+      logRefreshFailed(platform::ConfigTable, Reason);
+    };
     Hooks.Answered = [this] { m_Node.onStoreResponse(bootTime()); };
     return Hooks;
   }
@@ -270,6 +273,9 @@
     Hooks.Reachable = [this](bool Reachable, const std::string &Reason) {
       logStore(platform::TargetTableName, Reachable, Reason);
     };
+    Hooks.RefreshFailed = [this](const std::string &Reason) {
+      logRefreshFailed(platform::TargetTableName, Reason);
+    };
     Hooks.Answered = [] {};
     return Hooks;
   }
@@ -312,6 +318,12 @@
          {{"table", Table}, {"reason", Reason}}});
   }
 
+  void logRefreshFailed(const std::string &Table, const std::string &Reason) {
+    log({WriteLog::Level::Warning,
+         "store_refresh_failed",
+         {{"table", Table}, {"reason", Reason}}});
+  }
+
   tl::expected<void, std::string> openSockets() {
     auto Callers =
         CallerSockets::listen(m_Io, m_Boot.CallerAddress, callerHooks());
--- a/src/runtime/site/TableFollower.cpp
+++ b/src/runtime/site/TableFollower.cpp
@@ -13,6 +13,11 @@
 constexpr unsigned MaxDoublings = 4;
 constexpr unsigned HttpOk = 200;
 
+/// @brief Describes a call that failed or was refused.
+std::string failureReason(unsigned Status, const std::string &Body) {
+  return Status == 0 ? Body : "status " + std::to_string(Status);
+}
+
 } // namespace
 
 TableFollower::TableFollower(asio::io_context &Io, const std::string &Address,
@@ -68,7 +73,7 @@
   m_Client->call(platform::readTable(m_Table, AfterKey), AnswerTimeout,
                  [this, AfterKey](unsigned Status, const std::string &Body) {
                    if (Status != HttpOk)
-                     return onFailed("status " + std::to_string(Status));
+                     return onFailed(failureReason(Status, Body));
                    auto Parsed = platform::parseRows(Body);
                    if (!Parsed)
                      return onFailed(Parsed.error());
@@ -97,7 +102,7 @@
                      return startNextCall();
                    }
                    if (Status != HttpOk)
-                     return onFailed("status " + std::to_string(Status));
+                     return onFailed(failureReason(Status, Body));
                    auto Parsed = platform::parseRows(Body);
                    if (!Parsed)
                      return onFailed(Parsed.error());
@@ -117,10 +122,11 @@
                         [this](unsigned Status, const std::string &Body) {
                           m_Refreshing = false;
                           if (Status != HttpOk)
-                            return;
+                            return m_Hooks.RefreshFailed(
+                                failureReason(Status, Body));
                           auto Parsed = platform::parseRows(Body);
                           if (!Parsed)
-                            return;
+                            return m_Hooks.RefreshFailed(Parsed.error());
                           for (const platform::ListedRow &Row : Parsed->Rows)
                             m_Hooks.Changed(Row);
                         });
--- a/src/runtime/site/TableFollower.h
+++ b/src/runtime/site/TableFollower.h
@@ -25,6 +25,8 @@
     std::function<void(const platform::ListedRow &)> Changed;
     /// The store became reachable or unreachable.
     std::function<void(bool Reachable, const std::string &Reason)> Reachable;
+    /// A call of refresh() read nothing.
+    std::function<void(const std::string &Reason)> RefreshFailed;
     /// The store replied to a request.
     std::function<void()> Answered;
   };
--- a/src/runtime/targets/TargetLink.cpp
+++ b/src/runtime/targets/TargetLink.cpp
@@ -91,8 +91,10 @@
                           ConnectTimeoutSeconds,
                           nullptr};
   m_Connection = PQconnectStartParams(Names, Values, 0);
-  if (m_Connection == nullptr || PQstatus(m_Connection) == CONNECTION_BAD)
-    return fail("the connection could not be opened");
+  if (m_Connection == nullptr)
+    return fail("the connection could not be opened: out of memory");
+  if (PQstatus(m_Connection) == CONNECTION_BAD)
+    return fail(trimMessage(PQerrorMessage(m_Connection)));
   PQsetNoticeReceiver(m_Connection, ignoreNotice, nullptr);
   m_Descriptor.emplace(m_Io, PQsocket(m_Connection));
   m_Descriptor->async_wait(asio::posix::descriptor_base::wait_write,
--- a/src/standin/LocalSite.cpp
+++ b/src/standin/LocalSite.cpp
@@ -4,6 +4,7 @@
 
 #include <asio.hpp>
 
+#include <iostream>
 #include <utility>
 
 namespace bergamotstage::standin {
@@ -100,8 +101,11 @@
                             DataCentreId(DataCentres[Index % 3]),
                             m_PeerAddresses[Index], false});
   std::shared_future<void> Ended = m_Ended.get_future().share();
-  m_StandIn = std::thread(
-      [Settings, Ended] { runStandIn(Settings, [Ended] { Ended.wait(); }); });
+  m_StandIn = std::thread([Settings, Ended] {
+    auto Result = runStandIn(Settings, [Ended] { Ended.wait(); });
+    if (!Result)
+      std::cerr << "stand-in platform: " << Result.error() << "\n";
+  });
 }
 
 LocalSite::~LocalSite() {
--- a/src/standin/PlatformService.cpp
+++ b/src/standin/PlatformService.cpp
@@ -184,13 +184,22 @@
   else if (Request.kind() == "lose-promote-answer")
     Faults.LosePromoteAnswer = Request.on();
   else if (Request.kind() == "leave-vm")
-    for (ListedVm &Vm : m_Shared->Vms)
-      Vm.Leaving = Vm.Vm.value() == Request.name() ? Request.on() : Vm.Leaving;
+    return setLeaving(VmId(Request.name()), Request.on());
   else
     return false;
   return true;
 }
 
+bool FaultService::setLeaving(const VmId &Name, bool Leaving) {
+  for (ListedVm &Vm : m_Shared->Vms) {
+    if (Vm.Vm != Name)
+      continue;
+    Vm.Leaving = Leaving;
+    return true;
+  }
+  return false;
+}
+
 bool FaultService::setTargetFault(const wire::platform::FaultRequest &Request) {
   for (auto &[Database, Shared] : m_Shared->Groups) {
     std::lock_guard<std::mutex> Guard(Shared->Lock);
--- a/src/standin/PlatformService.h
+++ b/src/standin/PlatformService.h
@@ -81,6 +81,8 @@
 
 private:
   bool setStoreFault(const wire::platform::FaultRequest &Request);
+  /// @return false if the platform lists no such VM
+  bool setLeaving(const VmId &Name, bool Leaving);
   bool setTargetFault(const wire::platform::FaultRequest &Request);
 
   std::shared_ptr<SharedPlatform> m_Shared;
