Renew leases of rate slots by a timer of their own

Cause: one timer served renewals (20 s) and reads (250 ms x VMs). From 180 VMs on the lease of 45 s lapsed before the timer ran, from 240 on peers reclaimed slots of live VMs. The end of a lease was noticed only by that timer as well, so a VM whose renewals failed, or that had been frozen, went on spending for up to a minute: beside the VM that had reclaimed the slots, that breaks the contract's sum.

Change: renewals are due every 16 to 20 s, spread over the VMs that started together. The lease lasts 55 s, so that it outlasts 30 s without the store, and is reclaimed after 60 as before. RateShare knows its end and spends and lends nothing afterwards, whether or not a timer has run. A renewal is followed by a read only if the plan is not confirmed. Only the first VM with the most slots gives some to a newcomer: with 300 VMs all had one to spare, read all rows and raced. Failed calls are repeated after 0.4 to 1.6 s.

Ruled out: a longer lease alone (a dead VM's part of the rates is idle for that long), a shorter read interval (cost grows with the square of the fleet).

Measured on virtual time, 300 VMs: before, slots unused within ten quiet minutes, with a tenth frozen for 10 s at a time, and during 30 s without the store (three tests failed); now every VM can spend its slots in each second and none is reclaimed. A joining VM costs under 60 calls beside the usual.

--- a/include/bergamotstage/pooling/FleetRows.h
+++ b/include/bergamotstage/pooling/FleetRows.h
@@ -35,24 +35,28 @@
   using PlatformCallback = std::function<void(const PlatformAnswer &)>;
   struct Hooks {
     std::function<void(PlatformRequest, PlatformCallback)> CallPlatform;
-    /// Reports the plan and the slots of it that this VM may use.
+    /// Reports the plan and the slots of it that this VM may use until its
+    /// lease ends.
     std::function<void(std::shared_ptr<const RatePlan>,
-                       const std::set<RatePlan::Slot> &Usable)>
+                       const std::set<RatePlan::Slot> &Usable,
+                       Instant LeaseEnd)>
         OnPlanChanged;
     std::function<void(const std::vector<MemberState> &)> OnMembersListed;
   };
 
-  static constexpr Duration ShareLeaseDuration = seconds(45);
+  static constexpr Duration ShareLeaseDuration = seconds(55);
   static constexpr Duration ShareReclaimDelay = seconds(60);
 
   FleetRows(Context &Ctx, MemberState Self, Hooks Callbacks)
       : m_Context(Ctx), m_Self(std::move(Self)), m_Hooks(std::move(Callbacks)) {
   }
 
-  /// @brief Writes this VM's row, then reads all rows periodically.
+  /// @brief Writes this VM's row, then renews it and reads all rows
+  /// periodically.
   void start();
 
-  /// @brief Reads the rows ahead of schedule, for example after a VM joined.
+  /// @brief Reads the rows ahead of schedule after a VM joined, if this VM is
+  /// the one that gives it slots.
   void requestRefresh();
 
   /// @brief Returns the lease of a group as last read.
@@ -76,13 +80,17 @@
 
   void renewMemberRow();
   void readRows();
-  void scheduleNext(Duration Span);
+  void scheduleRead(Duration Span);
+  void scheduleRenewal(Duration Span);
+  Duration readInterval();
+  Duration nextRetryDelay();
   void onRowsRead(const RowsRead &Rows, Instant RequestedAt);
   void applyPlan();
   void createPlan();
   void rebalance();
   bool reclaimExpiredSlots();
   void giveSlotsToSmallest();
+  bool isGiver() const;
   void writePlan(const RatePlan &Next,
                  const std::optional<ObservedRow> &Removed);
 
@@ -105,7 +113,9 @@
   std::uint64_t m_PendingWriteVersion = NoVersion;
   Instant m_LastWriteEndedAt{};
   std::map<DatabaseId, PromotionLease> m_Leases;
-  std::optional<TimerId> m_Timer;
+  std::optional<TimerId> m_ReadTimer;
+  std::optional<TimerId> m_LeaseTimer; ///< Runs when the lease ends.
+  Duration m_RetryDelay = milliseconds(400);
 };
 
 } // namespace bergamotstage::pooling
--- a/include/bergamotstage/pooling/RatePlan.h
+++ b/include/bergamotstage/pooling/RatePlan.h
@@ -4,6 +4,7 @@
 #include "bergamotstage/core/Ids.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -39,6 +40,8 @@
   double share(const AccountId &Account, const std::set<Slot> &Usable) const;
   /// @brief Distinct VMs that hold slots of an account.
   std::vector<VmId> holders(const AccountId &Account) const;
+  /// @brief Number of slots of each VM that holds any.
+  std::map<VmId, std::size_t> slotCounts() const;
   /// @brief Distinct VMs that hold slots.
   std::set<VmId> holders() const;
 
--- a/include/bergamotstage/pooling/RateShare.h
+++ b/include/bergamotstage/pooling/RateShare.h
@@ -42,8 +42,10 @@
   void configure(const std::map<AccountId, AccountConfig> &Accounts);
 
   /// @brief Sets the plan and the slots that this VM may spend.
+  /// @param LeaseEnd nothing of the slots is spent or lent from then on, also
+  /// if this VM was frozen and runs again later
   void setPlan(std::shared_ptr<const RatePlan> Plan,
-               const std::set<RatePlan::Slot> &Usable);
+               const std::set<RatePlan::Slot> &Usable, Instant LeaseEnd);
   /// @brief Enables requests for loans; this VM always lends.
   void setBorrowing(bool Enabled) { m_BorrowingEnabled = Enabled; }
   /// @brief Number of slots that this VM may spend.
@@ -90,6 +92,7 @@
 
   void applyContract(AccountState &State);
   void creditStartup(AccountState &State);
+  TokenCount ownTokens(AccountState &State);
   TokenCount available(AccountState &State);
   bool consumeToken(AccountState &State);
   void recordDemand(AccountState &State);
@@ -103,6 +106,7 @@
   PeersHook m_Peers;
   std::shared_ptr<const RatePlan> m_Plan;
   std::set<RatePlan::Slot> m_Usable;
+  Instant m_LeaseEnd{};
   bool m_BorrowingEnabled = true;
   bool m_Started = false; ///< Slots were assigned before.
   std::map<AccountId, AccountState> m_Accounts;
--- a/src/pooling/FleetRows.cpp
+++ b/src/pooling/FleetRows.cpp
@@ -12,12 +12,17 @@
 namespace {
 
 /// Read interval, with a jitter of 20 %. Calls of the store cost money: the
-/// interval grows with the fleet, which keeps to about four calls per second.
+/// interval grows with the fleet, which keeps to about four reads per second. A
+/// VM without slots reads at the shortest one, as it waits for some.
 constexpr Duration ReadInterval = seconds(10);
 constexpr Duration ReadIntervalPerVm = milliseconds(250);
+/// Longest time between two renewals. The lease outlasts a missed renewal and
+/// 30 s without the store.
 constexpr Duration RenewInterval = seconds(20);
-/// Retry interval after a failure; short so that a starting VM serves soon.
+/// Retry interval after a failure, doubled up to the limit. It begins short so
+/// that a starting VM serves soon.
 constexpr Duration RetryInterval = milliseconds(400);
+constexpr Duration MaxRetryInterval = milliseconds(1600);
 /// Time in which all VMs of a new fleet have written their rows.
 constexpr Duration FirstStartDelay = milliseconds(1500);
 /// A write that timed out may still take effect within this time.
@@ -69,23 +74,29 @@
   renewMemberRow();
 }
 
-void FleetRows::scheduleNext(Duration Span) {
-  if (m_Timer)
-    m_Context.timers().cancel(*m_Timer);
-  m_Timer = m_Context.scheduleAfter(Span, [this] {
-    m_Timer.reset();
-    applyPlan();
-    bool Due = !m_RenewedAt || *m_RenewedAt + RenewInterval <= m_Context.now();
-    if (Due)
-      renewMemberRow();
-    else
-      readRows();
+void FleetRows::scheduleRead(Duration Span) {
+  if (m_ReadTimer)
+    m_Context.timers().cancel(*m_ReadTimer);
+  m_ReadTimer = m_Context.scheduleAfter(Span, [this] {
+    m_ReadTimer.reset();
+    readRows();
   });
 }
 
+void FleetRows::scheduleRenewal(Duration Span) {
+  m_Context.scheduleAfter(Span, [this] { renewMemberRow(); });
+}
+
+/// @brief Delay before the next try after a failed call.
+Duration FleetRows::nextRetryDelay() {
+  Duration Delay = m_RetryDelay;
+  m_RetryDelay = std::min(2 * m_RetryDelay, MaxRetryInterval);
+  return Delay;
+}
+
 void FleetRows::requestRefresh() {
-  if (!m_ReadInFlight && m_Loaded)
-    scheduleNext(RetryInterval);
+  if (!m_ReadInFlight && m_Loaded && isGiver())
+    scheduleRead(RetryInterval);
 }
 
 void FleetRows::renewMemberRow() {
@@ -98,13 +109,20 @@
         const auto *Decided = std::get_if<WriteDecided>(&Answer);
         if (Decided == nullptr || !Decided->Applied) {
           m_Context.log(WriteLog::Level::Warning, "member_row_not_written", {});
-          return scheduleNext(RetryInterval);
+          return scheduleRenewal(nextRetryDelay());
         }
+        m_RetryDelay = RetryInterval;
         // Another VM may have reclaimed the share before this renewal.
         if (m_RenewedAt && *m_RenewedAt + ShareLeaseDuration < SentAt)
           m_PlanConfirmed = false;
         m_RenewedAt = SentAt;
-        readRows();
+        // VMs that started together would renew together.
+        std::uniform_real_distribution<double> Spread(0.8, 1.0);
+        Duration Interval = scaled(RenewInterval, Spread(m_Context.random()));
+        scheduleRenewal(SentAt + Interval - m_Context.now());
+        if (!m_Loaded || !m_PlanConfirmed)
+          return readRows();
+        applyPlan();
       });
 }
 
@@ -113,20 +131,28 @@
     return;
   m_ReadInFlight = true;
   Instant RequestedAt = m_Context.now();
-  m_Hooks.CallPlatform(
-      ReadRows{AllRows}, [this, RequestedAt](const PlatformAnswer &ReadAnswer) {
-        m_ReadInFlight = false;
-        const auto *Rows = std::get_if<RowsRead>(&ReadAnswer);
-        if (Rows == nullptr)
-          return scheduleNext(RetryInterval);
-        onRowsRead(*Rows, RequestedAt);
-        bool PlanMissing = !m_Plan;
-        std::uniform_real_distribution<double> Jitter(0.8, 1.2);
-        Duration Span = scaled(
-            std::max<Duration>(ReadInterval, ReadIntervalPerVm * m_Rows.size()),
-            Jitter(m_Context.random()));
-        scheduleNext(PlanMissing ? FirstStartDelay : Span);
-      });
+  m_Hooks.CallPlatform(ReadRows{AllRows},
+                       [this, RequestedAt](const PlatformAnswer &ReadAnswer) {
+                         m_ReadInFlight = false;
+                         const auto *Rows = std::get_if<RowsRead>(&ReadAnswer);
+                         if (Rows == nullptr)
+                           return scheduleRead(nextRetryDelay());
+                         m_RetryDelay = RetryInterval;
+                         onRowsRead(*Rows, RequestedAt);
+                         scheduleRead(readInterval());
+                       });
+}
+
+Duration FleetRows::readInterval() {
+  if (!m_Plan)
+    return FirstStartDelay;
+  std::uniform_real_distribution<double> Jitter(0.8, 1.2);
+  Duration Shortest = ReadInterval;
+  bool HasSlots = !m_Plan->slotsOf(m_Self.Vm).empty();
+  Duration Span =
+      HasSlots ? std::max<Duration>(Shortest, ReadIntervalPerVm * m_Rows.size())
+               : Shortest;
+  return scaled(Span, Jitter(m_Context.random()));
 }
 
 void FleetRows::onRowsRead(const RowsRead &Read, Instant RequestedAt) {
@@ -177,9 +203,9 @@
 }
 
 void FleetRows::applyPlan() {
-  bool Renewed = m_RenewedAt &&
-                 m_Context.now() < *m_RenewedAt + ShareLeaseDuration &&
-                 m_PlanConfirmed;
+  Instant LeaseEnd =
+      m_RenewedAt ? *m_RenewedAt + ShareLeaseDuration : Instant();
+  bool Renewed = m_Context.now() < LeaseEnd && m_PlanConfirmed;
   std::set<RatePlan::Slot> Usable;
   if (m_Plan && Renewed)
     Usable = m_Plan->slotsOf(m_Self.Vm);
@@ -190,7 +216,15 @@
                           std::inserter(Common, Common.end()));
     Usable = std::move(Common);
   }
-  m_Hooks.OnPlanChanged(m_Plan, Usable);
+  m_Hooks.OnPlanChanged(m_Plan, Usable, LeaseEnd);
+  if (m_LeaseTimer)
+    m_Context.timers().cancel(*m_LeaseTimer);
+  m_LeaseTimer.reset();
+  if (!Usable.empty())
+    m_LeaseTimer = m_Context.timers().schedule(LeaseEnd, [this] {
+      m_LeaseTimer.reset();
+      applyPlan();
+    });
 }
 
 void FleetRows::rebalance() {
@@ -237,8 +271,23 @@
   return false;
 }
 
+/// @brief Whether this VM is the first of those that hold the most slots.
+///
+/// Only this one gives slots away: many VMs have one to spare when a VM joins a
+/// large fleet, and their writes would conflict.
+bool FleetRows::isGiver() const {
+  if (!m_Plan)
+    return false;
+  std::map<VmId, std::size_t> Slots = m_Plan->slotCounts();
+  auto Most = std::max_element(Slots.begin(), Slots.end(),
+                               [](const auto &Left, const auto &Right) {
+                                 return Left.second < Right.second;
+                               });
+  return Most != Slots.end() && Most->first == m_Self.Vm;
+}
+
 void FleetRows::giveSlotsToSmallest() {
-  if (m_Rows.empty())
+  if (m_Rows.empty() || !isGiver())
     return;
   std::size_t FairShare = m_Plan->size() / m_Rows.size();
   std::size_t OwnSlots = m_Plan->slotsOf(m_Self.Vm).size();
@@ -246,8 +295,9 @@
     return;
   std::optional<VmId> Smallest;
   std::size_t SmallestSlots = 0;
+  std::map<VmId, std::size_t> Slots = m_Plan->slotCounts();
   for (const auto &[Vm, Row] : m_Rows) {
-    std::size_t SlotCount = m_Plan->slotsOf(Vm).size();
+    std::size_t SlotCount = Slots[Vm];
     if (Vm != m_Self.Vm && (!Smallest || SlotCount < SmallestSlots)) {
       Smallest = Vm;
       SmallestSlots = SlotCount;
--- a/src/pooling/PoolNodeHooks.cpp
+++ b/src/pooling/PoolNodeHooks.cpp
@@ -97,12 +97,13 @@
   FleetRows::Hooks Callbacks;
   Callbacks.CallPlatform = m_Hooks.CallPlatform;
   Callbacks.OnPlanChanged = [this](std::shared_ptr<const RatePlan> Plan,
-                                   const std::set<RatePlan::Slot> &Usable) {
+                                   const std::set<RatePlan::Slot> &Usable,
+                                   Instant LeaseEnd) {
     if (Usable.size() != m_Rates.slotCount())
       m_Context.log(WriteLog::Level::Info, "rate_slots_changed",
                     {{"slots", std::to_string(Usable.size())},
                      {"of", std::to_string(Plan ? Plan->size() : 0)}});
-    m_Rates.setPlan(std::move(Plan), Usable);
+    m_Rates.setPlan(std::move(Plan), Usable, LeaseEnd);
   };
   Callbacks.OnMembersListed = [this](const std::vector<MemberState> &Members) {
     onMembersListed(Members);
--- a/src/pooling/RatePlan.cpp
+++ b/src/pooling/RatePlan.cpp
@@ -93,6 +93,13 @@
   return {Distinct.begin(), Distinct.end()};
 }
 
+std::map<VmId, std::size_t> RatePlan::slotCounts() const {
+  std::map<VmId, std::size_t> Counts;
+  for (const VmId &Holder : m_Holders)
+    ++Counts[Holder];
+  return Counts;
+}
+
 std::set<VmId> RatePlan::holders() const {
   return {m_Holders.begin(), m_Holders.end()};
 }
--- a/src/pooling/RateShare.cpp
+++ b/src/pooling/RateShare.cpp
@@ -70,9 +70,14 @@
 }
 
 void RateShare::setPlan(std::shared_ptr<const RatePlan> Plan,
-                        const std::set<RatePlan::Slot> &Usable) {
+                        const std::set<RatePlan::Slot> &Usable,
+                        Instant LeaseEnd) {
+  bool Same = m_Plan == Plan && m_Usable == Usable;
   m_Plan = std::move(Plan);
   m_Usable = Usable;
+  m_LeaseEnd = LeaseEnd;
+  if (Same)
+    return;
   for (auto &[Id, State] : m_Accounts)
     applyContract(State);
   if (m_Started || m_Usable.empty())
@@ -99,10 +104,17 @@
       m_Plan ? m_Plan->holders(State.Contract.Id) : std::vector<VmId>();
 }
 
+/// @brief Tokens of this VM's own slots.
+TokenCount RateShare::ownTokens(AccountState &State) {
+  if (m_Context.now() >= m_LeaseEnd)
+    return {};
+  return State.Bucket.available(m_Context.now());
+}
+
 TokenCount RateShare::available(AccountState &State) {
   if (State.BorrowedAt + BorrowedLifetime < m_Context.now())
     State.Borrowed = {};
-  return State.Bucket.available(m_Context.now()) + State.Borrowed;
+  return ownTokens(State) + State.Borrowed;
 }
 
 bool RateShare::consumeToken(AccountState &State) {
@@ -277,7 +289,7 @@
     // Without admissions the demand is not updated.
     if (State.WindowStart + 4 * DemandWindow < m_Context.now())
       State.Demand = 0;
-    TokenCount Available = State.Bucket.available(m_Context.now());
+    TokenCount Available = ownTokens(State);
     TokenCount Reserved = tokens(State.Demand * ReservedDemandSeconds);
     TokenCount Spare = State.Pending.empty() && Reserved < Available
                            ? Available - Reserved
--- a/test/unit-pool-rate.cpp
+++ b/test/unit-pool-rate.cpp
@@ -57,8 +57,8 @@
     First.configure(Accounts);
     Second.configure(Accounts);
     auto Plan = std::make_shared<const RatePlan>(RatePlan::uniform(vmNames(2)));
-    First.setPlan(Plan, Plan->slotsOf(VmId("vm-0")));
-    Second.setPlan(Plan, Plan->slotsOf(VmId("vm-1")));
+    First.setPlan(Plan, Plan->slotsOf(VmId("vm-0")), Instant::max());
+    Second.setPlan(Plan, Plan->slotsOf(VmId("vm-1")), Instant::max());
     advance(seconds(20));
   }
 
@@ -186,7 +186,7 @@
 TEST(RateShare, RetryAfterCoversLoansOfAVmWithoutSlots) {
   TwoVms Both(10, 1);
   auto Plan = std::make_shared<const RatePlan>(RatePlan::uniform(vmNames(2)));
-  Both.First.setPlan(Plan, {});
+  Both.First.setPlan(Plan, {}, Instant::max());
   RateShare::Decision Made{true, {}};
   for (unsigned Count = 0; Count < 3; ++Count) {
     Both.First.admit(Ward,
@@ -200,10 +200,23 @@
 
 TEST(RateShare, WithoutAPlanNothingIsSpent) {
   TwoVms Both(10, 10);
-  Both.First.setPlan(nullptr, {});
+  Both.First.setPlan(nullptr, {}, Instant::max());
   LONGS_EQUAL(0, admitted(Both.First, 5));
 }
 
+TEST(RateShare, NothingIsSpentOrLentAfterTheLease) {
+  TwoVms Both(10, 10);
+  auto Plan = std::make_shared<const RatePlan>(RatePlan::uniform(vmNames(2)));
+  Both.First.setPlan(Plan, Plan->slotsOf(VmId("vm-0")),
+                     Both.FirstCtx.now() + seconds(5));
+  // The VM runs again after a freeze; no timer has run yet.
+  Both.FirstCtx.setNow(Both.FirstCtx.now() + seconds(6));
+  LONGS_EQUAL(0, admitted(Both.First, 5));
+  Both.ToSecond.clear();
+  Both.First.onTokenMessage(VmId("vm-1"), TokenRequest{Ward, 1000});
+  LONGS_EQUAL(0, std::get<TokenGrant>(Both.ToSecond.back()).MilliTokens);
+}
+
 TEST(RateShare, ALowerLimitRemovesExcessTokens) {
   TwoVms Both(100, 100);
   std::map<AccountId, AccountConfig> Lower{{Ward, {Ward, 4, 4}}};
--- a/test/unit-pool-store.cpp
+++ b/test/unit-pool-store.cpp
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -23,6 +24,8 @@
 
   void call(const PlatformRequest &Request, const Callback &OnAnswer) {
     ++Calls;
+    if (Down)
+      return OnAnswer(PlatformFailed{false, "status 503"});
     if (LoseNextWrite && std::holds_alternative<ConditionalWrite>(Request)) {
       LoseNextWrite = false;
       LateWrites.push_back(std::get<ConditionalWrite>(Request));
@@ -66,6 +69,7 @@
   std::map<std::string, TableRow> Rows;
   std::vector<ConditionalWrite> LateWrites;
   bool LoseNextWrite = false;
+  bool Down = false;
   unsigned Calls = 0;
 
 private:
@@ -76,6 +80,7 @@
 struct RowsOfVm {
   Context Ctx;
   std::size_t Usable = 0;
+  unsigned Reclaims = 0;
   std::vector<MemberState> Listed;
   FleetRows Rows;
 
@@ -86,6 +91,9 @@
               true, false},
              hooks(Store)) {
     Ctx.setNow(Instant(seconds(100)));
+    Ctx.setLogHook([this](const WriteLog &Entry) {
+      Reclaims += Entry.EventName == "rate_slots_inherited" ? 1 : 0;
+    });
   }
 
   FleetRows::Hooks hooks(RowStore &Store) {
@@ -95,8 +103,9 @@
       Store.call(Request, OnAnswer);
     };
     Callbacks.OnPlanChanged = [this](const std::shared_ptr<const RatePlan> &,
-                                     const std::set<RatePlan::Slot> &Slots) {
-      Usable = Slots.size();
+                                     const std::set<RatePlan::Slot> &Slots,
+                                     Instant LeaseEnd) {
+      Usable = Ctx.now() < LeaseEnd ? Slots.size() : 0;
     };
     Callbacks.OnMembersListed =
         [this](const std::vector<MemberState> &Members) { Listed = Members; };
@@ -126,6 +135,21 @@
           Vms[Index].advance(Step);
   }
 
+  /// Lets VMs that were left out run again at the time of the others.
+  void thaw(const std::set<std::size_t> &Frozen, Instant Now) {
+    for (std::size_t Index : Frozen) {
+      Vms[Index].Ctx.setNow(Now);
+      Vms[Index].Ctx.timers().runDue(Now);
+    }
+  }
+
+  /// Whether all VMs hold their slots of a new plan and no VM lost any.
+  bool allSlotsUsable(std::size_t SlotsPerVm) const {
+    return std::all_of(Vms.begin(), Vms.end(), [&](const RowsOfVm &Vm) {
+      return Vm.Usable == SlotsPerVm && Vm.Reclaims == 0;
+    });
+  }
+
   std::size_t totalUsable() const {
     std::size_t Total = 0;
     for (const RowsOfVm &Vm : Vms)
@@ -156,6 +180,57 @@
   LONGS_EQUAL(12, All.totalUsable());
 }
 
+TEST(FleetRows, ALargeFleetKeepsItsSlots) {
+  Fleet All(300);
+  All.advance(seconds(20));
+  for (int Second = 0; Second < 600; ++Second) {
+    All.advance(seconds(1));
+    CHECK_TRUE(All.allSlotsUsable(3));
+  }
+}
+
+TEST(FleetRows, ALargeFleetKeepsItsSlotsWhileAPartOfItIsFrozen) {
+  Fleet All(300);
+  All.advance(seconds(20));
+  for (std::size_t First = 0; First < 10; ++First) {
+    std::set<std::size_t> Frozen;
+    for (std::size_t Vm = First; Vm < 300; Vm += 10)
+      Frozen.insert(Vm);
+    All.advance(seconds(10), Frozen);
+    All.thaw(Frozen, All.Vms[(First + 1) % 10].Ctx.now());
+    CHECK_TRUE(All.allSlotsUsable(3));
+  }
+}
+
+TEST(FleetRows, ALargeFleetKeepsItsSlotsDuringAStoreOutage) {
+  Fleet All(300);
+  for (int Round = 0; Round < 4; ++Round) {
+    All.advance(seconds(23));
+    All.Store.Down = true;
+    All.advance(seconds(30));
+    CHECK_TRUE(All.allSlotsUsable(3));
+    All.Store.Down = false;
+    All.advance(seconds(10));
+    CHECK_TRUE(All.allSlotsUsable(3));
+  }
+}
+
+TEST(FleetRows, AVmThatJoinsALargeFleetCausesFewCalls) {
+  Fleet All(300);
+  All.advance(seconds(20));
+  unsigned Before = All.Store.Calls;
+  All.advance(seconds(20));
+  unsigned Usual = All.Store.Calls - Before;
+  All.Vms.emplace_back(All.Store, "vm-new");
+  All.Vms.back().Rows.start();
+  for (RowsOfVm &Vm : All.Vms)
+    Vm.Rows.requestRefresh();
+  Before = All.Store.Calls;
+  All.advance(seconds(20));
+  CHECK_TRUE(All.Vms.back().Usable > 0);
+  CHECK_TRUE(All.Store.Calls - Before < Usual + 60);
+}
+
 TEST(FleetRows, AVmStopsUsingItsSlotsBeforeTheyAreReclaimed) {
   Fleet All(3);
   All.advance(seconds(5));
