Number a reader's lists from a random base

Cause: a VM that distributes the targets numbered its lists from 1 in each process. A subscriber that had applied list 3 of the process before took list 3 of the new one for the same and kept targets that had left since. Change: the first list of a process has a random number.

--- a/src/pooling/StoreReaders.cpp
+++ b/src/pooling/StoreReaders.cpp
@@ -134,7 +134,12 @@
   publish(std::move(Update));
 }
 
-void StoreReaders::onTargetsListed() { ++m_ListVersion; }
+void StoreReaders::onTargetsListed() {
+  // Other VMs may still know a version of the process before this one.
+  if (m_ListVersion == 0)
+    m_ListVersion = m_Context.random()() >> 1U;
+  ++m_ListVersion;
+}
 
 void StoreReaders::onConfigChanged() { publish(makeUpdate()); }
 
