Let a starting VM list the tables without following them

Change: it reads both tables once and then asks the readers, as any VM does; it follows only if it is a reader or if no valid update has come 2.5 s after its start, the bound that held before. Without a plan it reads the rows when it is due to create one itself.

--- a/include/bergamotstage/pooling/FleetRows.h
+++ b/include/bergamotstage/pooling/FleetRows.h
@@ -86,6 +86,7 @@
   Duration nextRetryDelay();
   void onRowsRead(const RowsRead &Rows, Instant RequestedAt);
   void applyPlan();
+  Instant planDueAt() const;
   void createPlan();
   void rebalance();
   bool reclaimExpiredSlots();
--- a/include/bergamotstage/pooling/StoreReaders.h
+++ b/include/bergamotstage/pooling/StoreReaders.h
@@ -38,6 +38,8 @@
       : m_Context(Ctx), m_Hooks(std::move(Callbacks)) {}
 
   /// @brief Starts polling the readers and, where needed, following the store.
+  ///
+  /// To be called when this VM begins to read all tables once.
   void start();
 
   /// @brief The store answered a request of this VM.
@@ -65,7 +67,7 @@
 
   Context &m_Context;
   Hooks m_Hooks;
-  bool m_Following = true;
+  bool m_Following = false;
   Instant m_LastStoreResponse{};
   Instant m_UpdatesValidUntil{};   ///< End of the validity of readers' updates.
   std::uint64_t m_ListVersion = 0; ///< Version of this VM's own list.
--- a/src/pooling/FleetRows.cpp
+++ b/src/pooling/FleetRows.cpp
@@ -144,8 +144,11 @@
 }
 
 Duration FleetRows::readInterval() {
+  // The last read was requested before the renewal took effect.
+  if (m_RenewedAt && !m_PlanConfirmed)
+    return RetryInterval;
   if (!m_Plan)
-    return FirstStartDelay;
+    return std::max(RetryInterval, planDueAt() - m_Context.now());
   std::uniform_real_distribution<double> Jitter(0.8, 1.2);
   Duration Shortest = ReadInterval;
   bool HasSlots = !m_Plan->slotsOf(m_Self.Vm).empty();
@@ -232,11 +235,7 @@
     return;
   bool Create = !m_Plan && m_PlanVersion == 0;
   if (Create) {
-    // Every VM of a new fleet sees that there is no plan. The first in order
-    // creates it; the others do so only if it fails to.
-    bool First = !m_Rows.empty() && m_Rows.begin()->first == m_Self.Vm;
-    Duration Wait = First ? FirstStartDelay : 2 * FirstStartDelay;
-    if (m_Context.now() >= m_StartedAt + Wait)
+    if (m_Context.now() >= planDueAt())
       createPlan();
     return;
   }
@@ -245,6 +244,14 @@
   giveSlotsToSmallest();
 }
 
+/// @brief When this VM creates the plan of a new fleet, if there is none yet.
+///
+/// The first VM in order creates it; the others do so only if it fails to.
+Instant FleetRows::planDueAt() const {
+  bool First = !m_Rows.empty() && m_Rows.begin()->first == m_Self.Vm;
+  return m_StartedAt + (First ? FirstStartDelay : 2 * FirstStartDelay);
+}
+
 void FleetRows::createPlan() {
   std::vector<VmId> Vms;
   for (const auto &[Vm, Row] : m_Rows)
--- a/src/runtime/site/TableFollower.cpp
+++ b/src/runtime/site/TableFollower.cpp
@@ -35,8 +35,8 @@
 }
 
 void TableFollower::startNextCall() {
-  m_Scheduled = m_Active;
-  if (!m_Active)
+  m_Scheduled = m_Active || !m_Listed;
+  if (!m_Scheduled)
     return;
   if (m_Synchronized)
     return waitForChanges();
@@ -86,6 +86,7 @@
                    if (Parsed->HasMore && !Parsed->Rows.empty())
                      return readPages(Parsed->Rows.back().Key);
                    m_Synchronized = true;
+                   m_Listed = true;
                    m_Hooks.Listed(m_Rows);
                    m_Rows.clear();
                    startNextCall();
--- a/src/runtime/site/TableFollower.h
+++ b/src/runtime/site/TableFollower.h
@@ -15,8 +15,9 @@
 
 /// @brief Keeps track of one table of the store.
 ///
-/// It reads the whole table and then long-polls for changes. It reads the whole
-/// table again when the store no longer has the required history.
+/// It reads the whole table once. While active it long-polls for changes and
+/// reads the whole table again when the store no longer has the required
+/// history.
 class TableFollower {
 public:
   struct Hooks {
@@ -36,6 +37,7 @@
   TableFollower(asio::io_context &Io, const std::string &Address,
                 std::string Table, Duration PollTimeout, Hooks Callbacks);
 
+  /// @brief Reads the whole table, also while inactive.
   void start() { startNextCall(); }
   /// @brief Resumes following, or stops after the pending call.
   void setActive(bool Active);
@@ -59,7 +61,8 @@
   Hooks m_Hooks;
   std::uint64_t m_Version = 0;
   bool m_Synchronized = false; ///< Whether m_Version is valid.
-  bool m_Active = true;
+  bool m_Listed = false;       ///< The table has been read since start().
+  bool m_Active = false;
   bool m_Scheduled = false; ///< A call or timer is pending.
   bool m_Reachable = true;
   bool m_Refreshing = false;
--- a/src/standin/site/PoolFleet.cpp
+++ b/src/standin/site/PoolFleet.cpp
@@ -118,7 +118,8 @@
   ++Process.Generation;
   Process.Self.Start = Incarnation(Process.Generation);
   Process.Up = true;
-  Process.Subscribed = true;
+  Process.Subscribed = false;
+  Process.Listed = false;
   Process.Wake.reset();
   Process.Streams.clear();
   PoolNode::Settings NodeSettings;
@@ -136,12 +137,14 @@
 void PoolFleet::readTables(const VmId &Name, std::uint64_t Generation) {
   deliverAfter(Name, Generation, m_Settings.StoreDelay,
                [this, Name, Generation](PoolNode &Node) {
-                 if (!m_Vms.at(Name).Subscribed)
+                 Vm &Reader = m_Vms.at(Name);
+                 if (!Reader.Subscribed && Reader.Listed)
                    return;
                  if (m_StoreDown)
                    return after(StoreRetry, [this, Name, Generation] {
                      readTables(Name, Generation);
                    });
+                 Reader.Listed = true;
                  std::vector<pooling::TargetEntry> All;
                  for (const auto &[Target, Unused] : m_Targets)
                    All.push_back(targetEntry(Target));
--- a/src/standin/site/PoolFleet.h
+++ b/src/standin/site/PoolFleet.h
@@ -108,7 +108,8 @@
     /// Counts the starts of its process; events for earlier ones are dropped.
     std::uint64_t Generation = 0;
     Instant FrozenUntil{};
-    bool Subscribed = true;
+    bool Subscribed = false;
+    bool Listed = false; ///< Has read all tables since its start.
     bool Up = false;
     std::optional<Instant> Wake;
     std::set<VmId> Streams; ///< VMs to which it has opened a stream.
--- a/test/unit-pool-store.cpp
+++ b/test/unit-pool-store.cpp
@@ -312,16 +312,17 @@
 struct ReaderVm {
   Context Ctx;
   RankedMembers Members;
-  bool Following = true;
+  bool Following = false;
   std::uint64_t Config = 1;
   std::vector<TargetEntry> Targets;
   std::vector<std::pair<VmId, FleetMessage>> Sent;
   unsigned Applied = 0;
   StoreReaders Readers;
 
-  explicit ReaderVm(const std::string &Name, const MemberMap &Fleet)
-      : Ctx(VmId(Name), DataCentreId("east"), 1), Members(Fleet.at(VmId(Name))),
-        Readers(Ctx, hooks()) {
+  ReaderVm(const std::string &Name, const MemberMap &Fleet,
+           std::uint64_t Seed = 1)
+      : Ctx(VmId(Name), DataCentreId("east"), Seed),
+        Members(Fleet.at(VmId(Name))), Readers(Ctx, hooks()) {
     for (const auto &[Vm, Member] : Fleet)
       Members.upsert(Member);
     Ctx.setNow(Instant(seconds(100)));
@@ -410,6 +411,36 @@
   LONGS_EQUAL(2, All.followerCount());
 }
 
+TEST(StoreReaders, MostVmsNeverFollowTheStoreAtTheirStart) {
+  ReaderFleet All;
+  for (int Step = 0; Step < 60; ++Step) {
+    All.advance(milliseconds(50), true);
+    CHECK_TRUE(All.followerCount() <= 2);
+  }
+}
+
+TEST(StoreReaders, AReadersEarlierProcessIsNotTakenForItsNewOne) {
+  // Both have read as many lists and changes, of different targets.
+  MemberMap Fleet;
+  for (const char *Name : {"vm-r", "vm-x"})
+    Fleet[VmId(Name)] = {
+        VmId(Name), DataCentreId("east"), "", Incarnation(1), true, false};
+  std::uint64_t Known = 0;
+  for (std::uint64_t Process : {1U, 2U}) {
+    ReaderVm Reader("vm-r", Fleet, Process);
+    Reader.Targets.emplace_back();
+    Reader.Readers.start();
+    Reader.Readers.onTargetsListed();
+    Reader.advance(milliseconds(500));
+    Reader.Readers.onStoreResponse();
+    CHECK_TRUE(Reader.Following);
+    Reader.Readers.onUpdateRequest(VmId("vm-x"), {1, Known, 0});
+    const auto &Update = std::get<StoreUpdate>(Reader.Sent.back().second);
+    LONGS_EQUAL(1, Update.Changed.size());
+    Known = Update.TargetsVersion;
+  }
+}
+
 TEST(StoreReaders, AllFollowOnceTheReadersLoseTheStore) {
   ReaderFleet All;
   All.advance(seconds(4), true);
