Renew the rows of a large fleet in batches

Cause: with a lease of 55 s each VM writes its row every 16 to 20 s: 295 VMs make 16 writes a second, as many as the rest of their calls. Change: from 30 VMs on, a VM asks the first one in rendezvous order, which collects requests for 3 s and writes them in one transaction. The lease counts from the request. Without a reply after 4.5 s, or with a lease older than 35 s, the VM writes its row itself. A renewal that becomes known after the earlier lease had lapsed confirms nothing: the plan is read again, and only a read that began after the renewal was known counts. Ruled out: a longer lease, which leaves a dead VM's part of the rates idle. Measured on virtual time, 300 VMs: under 5 reads a second and a batch every 3 s; all slots usable in each second, also with a silent batcher and through 30 s without the store. A late batch after a reclaim: the test finds two spenders of a slot if only the time of the request is compared.

--- a/include/bergamotstage/pooling/FleetMessage.h
+++ b/include/bergamotstage/pooling/FleetMessage.h
@@ -137,6 +137,16 @@
   return Instant(Duration(static_cast<Duration::rep>(Timestamp)));
 }
 
+/// @brief Asks another VM to write this VM's row in a batch.
+struct RenewalRequest {
+  std::string Row;             ///< Value of the row.
+  std::uint64_t Timestamp = 0; ///< Requester's clock; echoed.
+};
+struct RenewalReply {
+  std::uint64_t Timestamp = 0; ///< Of the request.
+  bool Renewed = false;        ///< Otherwise the row may or may not be written.
+};
+
 /// @brief Any message between two VMs. The position of an alternative is its
 /// tag on the wire.
 using FleetMessage =
@@ -144,7 +154,7 @@
                  AbortOperation, StatementReply, ProofRequest, ProofReply,
                  TokenRequest, TokenGrant, PrimarySuspected, TargetAlive,
                  Promoted, ConfigRequest, ConfigText, StoreUpdateRequest,
-                 StoreUpdate>;
+                 StoreUpdate, RenewalRequest, RenewalReply>;
 
 /// @brief Serializes a message. Complexity: linear in its size.
 std::string encodeMessage(const FleetMessage &Message);
--- a/include/bergamotstage/pooling/FleetRows.h
+++ b/include/bergamotstage/pooling/FleetRows.h
@@ -4,6 +4,7 @@
 #include "bergamotstage/core/PlatformApi.h"
 #include "bergamotstage/fleet/MemberState.h"
 #include "bergamotstage/pooling/Context.h"
+#include "bergamotstage/pooling/FleetMessage.h"
 #include "bergamotstage/pooling/RatePlan.h"
 
 #include <functional>
@@ -23,6 +24,9 @@
   std::uint64_t Version = 0;      ///< Row version.
 };
 
+/// @brief Key of the row that a VM renews.
+std::string memberRowKey(const VmId &Vm);
+
 /// @brief Reads and writes the fleet's rows in the platform's store: one per
 /// VM, one with the shares of the rates, one per promotion lease.
 ///
@@ -35,6 +39,8 @@
   using PlatformCallback = std::function<void(const PlatformAnswer &)>;
   struct Hooks {
     std::function<void(PlatformRequest, PlatformCallback)> CallPlatform;
+    /// Asks another VM to renew the row; false if this VM is to do so.
+    std::function<bool(RenewalRequest)> RequestRenewal;
     /// Reports the plan and the slots of it that this VM may use until its
     /// lease ends.
     std::function<void(std::shared_ptr<const RatePlan>,
@@ -59,6 +65,9 @@
   /// the one that gives it slots.
   void requestRefresh();
 
+  /// @brief Handles the reply to RequestRenewal.
+  void onRenewalReply(const RenewalReply &Reply);
+
   /// @brief Returns the lease of a group as last read.
   std::optional<PromotionLease> promotionLease(const DatabaseId &Group) const;
 
@@ -79,6 +88,8 @@
   };
 
   void renewMemberRow();
+  void writeMemberRow();
+  void onRenewed(Instant SentAt);
   void readRows();
   void scheduleRead(Duration Span);
   void scheduleRenewal(Duration Span);
@@ -104,6 +115,9 @@
   bool m_PlanConfirmed = false; ///< Plan read since the last renewal.
   Instant m_StartedAt{};
   std::optional<Instant> m_RenewedAt; ///< Send time of the last renewal.
+  Instant m_RenewalKnownAt{};         ///< When its outcome was known.
+  std::optional<Instant> m_RenewalRequestedAt; ///< Of a pending request.
+  std::optional<TimerId> m_RenewalTimer;
   std::map<VmId, ObservedRow> m_Rows;
   std::shared_ptr<const RatePlan> m_Plan; ///< Null if there is none.
   std::uint64_t m_PlanVersion = 0;
--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -10,6 +10,7 @@
 #include "bergamotstage/pooling/PeerHealth.h"
 #include "bergamotstage/pooling/RankedMembers.h"
 #include "bergamotstage/pooling/RateShare.h"
+#include "bergamotstage/pooling/RenewalBatcher.h"
 #include "bergamotstage/pooling/Sessions.h"
 #include "bergamotstage/pooling/SiteConfig.h"
 #include "bergamotstage/pooling/SitePolicies.h"
@@ -166,6 +167,8 @@
   void handle(const VmId &From, ConfigText &&Body);
   void handle(const VmId &From, StoreUpdateRequest &&Body);
   void handle(const VmId &From, StoreUpdate &&Body);
+  void handle(const VmId &From, RenewalRequest &&Body);
+  void handle(const VmId &From, RenewalReply &&Body);
 
   TargetPool *pool(const TargetId &Id);
   TargetPool *poolOfLink(LinkId Link);
@@ -205,6 +208,7 @@
   TargetSelector m_Selector;
   RateShare m_Rates;
   FleetRows m_Rows;
+  RenewalBatcher m_Renewals;
   StoreReaders m_Readers;
   FailoverController m_Failover;
   Sessions m_Sessions;
--- a/src/pooling/FleetMessage.cpp
+++ b/src/pooling/FleetMessage.cpp
@@ -268,6 +268,14 @@
     for (const TargetId &Id : Body.Removed)
       Out.text(Id.value());
   }
+  void operator()(const RenewalRequest &Body) {
+    Out.text(Body.Row);
+    Out.varint(Body.Timestamp);
+  }
+  void operator()(const RenewalReply &Body) {
+    Out.varint(Body.Timestamp);
+    Out.byte(Body.Renewed ? 1 : 0);
+  }
 };
 
 Hello readHello(ByteReader &In) {
@@ -412,6 +420,18 @@
   }
   case tagOf<StoreUpdate>():
     return readStoreUpdate(In);
+  case tagOf<RenewalRequest>(): {
+    RenewalRequest Body;
+    Body.Row = In.text();
+    Body.Timestamp = In.varint();
+    return Body;
+  }
+  case tagOf<RenewalReply>(): {
+    RenewalReply Body;
+    Body.Timestamp = In.varint();
+    Body.Renewed = In.byte() != 0;
+    return Body;
+  }
   default:
     return std::nullopt;
   }
--- a/src/pooling/FleetRows.cpp
+++ b/src/pooling/FleetRows.cpp
@@ -1,6 +1,7 @@
 #include "bergamotstage/pooling/FleetRows.h"
 
 #include "bergamotstage/core/Parse.h"
+#include "bergamotstage/pooling/RenewalBatcher.h"
 
 #include <algorithm>
 #include <iterator>
@@ -19,19 +20,26 @@
 /// Longest time between two renewals. The lease outlasts a missed renewal and
 /// 30 s without the store.
 constexpr Duration RenewInterval = seconds(20);
-/// Retry interval after a failure, doubled up to the limit. It begins short so
+/// Retry interval after a failure, doubled up to a limit. It begins short so
 /// that a starting VM serves soon.
 constexpr Duration RetryInterval = milliseconds(400);
-constexpr Duration MaxRetryInterval = milliseconds(1600);
+constexpr Duration MaxStartRetryInterval = milliseconds(1600);
+constexpr Duration MaxRetryInterval = seconds(5);
+/// Time for a batch to be collected, written and answered.
+constexpr Duration RenewalReplyTimeout =
+    RenewalBatcher::MaxDelay + milliseconds(1500);
+/// Age of a lease from which this VM does not rely on batches.
+constexpr Duration MaxBatchedLeaseAge = seconds(35);
 /// Time in which all VMs of a new fleet have written their rows.
 constexpr Duration FirstStartDelay = milliseconds(1500);
 /// A write that timed out may still take effect within this time.
 constexpr Duration LateWriteWindow = seconds(15);
 const char *const AllRows = "fleet/";
-const char *const MemberPrefix = "fleet/vm/";
 const char *const LeasePrefix = "fleet/duty/";
 const char *const PlanKey = "fleet/rate";
 
+const char *const MemberPrefix = "fleet/vm/";
+
 bool startsWith(const std::string &Text, const std::string &Prefix) {
   return Text.compare(0, Prefix.size(), Prefix) == 0;
 }
@@ -69,6 +77,8 @@
 
 } // namespace
 
+std::string memberRowKey(const VmId &Vm) { return MemberPrefix + Vm.value(); }
+
 void FleetRows::start() {
   m_StartedAt = m_Context.now();
   renewMemberRow();
@@ -90,7 +100,8 @@
 /// @brief Delay before the next try after a failed call.
 Duration FleetRows::nextRetryDelay() {
   Duration Delay = m_RetryDelay;
-  m_RetryDelay = std::min(2 * m_RetryDelay, MaxRetryInterval);
+  m_RetryDelay = std::min(2 * m_RetryDelay,
+                          m_Loaded ? MaxRetryInterval : MaxStartRetryInterval);
   return Delay;
 }
 
@@ -100,9 +111,36 @@
 }
 
 void FleetRows::renewMemberRow() {
+  Instant Now = m_Context.now();
+  bool Batch = m_RenewedAt && Now < *m_RenewedAt + MaxBatchedLeaseAge &&
+               m_Hooks.RequestRenewal({formatMember(m_Self), toTimestamp(Now)});
+  if (!Batch)
+    return writeMemberRow();
+  m_RenewalRequestedAt = Now;
+  m_RenewalTimer = m_Context.scheduleAfter(RenewalReplyTimeout, [this] {
+    m_RenewalRequestedAt.reset();
+    m_RenewalTimer.reset();
+    writeMemberRow();
+  });
+}
+
+void FleetRows::onRenewalReply(const RenewalReply &Reply) {
+  bool Expected = m_RenewalRequestedAt &&
+                  toTimestamp(*m_RenewalRequestedAt) == Reply.Timestamp;
+  if (!Expected)
+    return;
+  Instant SentAt = *m_RenewalRequestedAt;
+  m_RenewalRequestedAt.reset();
+  m_Context.timers().cancel(*m_RenewalTimer);
+  m_RenewalTimer.reset();
+  if (Reply.Renewed)
+    return onRenewed(SentAt);
+  scheduleRenewal(nextRetryDelay());
+}
+
+void FleetRows::writeMemberRow() {
   ConditionalWrite Write;
-  Write.Changes.push_back(
-      {MemberPrefix + m_Self.Vm.value(), formatMember(m_Self)});
+  Write.Changes.push_back({memberRowKey(m_Self.Vm), formatMember(m_Self)});
   Instant SentAt = m_Context.now();
   m_Hooks.CallPlatform(
       std::move(Write), [this, SentAt](const PlatformAnswer &Answer) {
@@ -111,21 +149,28 @@
           m_Context.log(WriteLog::Level::Warning, "member_row_not_written", {});
           return scheduleRenewal(nextRetryDelay());
         }
-        m_RetryDelay = RetryInterval;
-        // Another VM may have reclaimed the share before this renewal.
-        if (m_RenewedAt && *m_RenewedAt + ShareLeaseDuration < SentAt)
-          m_PlanConfirmed = false;
-        m_RenewedAt = SentAt;
-        // VMs that started together would renew together.
-        std::uniform_real_distribution<double> Spread(0.8, 1.0);
-        Duration Interval = scaled(RenewInterval, Spread(m_Context.random()));
-        scheduleRenewal(SentAt + Interval - m_Context.now());
-        if (!m_Loaded || !m_PlanConfirmed)
-          return readRows();
-        applyPlan();
+        onRenewed(SentAt);
       });
 }
 
+/// @brief Extends the lease from the time at which its renewal was sent.
+void FleetRows::onRenewed(Instant SentAt) {
+  m_RetryDelay = RetryInterval;
+  // The row was written before now, perhaps after another VM had reclaimed the
+  // share under the earlier lease.
+  if (m_RenewedAt && *m_RenewedAt + ShareLeaseDuration < m_Context.now())
+    m_PlanConfirmed = false;
+  m_RenewedAt = SentAt;
+  m_RenewalKnownAt = m_Context.now();
+  // VMs that started together would renew together.
+  std::uniform_real_distribution<double> Spread(0.8, 1.0);
+  Duration Interval = scaled(RenewInterval, Spread(m_Context.random()));
+  scheduleRenewal(SentAt + Interval - m_Context.now());
+  if (!m_Loaded || !m_PlanConfirmed)
+    return readRows();
+  applyPlan();
+}
+
 void FleetRows::readRows() {
   if (m_ReadInFlight)
     return;
@@ -193,7 +238,7 @@
   }
   m_Rows = std::move(Rows);
   m_Loaded = true;
-  if (m_RenewedAt && *m_RenewedAt <= RequestedAt)
+  if (m_RenewedAt && m_RenewalKnownAt <= RequestedAt)
     m_PlanConfirmed = true;
   bool WritePending = m_WriteInFlight || RequestedAt < m_LastWriteEndedAt ||
                       (m_PlanVersion == m_PendingWriteVersion &&
@@ -324,7 +369,7 @@
   Write.Conditions.push_back({PlanKey, m_PlanVersion});
   Write.Changes.push_back({PlanKey, Next.format()});
   if (Removed) {
-    std::string Key = MemberPrefix + Removed->Member.Vm.value();
+    std::string Key = memberRowKey(Removed->Member.Vm);
     Write.Conditions.push_back({Key, Removed->Version});
     Write.Changes.push_back({Key, std::nullopt});
   }
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -63,6 +63,10 @@
           },
           [this] { return peers(); }),
       m_Rows(m_Context, m_Settings.Self, rowHooks()),
+      m_Renewals(m_Context, {m_Hooks.CallPlatform,
+                             [this](const VmId &To, FleetMessage &&Message) {
+                               replyToPeer(To, std::move(Message));
+                             }}),
       m_Readers(m_Context, readerHooks()),
       m_Failover(m_Context, m_Targets, failoverHooks()),
       m_Sessions(m_Context, m_Targets, m_Selector, m_Rates, m_Metrics,
--- a/src/pooling/PoolNodeHooks.cpp
+++ b/src/pooling/PoolNodeHooks.cpp
@@ -5,6 +5,13 @@
 #include <vector>
 
 namespace bergamotstage::pooling {
+namespace {
+
+/// In a smaller fleet few renewals would share a batch.
+constexpr std::size_t MinBatchedVms = 30;
+const char *const RenewalSubject = "member renewals";
+
+} // namespace
 
 Sessions::Hooks PoolNode::sessionHooks() {
   Sessions::Hooks Callbacks;
@@ -96,6 +103,16 @@
 FleetRows::Hooks PoolNode::rowHooks() {
   FleetRows::Hooks Callbacks;
   Callbacks.CallPlatform = m_Hooks.CallPlatform;
+  Callbacks.RequestRenewal = [this](RenewalRequest Request) {
+    if (m_Members.all().size() < MinBatchedVms)
+      return false;
+    std::vector<VmId> Order =
+        m_Members.ownerOrder(RenewalSubject, DataCentreId());
+    if (Order.empty())
+      return false;
+    send(Order.front(), std::move(Request));
+    return true;
+  };
   Callbacks.OnPlanChanged = [this](std::shared_ptr<const RatePlan> Plan,
                                    const std::set<RatePlan::Slot> &Usable,
                                    Instant LeaseEnd) {
--- a/src/pooling/PoolNodeMessages.cpp
+++ b/src/pooling/PoolNodeMessages.cpp
@@ -235,6 +235,14 @@
   m_Readers.onUpdate(From, Body);
 }
 
+void PoolNode::handle(const VmId &From, RenewalRequest &&Body) {
+  m_Renewals.add(From, Body);
+}
+
+void PoolNode::handle(const VmId & /*From*/, RenewalReply &&Body) {
+  m_Rows.onRenewalReply(Body);
+}
+
 // Other VMs.
 
 std::vector<VmId> PoolNode::peers() const {
--- a/test/unit-pool-message.cpp
+++ b/test/unit-pool-message.cpp
@@ -90,7 +90,9 @@
       ConfigRequest{},
       ConfigText{"{}"},
       StoreUpdateRequest{1, 2, 77},
-      Update};
+      Update,
+      RenewalRequest{"east 10.0.0.1:1 5 0.25", 77},
+      RenewalReply{77, true}};
 }
 
 } // namespace
--- a/test/unit-pool-store.cpp
+++ b/test/unit-pool-store.cpp
@@ -1,11 +1,13 @@
 #include "ContextTime.h"
 #include "bergamotstage/pooling/FleetRows.h"
+#include "bergamotstage/pooling/RenewalBatcher.h"
 #include "bergamotstage/pooling/StoreReaders.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -79,9 +81,12 @@
 /// @brief FleetRows of one VM with its own clock.
 struct RowsOfVm {
   Context Ctx;
-  std::size_t Usable = 0;
+  std::size_t Slots = 0;
+  Instant LeaseEnd{};
   unsigned Reclaims = 0;
   std::vector<MemberState> Listed;
+  /// Takes a VM's renewal; false if it has to write the row itself.
+  std::function<bool(const VmId &, const RenewalRequest &)> Batches;
   FleetRows Rows;
 
   RowsOfVm(RowStore &Store, const std::string &Name)
@@ -102,10 +107,14 @@
                                       const RowStore::Callback &OnAnswer) {
       Store.call(Request, OnAnswer);
     };
+    Callbacks.RequestRenewal = [this](RenewalRequest Request) {
+      return Batches && Batches(Ctx.self(), Request);
+    };
     Callbacks.OnPlanChanged = [this](const std::shared_ptr<const RatePlan> &,
-                                     const std::set<RatePlan::Slot> &Slots,
-                                     Instant LeaseEnd) {
-      Usable = Ctx.now() < LeaseEnd ? Slots.size() : 0;
+                                     const std::set<RatePlan::Slot> &Usable,
+                                     Instant UsableUntil) {
+      Slots = Usable.size();
+      LeaseEnd = UsableUntil;
     };
     Callbacks.OnMembersListed =
         [this](const std::vector<MemberState> &Members) { Listed = Members; };
@@ -113,6 +122,9 @@
   }
 
   void advance(Duration Span) { advanceTime(Ctx, Span); }
+
+  /// Number of slots that the VM may spend now.
+  std::size_t usable() const { return Ctx.now() < LeaseEnd ? Slots : 0; }
 };
 
 /// @brief VMs whose clocks advance together.
@@ -146,18 +158,56 @@
   /// Whether all VMs hold their slots of a new plan and no VM lost any.
   bool allSlotsUsable(std::size_t SlotsPerVm) const {
     return std::all_of(Vms.begin(), Vms.end(), [&](const RowsOfVm &Vm) {
-      return Vm.Usable == SlotsPerVm && Vm.Reclaims == 0;
+      return Vm.usable() == SlotsPerVm && Vm.Reclaims == 0;
     });
   }
 
   std::size_t totalUsable() const {
     std::size_t Total = 0;
     for (const RowsOfVm &Vm : Vms)
-      Total += Vm.Usable;
+      Total += Vm.usable();
     return Total;
   }
 };
 
+/// @brief A large fleet whose renewals travel through one VM.
+struct BatchedFleet {
+  Fleet Members{300};
+  bool Silent = false; ///< The batcher does not answer.
+
+  BatchedFleet() {
+    for (RowsOfVm &Vm : Members.Vms)
+      Vm.Batches = [this](const VmId &From, const RenewalRequest &Request) {
+        if (!Silent)
+          Batcher.add(From, Request);
+        return true;
+      };
+  }
+
+  void advance(Duration Span) {
+    Members.advance(Span);
+    advanceTime(BatcherCtx, Span);
+  }
+
+private:
+  RenewalBatcher::Hooks hooks() {
+    RenewalBatcher::Hooks Callbacks;
+    Callbacks.CallPlatform = [this](const PlatformRequest &Request,
+                                    const RowStore::Callback &OnAnswer) {
+      Members.Store.call(Request, OnAnswer);
+    };
+    Callbacks.SendReply = [this](const VmId &To, const FleetMessage &Message) {
+      for (RowsOfVm &Vm : Members.Vms)
+        if (Vm.Ctx.self() == To)
+          Vm.Rows.onRenewalReply(std::get<RenewalReply>(Message));
+    };
+    return Callbacks;
+  }
+
+  Context BatcherCtx{VmId("batcher"), DataCentreId("east"), 1};
+  RenewalBatcher Batcher{BatcherCtx, hooks()};
+};
+
 } // namespace
 
 TEST_GROUP(FleetRows){};
@@ -166,7 +216,7 @@
   Fleet All(3);
   All.advance(seconds(5));
   for (const RowsOfVm &Vm : All.Vms)
-    LONGS_EQUAL(4, Vm.Usable);
+    LONGS_EQUAL(4, Vm.usable());
   LONGS_EQUAL(3, All.Vms.front().Listed.size());
 }
 
@@ -176,7 +226,7 @@
   All.Vms.emplace_back(All.Store, "vm-new");
   All.Vms.back().Rows.start();
   All.advance(seconds(30));
-  CHECK_TRUE(All.Vms.back().Usable >= 2);
+  CHECK_TRUE(All.Vms.back().usable() >= 2);
   LONGS_EQUAL(12, All.totalUsable());
 }
 
@@ -215,6 +265,66 @@
   }
 }
 
+TEST(FleetRows, BatchedRenewalsKeepTheSlotsForFewCalls) {
+  BatchedFleet All;
+  All.advance(seconds(20));
+  unsigned Before = All.Members.Store.Calls;
+  for (int Second = 0; Second < 60; ++Second) {
+    All.advance(seconds(1));
+    CHECK_TRUE(All.Members.allSlotsUsable(3));
+  }
+  // About four reads a second and a batch every three seconds.
+  CHECK_TRUE(All.Members.Store.Calls - Before < 60 * 5 + 60 / 3 + 20);
+}
+
+TEST(FleetRows, VmsRenewByThemselvesIfTheBatcherIsSilent) {
+  BatchedFleet All;
+  All.advance(seconds(20));
+  All.Silent = true;
+  for (int Second = 0; Second < 60; ++Second) {
+    All.advance(seconds(1));
+    CHECK_TRUE(All.Members.allSlotsUsable(3));
+  }
+}
+
+TEST(FleetRows, AnOutageOfTheStoreCostsFewCallsOfALargeFleet) {
+  BatchedFleet All;
+  All.advance(seconds(23));
+  All.Members.Store.Down = true;
+  unsigned Before = All.Members.Store.Calls;
+  for (int Second = 0; Second < 30; ++Second) {
+    All.advance(seconds(1));
+    CHECK_TRUE(All.Members.allSlotsUsable(3));
+  }
+  // Twice what the fleet calls in 30 s while the store answers, unbatched.
+  CHECK_TRUE(All.Members.Store.Calls - Before < 2 * 30 * 300 / 18);
+}
+
+TEST(FleetRows, ALateBatchDoesNotExtendALapsedLease) {
+  Fleet All(3);
+  All.advance(seconds(5));
+  RowsOfVm &Frozen = All.Vms[0];
+  std::optional<RenewalRequest> Request;
+  Frozen.Batches = [&Request](const VmId &, const RenewalRequest &Sent) {
+    Request = Sent;
+    return true;
+  };
+  while (!Request)
+    All.advance(milliseconds(100));
+  // Its slots are reclaimed while it and the batcher are frozen.
+  for (int Step = 0; Step < 80 && All.totalUsable() <= 12; ++Step)
+    All.advance(seconds(1), {0});
+  Frozen.Ctx.setNow(All.Vms[1].Ctx.now());
+  ConditionalWrite Write;
+  Write.Changes.push_back({memberRowKey(VmId("vm-0")), Request->Row});
+  All.Store.apply(Write);
+  // The reply is read before any timer runs.
+  Frozen.Rows.onRenewalReply({Request->Timestamp, true});
+  CHECK_TRUE(All.totalUsable() <= 12);
+  Frozen.advance(seconds(2));
+  CHECK_TRUE(All.totalUsable() <= 12);
+}
+
 TEST(FleetRows, AVmThatJoinsALargeFleetCausesFewCalls) {
   Fleet All(300);
   All.advance(seconds(20));
@@ -227,7 +337,7 @@
     Vm.Rows.requestRefresh();
   Before = All.Store.Calls;
   All.advance(seconds(20));
-  CHECK_TRUE(All.Vms.back().Usable > 0);
+  CHECK_TRUE(All.Vms.back().usable() > 0);
   CHECK_TRUE(All.Store.Calls - Before < Usual + 60);
 }
 
@@ -238,7 +348,7 @@
   for (int Step = 0; Step < 80; ++Step) {
     All.advance(seconds(1), {0});
     All.Vms[0].Ctx.setNow(All.Vms[1].Ctx.now());
-    bool Reclaimed = All.Vms[1].Usable + All.Vms[2].Usable > 8;
+    bool Reclaimed = All.Vms[1].usable() + All.Vms[2].usable() > 8;
     if (!Reclaimed)
       continue;
     // When it runs again, its lease has expired before a timer reads anything.
