--- a/src/cli/EarlyHangup.cpp
+++ b/src/cli/EarlyHangup.cpp
@@ -23,8 +23,9 @@
 
 // Initializers of shared libraries take long enough for a signal to arrive, and
 // run before those of the program; this section runs before both.
-__attribute__((section(".preinit_array"), used)) void (
-    *const BlockHangupFirst)(int, char **, char **) = blockHangup;
+__attribute__((section(".preinit_array"),
+               used)) void (*const BlockHangupFirst)(int, char **,
+                                                     char **) = blockHangup;
 
 } // namespace
 
