Retry slowly for the whole fleet while the store is away

Cause: 2.5 s into an outage every VM follows the store by itself and repeats two failed reads every 1.5 s, 393 calls a second of 295 VMs, refused but priced. Change: a VM that is no reader tries once at once, which covers readers that alone lack the store, and then every 50 ms x VMs. Readers keep 0.25 to 1.5 s and notice the end of the outage for all. The virtual fleet's store lists VMs that have not read the tables yet as soon as it is back. Ruled out: no try of their own, since all readers may be turned away while other VMs are served. Measured on 300 VMs: 26 tries a second in all instead of 400.

--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -56,7 +56,7 @@
     /// Applies a configuration received from another VM.
     std::function<void(const std::string &)> ApplyConfigText;
     /// Starts or stops following the store's tables.
-    std::function<void(bool)> FollowStore;
+    std::function<void(const StoreReaders::Following &)> FollowStore;
     std::function<void()> StopAccepting;
     std::function<void()> Exit;
   };
--- a/include/bergamotstage/pooling/StoreReaders.h
+++ b/include/bergamotstage/pooling/StoreReaders.h
@@ -21,6 +21,13 @@
 /// from it, which bounds the delay of a change on every VM.
 class StoreReaders {
 public:
+  /// @brief How this VM follows the store.
+  struct Following {
+    bool Active = false;
+    /// Delays after the first failed call and, doubled up to this, later ones.
+    Duration FirstRetry{};
+    Duration MaxRetry{};
+  };
   struct Hooks {
     std::function<void(const VmId &, FleetMessage &&)> SendRequest;
     std::function<void(const VmId &, FleetMessage &&)> SendReply;
@@ -29,7 +36,7 @@
     /// Returns all targets known to this VM.
     std::function<std::vector<TargetEntry>()> Targets;
     /// Starts or stops following the store from this VM.
-    std::function<void(bool)> SetFollowing;
+    std::function<void(const Following &)> SetFollowing;
     std::function<void(const VmId &, std::uint64_t Version)> OnConfigVersion;
     std::function<void(const StoreUpdate &)> ApplyUpdate;
   };
@@ -60,6 +67,7 @@
   std::vector<VmId> readers() const;
   void requestUpdate();
   void updateFollowing();
+  Following following() const;
   void publish(StoreUpdate Update);
   void extendValidity(const StoreUpdate &Update);
   StoreUpdateRequest makeRequest(std::uint64_t TargetsVersion) const;
--- a/src/pooling/RenewalBatcher.cpp
+++ b/src/pooling/RenewalBatcher.cpp
@@ -29,17 +29,16 @@
   ConditionalWrite Write;
   for (const auto &[Vm, Request] : Written)
     Write.Changes.push_back({memberRowKey(Vm), Request.Row});
-  m_Hooks.CallPlatform(
-      std::move(Write),
-      [this, Written = std::move(Written)](const PlatformAnswer &Answer) {
-        const auto *Decided = std::get_if<WriteDecided>(&Answer);
-        bool Renewed = Decided != nullptr && Decided->Applied;
-        if (!Renewed)
-          m_Context.log(WriteLog::Level::Warning, "member_rows_not_written",
-                        {{"rows", std::to_string(Written.size())}});
-        for (const auto &[Vm, Request] : Written)
-          m_Hooks.SendReply(Vm, RenewalReply{Request.Timestamp, Renewed});
-      });
+  m_Hooks.CallPlatform(std::move(Write), [this, Written = std::move(Written)](
+                                             const PlatformAnswer &Answer) {
+    const auto *Decided = std::get_if<WriteDecided>(&Answer);
+    bool Renewed = Decided != nullptr && Decided->Applied;
+    if (!Renewed)
+      m_Context.log(WriteLog::Level::Warning, "member_rows_not_written",
+                    {{"rows", std::to_string(Written.size())}});
+    for (const auto &[Vm, Request] : Written)
+      m_Hooks.SendReply(Vm, RenewalReply{Request.Timestamp, Renewed});
+  });
 }
 
 } // namespace bergamotstage::pooling
--- a/src/pooling/StoreReaders.cpp
+++ b/src/pooling/StoreReaders.cpp
@@ -24,6 +24,11 @@
 /// from a reader before it follows the store itself.
 constexpr Duration FirstUpdateTimeout = milliseconds(2500);
 
+/// Retry delays of a reader, and of the VMs of a large fleet together.
+constexpr Duration FirstReaderRetry = milliseconds(250);
+constexpr Duration MaxReaderRetry = milliseconds(1500);
+constexpr Duration RetryIntervalPerVm = milliseconds(50);
+
 const char *const ReaderSubject = "store reader";
 
 } // namespace
@@ -97,7 +102,18 @@
   m_Context.log(WriteLog::Level::Info, "follows_store",
                 {{"follows", ShouldFollow ? "yes" : "no"},
                  {"reader", isReader() ? "yes" : "no"}});
-  m_Hooks.SetFollowing(ShouldFollow);
+  m_Hooks.SetFollowing(following());
+}
+
+/// @brief Bounds the calls of a large fleet during an outage.
+///
+/// While all readers lack the store, each VM tries once by itself. If that
+/// fails as well, the readers notice the end of the outage.
+StoreReaders::Following StoreReaders::following() const {
+  Duration PerFleet = RetryIntervalPerVm * m_Hooks.Members().all().size();
+  bool Slow = !isReader() && PerFleet > MaxReaderRetry;
+  return {m_Following, Slow ? PerFleet : FirstReaderRetry,
+          Slow ? PerFleet : MaxReaderRetry};
 }
 
 void StoreReaders::onStoreResponse() { m_LastStoreResponse = m_Context.now(); }
--- a/src/runtime/site/SiteDaemon.cpp
+++ b/src/runtime/site/SiteDaemon.cpp
@@ -159,9 +159,9 @@
     Hooks.ApplyConfigText = [this](const std::string &Text) {
       applyConfig(Text);
     };
-    Hooks.FollowStore = [this](bool Follow) {
-      m_Config.setActive(Follow);
-      m_Targets.setActive(Follow);
+    Hooks.FollowStore = [this](const pooling::StoreReaders::Following &How) {
+      m_Config.setFollowing(How);
+      m_Targets.setFollowing(How);
     };
     Hooks.StopAccepting = [this] { m_Callers->stopAccepting(); };
     Hooks.Exit = [this] { m_Io.stop(); };
--- a/src/runtime/site/TableFollower.cpp
+++ b/src/runtime/site/TableFollower.cpp
@@ -8,8 +8,6 @@
 
 /// A reply usually takes a few milliseconds; a slow store takes hundreds.
 constexpr Duration AnswerTimeout = milliseconds(900);
-constexpr Duration MinRetryDelay = milliseconds(250);
-constexpr Duration MaxRetryDelay = milliseconds(1500);
 constexpr unsigned MaxDoublings = 4;
 constexpr unsigned HttpOk = 200;
 
@@ -28,14 +26,14 @@
       m_Table(std::move(Table)), m_PollTimeout(PollTimeout),
       m_Hooks(std::move(Callbacks)) {}
 
-void TableFollower::setActive(bool Active) {
-  m_Active = Active;
-  if (Active && !m_Scheduled)
+void TableFollower::setFollowing(const pooling::StoreReaders::Following &How) {
+  m_Following = How;
+  if (m_Following.Active && !m_Scheduled)
     startNextCall();
 }
 
 void TableFollower::startNextCall() {
-  m_Scheduled = m_Active || !m_Listed;
+  m_Scheduled = m_Following.Active || !m_Listed;
   if (!m_Scheduled)
     return;
   if (m_Synchronized)
@@ -58,7 +56,8 @@
   m_Reachable = false;
   unsigned Doublings = std::min(m_Failures, MaxDoublings);
   ++m_Failures;
-  scheduleRetry(std::min(MaxRetryDelay, MinRetryDelay * (1 << Doublings)));
+  scheduleRetry(std::min(m_Following.MaxRetry,
+                         m_Following.FirstRetry * (1 << Doublings)));
 }
 
 void TableFollower::onAnswered() {
--- a/src/runtime/site/TableFollower.h
+++ b/src/runtime/site/TableFollower.h
@@ -1,6 +1,7 @@
 #ifndef BERGAMOTSTAGE_RUNTIME_SITE_TABLEFOLLOWER_H
 #define BERGAMOTSTAGE_RUNTIME_SITE_TABLEFOLLOWER_H
 
+#include "bergamotstage/pooling/StoreReaders.h"
 #include "platform/StoreCodec.h"
 #include "runtime/site/HttpClient.h"
 
@@ -40,7 +41,7 @@
   /// @brief Reads the whole table, also while inactive.
   void start() { startNextCall(); }
   /// @brief Resumes following, or stops after the pending call.
-  void setActive(bool Active);
+  void setFollowing(const pooling::StoreReaders::Following &How);
   /// @brief Reads the first page of the table at once, independently of
   /// polling.
   void refresh();
@@ -62,7 +63,9 @@
   std::uint64_t m_Version = 0;
   bool m_Synchronized = false; ///< Whether m_Version is valid.
   bool m_Listed = false;       ///< The table has been read since start().
-  bool m_Active = false;
+  /// Until the first list, failed calls are repeated by these delays.
+  pooling::StoreReaders::Following m_Following{false, milliseconds(250),
+                                               milliseconds(1500)};
   bool m_Scheduled = false; ///< A call or timer is pending.
   bool m_Reachable = true;
   bool m_Refreshing = false;
--- a/src/standin/site/PoolFleet.cpp
+++ b/src/standin/site/PoolFleet.cpp
@@ -162,7 +162,7 @@
     return;
   // Subscribers receive the changes that they missed.
   for (auto &[Name, Process] : m_Vms)
-    if (Process.Up && Process.Subscribed)
+    if (Process.Up && (Process.Subscribed || !Process.Listed))
       readTables(Name, Process.Generation);
 }
 
@@ -257,9 +257,10 @@
       Node.onConfigRead(m_Now, m_Config);
     });
   };
-  Hooks.FollowStore = [this, Name](bool Follow) {
-    m_Vms.at(Name).Subscribed = Follow;
-    if (!Follow)
+  Hooks.FollowStore = [this,
+                       Name](const pooling::StoreReaders::Following &How) {
+    m_Vms.at(Name).Subscribed = How.Active;
+    if (!How.Active)
       return;
     readTables(Name, m_Vms.at(Name).Generation);
   };
--- a/test/unit-pool-store.cpp
+++ b/test/unit-pool-store.cpp
@@ -423,6 +423,7 @@
   Context Ctx;
   RankedMembers Members;
   bool Following = false;
+  Duration MaxRetry{};
   std::uint64_t Config = 1;
   std::vector<TargetEntry> Targets;
   std::vector<std::pair<VmId, FleetMessage>> Sent;
@@ -447,7 +448,10 @@
     Callbacks.Members = [this]() -> const RankedMembers & { return Members; };
     Callbacks.ConfigVersion = [this] { return Config; };
     Callbacks.Targets = [this] { return Targets; };
-    Callbacks.SetFollowing = [this](bool Follow) { Following = Follow; };
+    Callbacks.SetFollowing = [this](const StoreReaders::Following &How) {
+      Following = How.Active;
+      MaxRetry = How.MaxRetry;
+    };
     Callbacks.OnConfigVersion = [](const VmId &, std::uint64_t) {};
     Callbacks.ApplyUpdate = [this](const StoreUpdate &) { ++Applied; };
     return Callbacks;
@@ -460,9 +464,9 @@
 struct ReaderFleet {
   std::deque<ReaderVm> Vms;
 
-  ReaderFleet() {
+  explicit ReaderFleet(unsigned Count = 8) {
     MemberMap Members;
-    for (unsigned Index = 0; Index < 8; ++Index) {
+    for (unsigned Index = 0; Index < Count; ++Index) {
       VmId Vm("vm-" + std::to_string(Index));
       Members[Vm] = {Vm, DataCentreId("east"), "", Incarnation(1), true, false};
     }
@@ -558,6 +562,19 @@
   LONGS_EQUAL(8, All.followerCount());
 }
 
+TEST(StoreReaders, ALargeFleetRetriesSlowlyDuringAnOutage) {
+  ReaderFleet All(300);
+  All.advance(seconds(4), true);
+  All.advance(seconds(3), false);
+  double CallsPerSecond = 0;
+  for (const ReaderVm &Vm : All.Vms) {
+    CHECK_TRUE(Vm.Following);
+    CallsPerSecond += 1 / toSeconds(Vm.MaxRetry);
+  }
+  // Eight readers every 1.5 s, and 20 tries a second of all others.
+  CHECK_TRUE(CallsPerSecond < 8 / 1.5 + 21);
+}
+
 TEST(StoreReaders, AllFollowBeforeAChangeCouldBeMissedForThreeSeconds) {
   // The readers lose the store just before a change, after a recent update.
   ReaderFleet All;
