Open another connection to the store after 250 ms without an answer

Change: a connection that is not established after 250 ms is replaced; the request goes out on the new one. Nothing had been sent, so no write repeats. Ruled out: a shorter time-out of the calls, which a slow store needs. Measured: the new test with a listener whose queue drops packets gets no answer within 900 ms without the change, an answer after 300 ms with it.

--- a/src/runtime/site/HttpClient.cpp
+++ b/src/runtime/site/HttpClient.cpp
@@ -10,6 +10,8 @@
 /// A response contains rows of at most 1 MB each, base64-encoded in JSON.
 constexpr std::size_t MaxBodyBytes = std::size_t{16} * 1024 * 1024;
 constexpr Duration SilenceTimeout = seconds(3);
+/// A lost opening packet is repeated by the system after a second only.
+constexpr Duration ConnectTimeout = milliseconds(250);
 
 std::string render(const platform::HttpCall &Request, const std::string &Host) {
   std::string Out = Request.Method + " " + Request.Path +
@@ -25,7 +27,8 @@
 } // namespace
 
 HttpClient::HttpClient(asio::io_context &Io, std::string Address)
-    : m_Io(Io), m_Address(std::move(Address)), m_TimeoutTimer(Io) {
+    : m_Io(Io), m_Address(std::move(Address)), m_ConnectTimer(Io),
+      m_TimeoutTimer(Io) {
   http_parser_settings_init(&m_Callbacks);
   m_Callbacks.on_body = [](http_parser *Parser, const char *At,
                            std::size_t Length) {
@@ -65,13 +68,8 @@
     return;
   m_Busy = true;
   prepareParser();
-  if (!m_Stream) {
-    ByteStream::Hooks Hooks;
-    Hooks.Received = [this](std::string_view Bytes) { onReceived(Bytes); };
-    Hooks.Ended = [this](const std::string &Reason) { fail(Reason); };
-    m_Stream =
-        ByteStream::connect(m_Io, m_Address, SilenceTimeout, std::move(Hooks));
-  }
+  if (!m_Stream)
+    connect();
   m_Stream->send(m_Queue.front().Bytes);
   m_TimeoutTimer.expires_after(m_Queue.front().Timeout);
   // A timer that has already expired cannot be cancelled. The number shows
@@ -83,6 +81,28 @@
       });
 }
 
+void HttpClient::connect() {
+  m_Connected = false;
+  ByteStream::Hooks Hooks;
+  Hooks.Connected = [this] {
+    m_Connected = true;
+    m_ConnectTimer.cancel();
+  };
+  Hooks.Received = [this](std::string_view Bytes) { onReceived(Bytes); };
+  Hooks.Ended = [this](const std::string &Reason) { fail(Reason); };
+  m_Stream =
+      ByteStream::connect(m_Io, m_Address, SilenceTimeout, std::move(Hooks));
+  m_ConnectTimer.expires_after(ConnectTimeout);
+  m_ConnectTimer.async_wait([this](std::error_code Cancelled) {
+    if (Cancelled || m_Connected || !m_Stream || !m_Busy)
+      return;
+    // Nothing has been sent, so the request can be repeated.
+    m_Stream->close();
+    connect();
+    m_Stream->send(m_Queue.front().Bytes);
+  });
+}
+
 void HttpClient::onReceived(std::string_view Bytes) {
   if (!m_Busy)
     return fail("response without a request");
@@ -112,6 +132,7 @@
   if (m_Stream)
     m_Stream->close();
   m_Stream.reset();
+  m_ConnectTimer.cancel();
   m_TimeoutTimer.cancel();
   if (!m_Busy)
     return;
--- a/src/runtime/site/HttpClient.h
+++ b/src/runtime/site/HttpClient.h
@@ -43,6 +43,7 @@
   };
 
   void sendNext();
+  void connect();
   void onReceived(std::string_view Bytes);
   void finish(unsigned Status);
   void fail(const std::string &Reason);
@@ -51,8 +52,10 @@
   asio::io_context &m_Io;
   std::string m_Address;
   std::shared_ptr<ByteStream> m_Stream;
+  asio::steady_timer m_ConnectTimer;
   asio::steady_timer m_TimeoutTimer;
   std::deque<PendingCall> m_Queue;
+  bool m_Connected = false; ///< The stream is established.
   bool m_Busy = false;
   std::uint64_t m_CallNumber = 0;
   std::string m_Body;
--- a/test/unit-runtime-site.cpp
+++ b/test/unit-runtime-site.cpp
@@ -1,4 +1,5 @@
 #include "runtime/site/CallerSockets.h"
+#include "runtime/site/HttpClient.h"
 #include "runtime/site/HttpServer.h"
 
 #include <asio/io_context.hpp>
@@ -11,6 +12,7 @@
 #include <sys/resource.h>
 
 #include <cerrno>
+#include <functional>
 #include <memory>
 #include <string>
 #include <system_error>
@@ -217,3 +219,53 @@
   Oversized.send("GET /ready HTTP/1.1\r\n" + std::string(200000, 'h'));
   CHECK_TRUE(Oversized.closed());
 }
+
+TEST_GROUP(HttpClient){};
+
+TEST(HttpClient, OpensAnotherConnectionIfTheFirstOneIsNotAnswered) {
+  asio::io_context Io;
+  // A full queue of a listener drops further opening packets.
+  Tcp::acceptor Acceptor(Io);
+  Acceptor.open(Tcp::v4());
+  Acceptor.bind({asio::ip::address_v4::loopback(), 0});
+  Acceptor.listen(0);
+  std::vector<Tcp::socket> Queued;
+  for (int Index = 0; Index < 4; ++Index) {
+    Queued.emplace_back(Io);
+    Queued.back().async_connect(Acceptor.local_endpoint(),
+                                [](std::error_code) {});
+  }
+  Io.run_for(std::chrono::milliseconds(50));
+  HttpClient Store(Io, "127.0.0.1:" +
+                           std::to_string(Acceptor.local_endpoint().port()));
+  unsigned Status = 0;
+  platform::HttpCall Call;
+  Call.Method = "GET";
+  Call.Path = "/";
+  bool Ended = false;
+  Store.call(Call, milliseconds(900), [&](unsigned Answered, std::string) {
+    Status = Answered;
+    Ended = true;
+  });
+  Io.run_for(std::chrono::milliseconds(100));
+  Queued.clear();
+  std::vector<Tcp::socket> Accepted;
+  std::function<void()> Accept = [&] {
+    Acceptor.async_accept([&](std::error_code Error, Tcp::socket Socket) {
+      if (Error)
+        return;
+      Accepted.push_back(std::move(Socket));
+      // Connections of the queue have ended; the write to them fails.
+      std::error_code Ignored;
+      Accepted.back().write_some(
+          asio::buffer(std::string("HTTP/1.1 204 No Content\r\n"
+                                   "Content-Length: 0\r\n\r\n")),
+          Ignored);
+      Accept();
+    });
+  };
+  Accept();
+  while (!Ended)
+    Io.run_one();
+  LONGS_EQUAL(204, Status);
+}
