Read the configuration once at a VM's start

A starting VM heard of the version from peers while its own list was under way, and read the store once more. Change: until the first list has arrived a newer version at a peer causes no read.

--- a/src/pooling/PoolNodeMessages.cpp
+++ b/src/pooling/PoolNodeMessages.cpp
@@ -102,6 +102,16 @@
   if (Version <= m_FetchingVersion)
     return;
   m_FetchingVersion = Version;
+  // Until its first list arrives, a VM has asked the store already. A peer
+  // helps out if the store is away.
+  if (m_Config->Version == 0) {
+    m_Context.scheduleAfter(PeerConfigTimeout, [this, From, Version] {
+      m_FetchingVersion = 0;
+      if (m_Config->Version < Version)
+        send(From, ConfigRequest{});
+    });
+    return;
+  }
   const MemberState *Sender = m_Members.find(From);
   bool SameDataCentre =
       Sender != nullptr && Sender->DataCentre == m_Context.dataCentre();
--- a/src/standin/site/PoolFleet.cpp
+++ b/src/standin/site/PoolFleet.cpp
@@ -246,6 +246,7 @@
         callPlatform(Name, Generation, Request, Callback);
       };
   Hooks.ReadConfig = [this, Name, Generation] {
+    ++m_ConfigReads;
     if (!m_StoreDown)
       deliverAfter(
           Name, Generation, m_Settings.StoreDelay,
--- a/src/standin/site/PoolFleet.h
+++ b/src/standin/site/PoolFleet.h
@@ -99,6 +99,8 @@
 
   std::uint64_t promotions() const { return m_Promotions; }
   std::uint64_t linksOpened() const { return m_LinksOpened; }
+  /// @brief Reads of the configuration beside those that follow the store.
+  std::uint64_t configReads() const { return m_ConfigReads; }
   const std::map<std::string, TableRow> &rows() const { return m_Rows; }
 
 private:
@@ -191,6 +193,7 @@
   double m_LostReplyRatio = 0;
   std::uint64_t m_Promotions = 0;
   std::uint64_t m_LinksOpened = 0;
+  std::uint64_t m_ConfigReads = 0;
   std::uint64_t m_LastCaller = 0;
   AnswerHook m_OnAnswer;
   CloseHook m_OnClose;
--- a/test/unit-pool-sessions.cpp
+++ b/test/unit-pool-sessions.cpp
@@ -195,6 +195,30 @@
   LONGS_EQUAL(3, Small.Replies.size());
 }
 
+TEST(PoolSessions, AStartingVmReadsTheConfigurationOnce) {
+  // Peers that tell it their version find its first list under way.
+  auto Options = SmallFleet::settings(9, milliseconds(10));
+  Options.StoreDelay = milliseconds(300);
+  PoolFleet Fleet(Options);
+  Fleet.configure(poolConfig(1, 2, 100));
+  Fleet.start();
+  Fleet.run(seconds(6));
+  std::uint64_t Before = Fleet.configReads();
+  for (int Start = 0; Start < 10; ++Start) {
+    Fleet.kill(Vm, milliseconds(300));
+    Fleet.run(seconds(2));
+  }
+  LONGS_EQUAL(Before, Fleet.configReads());
+}
+
+TEST(PoolSessions, AVmStartsWithAPeersConfigurationWhileTheStoreIsDown) {
+  SmallFleet Small;
+  Small.Fleet.setStoreDown(true);
+  Small.Fleet.kill(Vm, milliseconds(300));
+  Small.Fleet.run(seconds(3));
+  CHECK_TRUE(Small.Fleet.node(Vm)->configVersion() > 0);
+}
+
 TEST(PoolSessions, AnUnknownKeyIsRefused) {
   SmallFleet Small;
   Small.connect("own-0", "stolen");
