Wait for loans, not for slots whose lease is over

Cause: after the end of a lease the bucket still holds tokens that may not be spent. An operation that waited for a loan woke every millisecond for 40 ms, as the bucket said that a token was there. Change: without a lease the slots give no token; the loan or the deadline ends the wait. Measured: the extended test found a timer 1 ms ahead; it is 40 ms now.

--- a/include/bergamotstage/pooling/FleetRows.h
+++ b/include/bergamotstage/pooling/FleetRows.h
@@ -40,7 +40,7 @@
   struct Hooks {
     std::function<void(PlatformRequest, PlatformCallback)> CallPlatform;
     /// Asks another VM to renew the row; false if this VM is to do so.
-    std::function<bool(RenewalRequest)> RequestRenewal;
+    std::function<bool(const RenewalRequest &)> RequestRenewal;
     /// Reports the plan and the slots of it that this VM may use until its
     /// lease ends.
     std::function<void(std::shared_ptr<const RatePlan>,
--- a/include/bergamotstage/pooling/RateShare.h
+++ b/include/bergamotstage/pooling/RateShare.h
@@ -93,6 +93,7 @@
   void applyContract(AccountState &State);
   void creditStartup(AccountState &State);
   TokenCount ownTokens(AccountState &State);
+  Duration timeUntilToken(AccountState &State);
   TokenCount available(AccountState &State);
   bool consumeToken(AccountState &State);
   void recordDemand(AccountState &State);
--- a/src/pooling/PoolNodeHooks.cpp
+++ b/src/pooling/PoolNodeHooks.cpp
@@ -103,14 +103,14 @@
 FleetRows::Hooks PoolNode::rowHooks() {
   FleetRows::Hooks Callbacks;
   Callbacks.CallPlatform = m_Hooks.CallPlatform;
-  Callbacks.RequestRenewal = [this](RenewalRequest Request) {
+  Callbacks.RequestRenewal = [this](const RenewalRequest &Request) {
     if (m_Members.all().size() < MinBatchedVms)
       return false;
     std::vector<VmId> Order =
         m_Members.ownerOrder(RenewalSubject, DataCentreId());
     if (Order.empty())
       return false;
-    send(Order.front(), std::move(Request));
+    send(Order.front(), RenewalRequest(Request));
     return true;
   };
   Callbacks.OnPlanChanged = [this](std::shared_ptr<const RatePlan> Plan,
--- a/src/pooling/RateShare.cpp
+++ b/src/pooling/RateShare.cpp
@@ -111,6 +111,13 @@
   return State.Bucket.available(m_Context.now());
 }
 
+/// @brief Time until this VM's own slots give a token.
+Duration RateShare::timeUntilToken(AccountState &State) {
+  if (m_Context.now() >= m_LeaseEnd)
+    return MaxRetryAfter;
+  return State.Bucket.timeUntil(OneToken, m_Context.now());
+}
+
 TokenCount RateShare::available(AccountState &State) {
   if (State.BorrowedAt + BorrowedLifetime < m_Context.now())
     State.Borrowed = {};
@@ -174,8 +181,7 @@
 /// @brief Time until this VM earns a token or may request a loan again.
 Duration RateShare::retryAfter(AccountState &State) {
   Instant Now = m_Context.now();
-  Duration Soonest =
-      std::min(MaxRetryAfter, State.Bucket.timeUntil(OneToken, Now));
+  Duration Soonest = std::min(MaxRetryAfter, timeUntilToken(State));
   for (const VmId &Peer : State.Holders) {
     auto Entry = State.Lenders.find(Peer);
     bool InBackoff =
@@ -251,8 +257,7 @@
   if (m_BorrowingEnabled && !State.Pending.empty())
     requestLoan(Id, State);
   bool NoTokensExpected =
-      !State.PendingLender &&
-      State.Bucket.timeUntil(OneToken, m_Context.now()) > MaxWait;
+      !State.PendingLender && timeUntilToken(State) > MaxWait;
   std::deque<PendingAdmission> Refused;
   while (
       !State.Pending.empty() &&
@@ -265,9 +270,8 @@
     m_Context.timers().cancel(*State.WakeTimer);
   State.WakeTimer.reset();
   if (!State.Pending.empty()) {
-    Instant Next = std::min(
-        State.Pending.front().Deadline,
-        m_Context.now() + State.Bucket.timeUntil(OneToken, m_Context.now()));
+    Instant Next = std::min(State.Pending.front().Deadline,
+                            m_Context.now() + timeUntilToken(State));
     Next = std::max(Next, m_Context.now() + milliseconds(1));
     State.WakeTimer = m_Context.timers().schedule(Next, [this, Id] {
       m_Accounts.at(Id).WakeTimer.reset();
--- a/test/unit-pool-rate.cpp
+++ b/test/unit-pool-rate.cpp
@@ -212,6 +212,9 @@
   // The VM runs again after a freeze; no timer has run yet.
   Both.FirstCtx.setNow(Both.FirstCtx.now() + seconds(6));
   LONGS_EQUAL(0, admitted(Both.First, 5));
+  // Those that wait for a loan do not wait for the slots' own tokens.
+  CHECK_TRUE(*Both.FirstCtx.timers().next() >=
+             Both.FirstCtx.now() + milliseconds(40));
   Both.ToSecond.clear();
   Both.First.onTokenMessage(VmId("vm-1"), TokenRequest{Ward, 1000});
   LONGS_EQUAL(0, std::get<TokenGrant>(Both.ToSecond.back()).MilliTokens);
--- a/test/unit-pool-store.cpp
+++ b/test/unit-pool-store.cpp
@@ -107,7 +107,7 @@
                                       const RowStore::Callback &OnAnswer) {
       Store.call(Request, OnAnswer);
     };
-    Callbacks.RequestRenewal = [this](RenewalRequest Request) {
+    Callbacks.RequestRenewal = [this](const RenewalRequest &Request) {
       return Batches && Batches(Ctx.self(), Request);
     };
     Callbacks.OnPlanChanged = [this](const std::shared_ptr<const RatePlan> &,
@@ -179,14 +179,14 @@
     for (RowsOfVm &Vm : Members.Vms)
       Vm.Batches = [this](const VmId &From, const RenewalRequest &Request) {
         if (!Silent)
-          Batcher.add(From, Request);
+          m_Batcher.add(From, Request);
         return true;
       };
   }
 
   void advance(Duration Span) {
     Members.advance(Span);
-    advanceTime(BatcherCtx, Span);
+    advanceTime(m_BatcherCtx, Span);
   }
 
 private:
@@ -204,8 +204,8 @@
     return Callbacks;
   }
 
-  Context BatcherCtx{VmId("batcher"), DataCentreId("east"), 1};
-  RenewalBatcher Batcher{BatcherCtx, hooks()};
+  Context m_BatcherCtx{VmId("batcher"), DataCentreId("east"), 1};
+  RenewalBatcher m_Batcher{m_BatcherCtx, hooks()};
 };
 
 } // namespace
--- a/test/unit-runtime-site.cpp
+++ b/test/unit-runtime-site.cpp
@@ -243,10 +243,11 @@
   Call.Method = "GET";
   Call.Path = "/";
   bool Ended = false;
-  Store.call(Call, milliseconds(900), [&](unsigned Answered, std::string) {
-    Status = Answered;
-    Ended = true;
-  });
+  Store.call(Call, milliseconds(900),
+             [&](unsigned Answered, const std::string &) {
+               Status = Answered;
+               Ended = true;
+             });
   Io.run_for(std::chrono::milliseconds(100));
   Queued.clear();
   std::vector<Tcp::socket> Accepted;
