Let the shutdown test see what libpq passes on as a notice

Change: the client keeps such notices, and the check covers both. A second test reads only between statements, so that this path runs each time; with the old check it can never pass. The promise checked is the same.

--- a/test/unit-runtime-sockets.cpp
+++ b/test/unit-runtime-sockets.cpp
@@ -35,12 +35,24 @@
         break;
       std::this_thread::sleep_for(RetryInterval);
     } while (std::chrono::steady_clock::now() < Deadline);
+    PQsetNoticeProcessor(
+        m_Connection,
+        [](void *Notices, const char *Message) {
+          *static_cast<std::string *>(Notices) += Message;
+        },
+        &m_Notices);
   }
   ~Client() { PQfinish(m_Connection); }
   Client(const Client &) = delete;
   Client &operator=(const Client &) = delete;
 
   PGconn *get() { return m_Connection; }
+
+  /// @brief Returns the connection's error and all messages that arrived while
+  /// no statement ran, which libpq passes on as notices.
+  std::string messages() const {
+    return m_Notices + PQerrorMessage(m_Connection);
+  }
   bool connected() const { return PQstatus(m_Connection) == CONNECTION_OK; }
 
   Result run(const std::string &Text) {
@@ -62,6 +74,7 @@
 
 private:
   PGconn *m_Connection = nullptr;
+  std::string m_Notices;
 };
 
 std::unique_ptr<LocalSite> startSite(const LocalSiteOptions &Options = {}) {
@@ -192,6 +205,19 @@
     Connection.run(ReadPlot);
     std::this_thread::sleep_for(RetryInterval);
   }
-  CHECK(std::strstr(PQerrorMessage(Connection.get()), "shutting down") !=
-        nullptr);
+  CHECK_TRUE(Connection.messages().find("shutting down") != std::string::npos);
+}
+
+TEST(RuntimeSockets, ShutdownNotifiesCallersThatReadLater) {
+  auto Site = startSite();
+  Client Connection(Site->callerAddress(0));
+  CHECK(Site->daemon(0).requestShutdown());
+  auto Deadline = std::chrono::steady_clock::now() + WaitTimeout;
+  while (Connection.messages().find("shutting down") == std::string::npos &&
+         std::chrono::steady_clock::now() < Deadline) {
+    PQconsumeInput(Connection.get());
+    PQisBusy(Connection.get()); // Parses the input.
+    std::this_thread::sleep_for(RetryInterval);
+  }
+  CHECK_TRUE(Connection.messages().find("shutting down") != std::string::npos);
 }
