Let a starting VM wait before it takes itself for a reader

A VM decided 0.5 s after its start whether it is a reader; in a fleet that starts as a whole it knew few others by then, so every second VM was one, and each target's first report answered its feed at once. Change: the decision waits 1.5 s. The first updates of the readers arrive before a VM's own lists, which hold for 2.5 s, run out; the bound for a change of the configuration stays as it is. Ruled out: waiting for the rows of the fleet, which VMs read while others still write theirs. Measured: a VM that knows no others followed after 0.5 s, now not before 1.5.

--- a/include/bergamotstage/pooling/StoreReaders.h
+++ b/include/bergamotstage/pooling/StoreReaders.h
@@ -76,6 +76,7 @@
   Context &m_Context;
   Hooks m_Hooks;
   bool m_Following = false;
+  Instant m_MayReadFrom{}; ///< Earliest time at which this VM is a reader.
   Instant m_LastStoreResponse{};
   Instant m_UpdatesValidUntil{};   ///< End of the validity of readers' updates.
   std::uint64_t m_ListVersion = 0; ///< Version of this VM's own list.
--- a/src/pooling/StoreReaders.cpp
+++ b/src/pooling/StoreReaders.cpp
@@ -23,6 +23,9 @@
 /// Time that a VM which has just read all tables waits for the first update
 /// from a reader before it follows the store itself.
 constexpr Duration FirstUpdateTimeout = milliseconds(2500);
+/// Time until a VM that has just started knows enough of the others to tell
+/// whether it is a reader. The first updates arrive before FirstUpdateTimeout.
+constexpr Duration FirstReaderDelay = milliseconds(1500);
 
 /// Retry delays of a reader, and of the VMs of a large fleet together.
 constexpr Duration FirstReaderRetry = milliseconds(250);
@@ -35,6 +38,7 @@
 
 void StoreReaders::start() {
   m_UpdatesValidUntil = m_Context.now() + FirstUpdateTimeout;
+  m_MayReadFrom = m_Context.now() + FirstReaderDelay;
   m_Context.scheduleAfter(RequestInterval, [this] { requestUpdate(); });
 }
 
@@ -95,7 +99,9 @@
 }
 
 void StoreReaders::updateFollowing() {
-  bool ShouldFollow = isReader() || m_Context.now() >= m_UpdatesValidUntil;
+  bool MayRead = m_Context.now() >= m_MayReadFrom;
+  bool ShouldFollow =
+      (MayRead && isReader()) || m_Context.now() >= m_UpdatesValidUntil;
   if (ShouldFollow == m_Following)
     return;
   m_Following = ShouldFollow;
