Let any VM of a small fleet give slots to a newcomer

Change: the rule holds from 30 VMs on, where every VM would read and race. Measured: the new test fails without the change, passes with it; the tests of large fleets keep their bounds.

--- a/src/pooling/FleetRows.cpp
+++ b/src/pooling/FleetRows.cpp
@@ -25,6 +25,8 @@
 constexpr Duration RetryInterval = milliseconds(400);
 constexpr Duration MaxStartRetryInterval = milliseconds(1600);
 constexpr Duration MaxRetryInterval = seconds(5);
+/// Number of VMs from which only one of them gives slots away.
+constexpr std::size_t LargeFleet = 30;
 /// Time for a batch to be collected, written and answered.
 constexpr Duration RenewalReplyTimeout =
     RenewalBatcher::MaxDelay + milliseconds(1500);
@@ -323,13 +325,16 @@
   return false;
 }
 
-/// @brief Whether this VM is the first of those that hold the most slots.
+/// @brief Whether this VM may give slots to one that has fewer.
 ///
-/// Only this one gives slots away: many VMs have one to spare when a VM joins a
-/// large fleet, and their writes would conflict.
+/// In a large fleet only the first of those that hold the most may: many have
+/// one to spare when a VM joins, and their writes would conflict. In a small
+/// one a lost VM is more likely to be that first one.
 bool FleetRows::isGiver() const {
   if (!m_Plan)
     return false;
+  if (m_Rows.size() < LargeFleet)
+    return true;
   std::map<VmId, std::size_t> Slots = m_Plan->slotCounts();
   auto Most = std::max_element(Slots.begin(), Slots.end(),
                                [](const auto &Left, const auto &Right) {
--- a/test/unit-pool-store.cpp
+++ b/test/unit-pool-store.cpp
@@ -325,6 +325,15 @@
   CHECK_TRUE(All.totalUsable() <= 12);
 }
 
+TEST(FleetRows, AVmThatReplacesTheFirstOneIsGivenSlots) {
+  Fleet All(9);
+  All.advance(seconds(20));
+  All.Vms.emplace_back(All.Store, "vm-new");
+  All.Vms.back().Rows.start();
+  All.advance(seconds(30), {0});
+  CHECK_TRUE(All.Vms.back().usable() > 0);
+}
+
 TEST(FleetRows, AVmThatJoinsALargeFleetCausesFewCalls) {
   Fleet All(300);
   All.advance(seconds(20));
