--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -54,7 +54,7 @@
     /// Returns the current configuration in its stored text form.
     std::function<std::string()> ConfigText;
     /// Applies a configuration received from another VM.
-    std::function<void(const std::string &)> ApplyConfigText;
+    std::function<void(const VmId &From, const std::string &)> ApplyConfigText;
     /// Starts or stops following the store's tables.
     std::function<void(const StoreReaders::Following &)> FollowStore;
     std::function<void()> StopAccepting;
@@ -101,7 +101,8 @@
   void onPlatformAnswer(Instant Now, const PlatformCallback &Callback,
                         const PlatformAnswer &Answer);
   /// @brief A configuration was read; one that is not newer is ignored.
-  void onConfigRead(Instant Now, const SharedConfig &Config);
+  void onConfigRead(Instant Now, const SharedConfig &Config,
+                    const ConfigOrigin &Origin);
   /// @brief The users' policies were read, at the start or on a reload.
   void onPoliciesRead(Instant Now, const SitePolicies &Policies);
   void onTargetListed(Instant Now, const TargetEntry &Entry);
@@ -124,6 +125,7 @@
   /// @brief Whether this VM can serve callers.
   bool ready() const;
   std::uint64_t configVersion() const { return m_Config->Version; }
+  const ConfigCounts &configCounts() const { return m_ConfigCounts; }
   const metrics::Registry &metrics() const { return m_Metrics; }
   const Sessions &sessions() const { return m_Sessions; }
   std::size_t links() const;
@@ -217,6 +219,9 @@
   std::map<VmId, Incarnation> m_Origins; ///< VMs with a stream to this one.
   std::map<DatabaseId, Instant> m_LeaseRequestedAt;
   std::uint64_t m_FetchingVersion = 0; ///< 0 if none is being fetched.
+  /// Since when another VM has had a newer configuration.
+  std::optional<Instant> m_BehindSince;
+  ConfigCounts m_ConfigCounts;
   std::deque<LocalMessage> m_LocalMessages;
   bool m_Dispatching = false;
   std::optional<Instant> m_LeavingSince;
--- a/include/bergamotstage/pooling/SiteConfig.h
+++ b/include/bergamotstage/pooling/SiteConfig.h
@@ -4,6 +4,7 @@
 #include "bergamotstage/core/Ids.h"
 #include "bergamotstage/core/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -57,6 +58,19 @@
 
 using SharedConfig = std::shared_ptr<const SiteConfig>;
 
+/// @brief How a VM received a configuration, for the log and the metrics.
+struct ConfigOrigin {
+  std::string Source;    ///< "store", or the name of another VM.
+  std::size_t Bytes = 0; ///< Length of the text as it was received.
+};
+
+/// @brief Counts of the configurations that a VM has received.
+struct ConfigCounts {
+  std::uint64_t Applied = 0;
+  std::uint64_t Outdated = 0; ///< Not newer than the one in force.
+  std::uint64_t Bytes = 0;
+};
+
 } // namespace bergamotstage::pooling
 
 #endif // BERGAMOTSTAGE_POOLING_SITECONFIG_H
--- a/src/explain/RequestTimeline.cpp
+++ b/src/explain/RequestTimeline.cpp
@@ -23,7 +23,8 @@
       "config_in_force",  "policies_in_force",    "policy_in_force",
       "policies_refused", "store_lost",           "store_regained",
       "follows_store",    "rate_slots_changed",   "log_lines_left_out",
-      "config_malformed", "newer_config_at_peer", "log_lines_dropped"};
+      "config_malformed", "newer_config_at_peer", "log_lines_dropped",
+      "config_outdated"};
   return Events.count(Event) > 0;
 }
 
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -398,16 +398,32 @@
   dispatchLocalMessages();
 }
 
-void PoolNode::onConfigRead(Instant Now, const SharedConfig &Config) {
+void PoolNode::onConfigRead(Instant Now, const SharedConfig &Config,
+                            const ConfigOrigin &Origin) {
   setTime(Now);
-  if (Config->Version <= m_Config->Version)
+  m_ConfigCounts.Bytes += Origin.Bytes;
+  if (Config->Version <= m_Config->Version) {
+    ++m_ConfigCounts.Outdated;
+    m_Context.log(WriteLog::Level::Info, "config_outdated",
+                  {{"version", std::to_string(Config->Version)},
+                   {"own", std::to_string(m_Config->Version)},
+                   {"source", Origin.Source},
+                   {"bytes", std::to_string(Origin.Bytes)}});
     return;
+  }
+  ++m_ConfigCounts.Applied;
+  Duration Behind =
+      m_BehindSince ? m_Context.now() - *m_BehindSince : Duration(0);
+  m_BehindSince.reset();
   m_Config = Config;
   m_Context.log(WriteLog::Level::Info, "config_in_force",
                 {{"version", std::to_string(Config->Version)},
                  {"routes", std::to_string(Config->Routes.size())},
                  {"keys", std::to_string(Config->Keys.size())},
-                 {"accounts", std::to_string(Config->Accounts.size())}});
+                 {"accounts", std::to_string(Config->Accounts.size())},
+                 {"source", Origin.Source},
+                 {"bytes", std::to_string(Origin.Bytes)},
+                 {"behind_ms", formatMilliseconds(Behind)}});
   m_Sessions.setConfig(Config);
   m_Rates.configure(Config->Accounts);
   m_Readers.onConfigChanged();
--- a/src/pooling/PoolNodeMessages.cpp
+++ b/src/pooling/PoolNodeMessages.cpp
@@ -86,10 +86,8 @@
 void PoolNode::onPeerConfigVersion(const VmId &From, std::uint64_t Version) {
   if (Version <= m_Config->Version)
     return;
-  m_Context.log(WriteLog::Level::Info, "newer_config_at_peer",
-                {{"vm", From.value()},
-                 {"version", std::to_string(Version)},
-                 {"own", std::to_string(m_Config->Version)}});
+  if (!m_BehindSince)
+    m_BehindSince = m_Context.now();
   fetchConfig(From, Version);
 }
 
@@ -102,6 +100,10 @@
   if (Version <= m_FetchingVersion)
     return;
   m_FetchingVersion = Version;
+  m_Context.log(WriteLog::Level::Info, "newer_config_at_peer",
+                {{"vm", From.value()},
+                 {"version", std::to_string(Version)},
+                 {"own", std::to_string(m_Config->Version)}});
   // Until its first list arrives, a VM has asked the store already. A peer
   // helps out if the store is away.
   if (m_Config->Version == 0) {
@@ -233,8 +235,8 @@
   replyToPeer(From, ConfigText{m_Hooks.ConfigText()});
 }
 
-void PoolNode::handle(const VmId & /*From*/, ConfigText &&Body) {
-  m_Hooks.ApplyConfigText(Body.Text);
+void PoolNode::handle(const VmId &From, ConfigText &&Body) {
+  m_Hooks.ApplyConfigText(From, Body.Text);
 }
 
 void PoolNode::handle(const VmId &From, StoreUpdateRequest &&Body) {
--- a/src/runtime/site/SiteDaemon.cpp
+++ b/src/runtime/site/SiteDaemon.cpp
@@ -156,8 +156,8 @@
     };
     Hooks.ReadConfig = [this] { m_Config.refresh(); };
     Hooks.ConfigText = [this] { return m_ConfigText; };
-    Hooks.ApplyConfigText = [this](const std::string &Text) {
-      applyConfig(Text);
+    Hooks.ApplyConfigText = [this](const VmId &From, const std::string &Text) {
+      applyConfig(Text, From.value());
     };
     Hooks.FollowStore = [this](const pooling::StoreReaders::Following &How) {
       m_Config.setFollowing(How);
@@ -293,22 +293,23 @@
 
   void applyConfigRow(const platform::ListedRow &Row) {
     if (Row.Key == platform::ConfigKey && !Row.Deleted)
-      applyConfig(Row.Value);
+      applyConfig(Row.Value, "store");
   }
 
-  void applyConfig(const std::string &Text) {
+  void applyConfig(const std::string &Text, const std::string &Source) {
     auto Read = platform::parseConfig(Text);
     if (!Read) {
       log({WriteLog::Level::Error,
            "config_malformed",
-           {{"reason", Read.error()}}});
+           {{"source", Source}, {"reason", Read.error()}}});
       return;
     }
-    if (Read->Version <= m_Node.configVersion())
-      return;
-    m_ConfigText = Text;
+    if (Read->Version > m_Node.configVersion())
+      m_ConfigText = Text;
     auto Config = std::make_shared<const pooling::SiteConfig>(std::move(*Read));
-    dispatch([&](Instant Now) { m_Node.onConfigRead(Now, Config); });
+    dispatch([&](Instant Now) {
+      m_Node.onConfigRead(Now, Config, {Source, Text.size()});
+    });
   }
 
   void logStore(const std::string &Table, bool Reachable,
@@ -370,6 +371,13 @@
         metrics::renderGauge("bergamotstage_links_opened_total", m_LinksOpened);
     Text += metrics::renderGauge("bergamotstage_config_version",
                                  m_Node.configVersion());
+    const pooling::ConfigCounts &Configs = m_Node.configCounts();
+    Text += metrics::renderGauge("bergamotstage_configs_applied_total",
+                                 Configs.Applied);
+    Text += metrics::renderGauge("bergamotstage_configs_outdated_total",
+                                 Configs.Outdated);
+    Text += metrics::renderGauge("bergamotstage_config_bytes_received_total",
+                                 Configs.Bytes);
     Text +=
         metrics::renderGauge("bergamotstage_rate_slots", m_Node.rateSlots());
     return {HttpOk, Text};
--- a/src/standin/site/PoolFleet.cpp
+++ b/src/standin/site/PoolFleet.cpp
@@ -150,7 +150,7 @@
                    All.push_back(targetEntry(Target));
                  Node.onTargetsListed(m_Now, All);
                  if (m_Config)
-                   Node.onConfigRead(m_Now, m_Config);
+                   Node.onConfigRead(m_Now, m_Config, {"store", 0});
                  Node.onStoreResponse(m_Now);
                });
 }
@@ -248,14 +248,16 @@
   Hooks.ReadConfig = [this, Name, Generation] {
     ++m_ConfigReads;
     if (!m_StoreDown)
-      deliverAfter(
-          Name, Generation, m_Settings.StoreDelay,
-          [this](PoolNode &Node) { Node.onConfigRead(m_Now, m_Config); });
+      deliverAfter(Name, Generation, m_Settings.StoreDelay,
+                   [this](PoolNode &Node) {
+                     Node.onConfigRead(m_Now, m_Config, {"store", 0});
+                   });
   };
   Hooks.ConfigText = [this] { return std::to_string(m_Config->Version); };
-  Hooks.ApplyConfigText = [this, Name, Generation](const std::string &) {
+  Hooks.ApplyConfigText = [this, Name, Generation](const VmId &,
+                                                   const std::string &) {
     deliverAfter(Name, Generation, Duration(0), [this](PoolNode &Node) {
-      Node.onConfigRead(m_Now, m_Config);
+      Node.onConfigRead(m_Now, m_Config, {"store", 0});
     });
   };
   Hooks.FollowStore = [this,
@@ -302,8 +304,9 @@
 
 void PoolFleet::configure(pooling::SiteConfig Config) {
   m_Config = std::make_shared<const pooling::SiteConfig>(std::move(Config));
-  notifySubscribers(
-      [this](PoolNode &Node) { Node.onConfigRead(m_Now, m_Config); });
+  notifySubscribers([this](PoolNode &Node) {
+    Node.onConfigRead(m_Now, m_Config, {"store", 0});
+  });
 }
 
 } // namespace bergamotstage::standin
