--- a/src/standin/site/PoolFleet.cpp
+++ b/src/standin/site/PoolFleet.cpp
@@ -1,5 +1,7 @@
 #include "standin/site/PoolFleet.h"
 
+#include "standin/site/ModelConfig.h"
+
 #include <algorithm>
 #include <utility>
 #include <variant>
@@ -12,6 +14,8 @@
 using pooling::PoolNode;
 /// Delay between two attempts of a subscriber to read the store.
 constexpr Duration StoreRetry = milliseconds(500);
+/// Time after which a read of the configuration is given up.
+constexpr Duration ConfigReadTimeout = milliseconds(900);
 
 } // namespace
 
@@ -27,6 +31,12 @@
                   Incarnation(1),
                   true,
                   false};
+    if (Options.SizeOf) {
+      VmSize Size = Options.SizeOf(Index);
+      Added.Self.Cores = Size.Cores;
+      Added.Outgoing = LinkModel(Size.LinkBytesPerSecond);
+      Added.Incoming = LinkModel(Size.LinkBytesPerSecond);
+    }
   }
   for (unsigned Index = 0; Index < Options.Groups; ++Index) {
     DatabaseId Id("group-" + std::to_string(Index));
@@ -89,6 +99,37 @@
   });
 }
 
+void PoolFleet::deliverFromPeer(const VmId &From, const VmId &To,
+                                std::size_t Bytes,
+                                std::function<void(PoolNode &)> Handler) {
+  Vm &Sender = m_Vms.at(From);
+  std::uint64_t Generation = m_Vms.at(To).Generation;
+  Instant SentAt = Sender.Outgoing.transfer(m_Now, Bytes);
+  Duration Delay = SentAt - m_Now + m_Settings.PeerDelay;
+  if (m_Vms.at(To).Incoming.duration(Bytes) == Duration(0))
+    return deliverAfter(To, Generation, Delay, std::move(Handler));
+  after(Delay, [this, To, Generation, Bytes, Handler = std::move(Handler)] {
+    // The first bytes arrived while the last ones were being sent.
+    LinkModel &Link = m_Vms.at(To).Incoming;
+    Instant At = Link.transfer(m_Now - Link.duration(Bytes), Bytes);
+    deliverAfter(To, Generation, std::max(Duration(0), At - m_Now), Handler);
+  });
+}
+
+void PoolFleet::deliverConfig(const VmId &Name, std::uint64_t Generation,
+                              const std::function<void()> &OnEnd) {
+  std::size_t Bytes = m_Configs.at(m_Config->Version).Text.size();
+  Instant At = m_Vms.at(Name).Incoming.transfer(m_Now, encodedSize(Bytes));
+  if (At - m_Now > ConfigReadTimeout)
+    return deliverAfter(Name, Generation, ConfigReadTimeout,
+                        [OnEnd](PoolNode &) { OnEnd(); });
+  deliverAfter(Name, Generation, At - m_Now,
+               [this, OnEnd, Bytes, Config = m_Config](PoolNode &Node) {
+                 OnEnd();
+                 Node.onConfigRead(m_Now, Config, {"store", Bytes});
+               });
+}
+
 void PoolFleet::scheduleWake(const VmId &Name) {
   Vm &Process = m_Vms.at(Name);
   if (!Process.Up)
@@ -120,6 +161,7 @@
   Process.Up = true;
   Process.Subscribed = false;
   Process.Listed = false;
+  Process.Refreshing = false;
   Process.Wake.reset();
   Process.Streams.clear();
   PoolNode::Settings NodeSettings;
@@ -150,7 +192,7 @@
                    All.push_back(targetEntry(Target));
                  Node.onTargetsListed(m_Now, All);
                  if (m_Config)
-                   Node.onConfigRead(m_Now, m_Config, {"store", 0});
+                   deliverConfig(Name, Generation, [] {});
                  Node.onStoreResponse(m_Now);
                });
 }
@@ -247,19 +289,29 @@
       };
   Hooks.ReadConfig = [this, Name, Generation] {
     ++m_ConfigReads;
-    if (!m_StoreDown)
-      deliverAfter(Name, Generation, m_Settings.StoreDelay,
-                   [this](PoolNode &Node) {
-                     Node.onConfigRead(m_Now, m_Config, {"store", 0});
-                   });
-  };
-  Hooks.ConfigText = [this] { return std::to_string(m_Config->Version); };
-  Hooks.ApplyConfigText = [this, Name, Generation](const VmId &,
-                                                   const std::string &) {
-    deliverAfter(Name, Generation, Duration(0), [this](PoolNode &Node) {
-      Node.onConfigRead(m_Now, m_Config, {"store", 0});
+    Vm &Process = m_Vms.at(Name);
+    if (m_StoreDown || Process.Refreshing)
+      return;
+    Process.Refreshing = true;
+    after(m_Settings.StoreDelay, [this, Name, Generation] {
+      deliverConfig(Name, Generation,
+                    [this, Name] { m_Vms.at(Name).Refreshing = false; });
     });
   };
+  Hooks.ConfigText = [this, Name] {
+    std::uint64_t Version = m_Vms.at(Name).Node->configVersion();
+    return Version == 0 ? std::string() : m_Configs.at(Version).Text;
+  };
+  Hooks.ApplyConfigText = [this, Name, Generation](const VmId &From,
+                                                   const std::string &Text) {
+    auto Config = m_Configs.find(configVersionOf(Text));
+    if (Config != m_Configs.end())
+      deliverAfter(Name, Generation, Duration(0),
+                   [this, From, Config = Config->second.Config,
+                    Bytes = Text.size()](PoolNode &Node) {
+                     Node.onConfigRead(m_Now, Config, {From.value(), Bytes});
+                   });
+  };
   Hooks.FollowStore = [this,
                        Name](const pooling::StoreReaders::Following &How) {
     m_Vms.at(Name).Subscribed = How.Active;
@@ -304,9 +356,15 @@
 
 void PoolFleet::configure(pooling::SiteConfig Config) {
   m_Config = std::make_shared<const pooling::SiteConfig>(std::move(Config));
-  notifySubscribers([this](PoolNode &Node) {
-    Node.onConfigRead(m_Now, m_Config, {"store", 0});
-  });
+  m_Configs[m_Config->Version] = {m_Config, renderConfig(*m_Config)};
+  if (m_StoreDown)
+    return;
+  for (auto &[Name, Process] : m_Vms)
+    if (Process.Subscribed && Process.Up)
+      after(m_Settings.StoreDelay,
+            [this, Name = Name, Generation = Process.Generation] {
+              deliverConfig(Name, Generation, [] {});
+            });
 }
 
 } // namespace bergamotstage::standin
--- a/src/standin/site/PoolFleet.h
+++ b/src/standin/site/PoolFleet.h
@@ -2,6 +2,7 @@
 #define BERGAMOTSTAGE_STANDIN_SITE_POOLFLEET_H
 
 #include "bergamotstage/pooling/PoolNode.h"
+#include "standin/site/LinkModel.h"
 #include "standin/site/ModelGroup.h"
 
 #include <cstdint>
@@ -21,6 +22,11 @@
 /// choices. The owner of the fleet drives the callers.
 class PoolFleet {
 public:
+  /// @brief Processor and network link of a VM.
+  struct VmSize {
+    double Cores = 1;
+    std::uint64_t LinkBytesPerSecond = 0; ///< Each way; 0 means no limit.
+  };
   struct Settings {
     std::uint64_t Seed = 1;
     unsigned Vms = 3;
@@ -34,6 +40,8 @@
     Duration ReplicaLag = milliseconds(10);
     Duration StoreDelay = milliseconds(4);
     Duration PromotionTime = milliseconds(300);
+    /// Returns the size of a VM; without it all have the same.
+    std::function<VmSize(unsigned Index)> SizeOf;
   };
   /// @brief Called with each reply to a caller and the VM that sent it.
   using AnswerHook =
@@ -113,8 +121,15 @@
     bool Subscribed = false;
     bool Listed = false; ///< Has read all tables since its start.
     bool Up = false;
+    bool Refreshing = false; ///< Reads the configuration at once.
     std::optional<Instant> Wake;
     std::set<VmId> Streams; ///< VMs to which it has opened a stream.
+    LinkModel Outgoing;
+    LinkModel Incoming;
+  };
+  struct PublishedConfig {
+    pooling::SharedConfig Config;
+    std::string Text;
   };
   struct TargetModel {
     unsigned Group = 0;
@@ -137,6 +152,13 @@
     Instant RunningUntil{};    ///< Keeps executions sequential.
   };
 
+  /// @brief Delivers bytes from another VM, after the links' queues.
+  void deliverFromPeer(const VmId &From, const VmId &To, std::size_t Bytes,
+                       std::function<void(pooling::PoolNode &)> Handler);
+  /// @brief Delivers the newest configuration from the store.
+  /// @param OnEnd called at the end, also if the read was given up
+  void deliverConfig(const VmId &Name, std::uint64_t Generation,
+                     const std::function<void()> &OnEnd);
   void startProcess(const VmId &Name);
   /// @brief Reads all tables of the store; retries while it is down.
   void readTables(const VmId &Name, std::uint64_t Generation);
@@ -186,6 +208,7 @@
   std::uint64_t m_Version = 0;
   std::map<DatabaseId, std::uint64_t> m_FencingTokens;
   pooling::SharedConfig m_Config;
+  std::map<std::uint64_t, PublishedConfig> m_Configs; ///< By version.
   std::set<std::pair<VmId, VmId>> m_CutPeers;
   std::set<std::pair<VmId, TargetId>> m_CutTargets;
   bool m_StoreDown = false;
--- a/src/standin/site/PoolFleetEnvironment.cpp
+++ b/src/standin/site/PoolFleetEnvironment.cpp
@@ -192,8 +192,8 @@
   }
   std::string Bytes = pooling::encodeMessage(Message);
   bool NewStream = Sender.Streams.insert(To.Vm).second;
-  deliverAfter(
-      To.Vm, Receiver.Generation, m_Settings.PeerDelay,
+  deliverFromPeer(
+      From, To.Vm, Bytes.size(),
       [this, From, Bytes, NewStream, Self = Sender.Self](PoolNode &Node) {
         if (NewStream)
           Node.onPeerMessage(m_Now, From,
@@ -212,11 +212,9 @@
   if (!Reached)
     return;
   std::string Bytes = pooling::encodeMessage(Message);
-  deliverAfter(To, Found->second.Generation, m_Settings.PeerDelay,
-               [this, From, Bytes](PoolNode &Node) {
-                 Node.onPeerMessage(m_Now, From,
-                                    *pooling::decodeMessage(Bytes));
-               });
+  deliverFromPeer(From, To, Bytes.size(), [this, From, Bytes](PoolNode &Node) {
+    Node.onPeerMessage(m_Now, From, *pooling::decodeMessage(Bytes));
+  });
 }
 
 void PoolFleet::cutPeers(const VmId &Left, const VmId &Right, bool Cut) {
--- a/test/unit-runtime-site.cpp
+++ b/test/unit-runtime-site.cpp
@@ -14,6 +14,7 @@
 #include <cerrno>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -220,8 +221,82 @@
   CHECK_TRUE(Oversized.closed());
 }
 
+namespace {
+
+/// @brief A store on loopback that sends its response in parts.
+struct SlowStore {
+  asio::io_context Io;
+  Tcp::acceptor Acceptor{Io, {asio::ip::address_v4::loopback(), 0}};
+  HttpClient Client{Io, "127.0.0.1:" +
+                            std::to_string(Acceptor.local_endpoint().port())};
+  Tcp::socket Accepted{Io};
+  std::optional<unsigned> Status;
+  std::string Body;
+
+  explicit SlowStore(Duration Timeout) {
+    platform::HttpCall Call;
+    Call.Method = "GET";
+    Call.Path = "/";
+    Client.call(Call, Timeout, [this](unsigned Answered, std::string Text) {
+      Status = Answered;
+      Body = std::move(Text);
+    });
+    Acceptor.async_accept([this](std::error_code Error, Tcp::socket Socket) {
+      CHECK_FALSE(Error);
+      Accepted = std::move(Socket);
+    });
+    run(std::chrono::milliseconds(20));
+    send("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n");
+  }
+
+  void send(const std::string &Bytes) {
+    std::error_code Ignored; // The client may have closed the connection.
+    Accepted.write_some(asio::buffer(Bytes), Ignored);
+  }
+
+  /// @brief Sends a part of the body every 40 ms until the call has ended.
+  void sendParts(unsigned Count, std::size_t Length) {
+    for (unsigned Part = 0; Part < Count && !Status; ++Part) {
+      run(std::chrono::milliseconds(40));
+      send(std::string(Length, 'x'));
+    }
+    run(std::chrono::milliseconds(40));
+  }
+
+  void run(std::chrono::milliseconds Span) {
+    Io.run_for(Span);
+    Io.restart();
+  }
+};
+
+} // namespace
+
 TEST_GROUP(HttpClient){};
 
+TEST(HttpClient, AResponseIsNotGivenUpWhileItArrives) {
+  SlowStore Store(milliseconds(150));
+  Store.sendParts(10, 100);
+  CHECK_TRUE(Store.Status.has_value());
+  LONGS_EQUAL(200, Store.Status.value_or(0));
+  LONGS_EQUAL(1000, Store.Body.size());
+}
+
+TEST(HttpClient, AResponseThatStopsIsGivenUp) {
+  SlowStore Store(milliseconds(150));
+  Store.sendParts(3, 100);
+  CHECK_FALSE(Store.Status.has_value());
+  Store.run(std::chrono::milliseconds(250));
+  CHECK_TRUE(Store.Status.has_value());
+  LONGS_EQUAL(0, Store.Status.value_or(1));
+}
+
+TEST(HttpClient, AResponseThatArrivesTooSlowlyIsGivenUp) {
+  SlowStore Store(milliseconds(100));
+  Store.sendParts(40, 1);
+  CHECK_TRUE(Store.Status.has_value());
+  LONGS_EQUAL(0, Store.Status.value_or(1));
+}
+
 TEST(HttpClient, OpensAnotherConnectionIfTheFirstOneIsNotAnswered) {
   asio::io_context Io;
   // A full queue of a listener drops further opening packets.
