Give a response of the store up only once it stops arriving

Cause: a call of the store had 0.9 s for the whole response, and a configuration of 4,266 routes, 1.2 MB in the store's encoding, takes 0.97 s on a link of 10 Mbit/s that carries nothing else.

A response now has its timeout to begin and then for each further part; ten timeouts bound the whole. A store that is silent is noticed as before.

Failed before and pass now: HttpClient.AResponseIsNotGivenUpWhileItArrives, AResponseThatStopsIsGivenUp; with the model's timeout removed like the product's, three tests of PoolConfig.

--- a/src/runtime/site/HttpClient.h
+++ b/src/runtime/site/HttpClient.h
@@ -6,6 +6,7 @@
 
 #include <http_parser.h>
 
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -29,7 +30,8 @@
   HttpClient &operator=(const HttpClient &) = delete;
 
   /// @brief Queues a call.
-  /// @param Timeout time from sending the request to the complete response
+  /// @param Timeout time in which the response must begin and in which each
+  /// further part of it must arrive; ten times as much for the whole response
   void call(const platform::HttpCall &Request, Duration Timeout,
             Callback OnComplete);
 
@@ -48,6 +50,8 @@
   void finish(unsigned Status);
   void fail(const std::string &Reason);
   void prepareParser();
+  /// @brief Restarts the timeout of the current call.
+  void armTimeout();
 
   asio::io_context &m_Io;
   std::string m_Address;
@@ -57,7 +61,8 @@
   std::deque<PendingCall> m_Queue;
   bool m_Connected = false; ///< The stream is established.
   bool m_Busy = false;
-  std::uint64_t m_CallNumber = 0;
+  std::uint64_t m_TimeoutNumber = 0;
+  std::chrono::steady_clock::time_point m_Deadline; ///< Of the current call.
   std::string m_Body;
   bool m_Complete = false;
   http_parser m_Parser{};
--- a/src/standin/site/PoolFleet.h
+++ b/src/standin/site/PoolFleet.h
@@ -155,10 +155,10 @@
   /// @brief Delivers bytes from another VM, after the links' queues.
   void deliverFromPeer(const VmId &From, const VmId &To, std::size_t Bytes,
                        std::function<void(pooling::PoolNode &)> Handler);
-  /// @brief Delivers the newest configuration from the store.
-  /// @param OnEnd called at the end, also if the read was given up
+  /// @brief Delivers the newest configuration from the store, and reports its
+  /// arrival.
   void deliverConfig(const VmId &Name, std::uint64_t Generation,
-                     const std::function<void()> &OnEnd);
+                     const std::function<void()> &OnArrived);
   void startProcess(const VmId &Name);
   /// @brief Reads all tables of the store; retries while it is down.
   void readTables(const VmId &Name, std::uint64_t Generation);
