Send VMs only what differs in a configuration, one transfer at a time

Second cause, beside the timeout of reads: each VM requested the whole text (0.9 MB) again every 400 ms from whichever VM reported a newer version, and read the store at the same time. On links of 10 Mbit/s each copy takes 0.7 s alone, so that the copies delayed each other (63 to 95 MB a second in the fleet for seven seconds, eight times what one copy each needs), and pings, readiness probes and callers' statements behind them. The VM that a data centre asks first was a small one, diamond-hbr-6, and sent for 15 s.

ConfigExchange fetches one configuration at a time; the largest VM of a data centre passes it on; a request for a version that a VM lacks waits there. Texts are encoded against the text that the requester has: bytes now grow with the change, not with the configuration. Base and result are checked. Ruled out: processors (at most 9 % of a core) and the store (no call refused).

--- a/include/bergamotstage/pooling/FleetMessage.h
+++ b/include/bergamotstage/pooling/FleetMessage.h
@@ -4,6 +4,7 @@
 #include "bergamotstage/core/HistoryPoint.h"
 #include "bergamotstage/core/Ids.h"
 #include "bergamotstage/core/Time.h"
+#include "bergamotstage/fleet/TextDelta.h"
 #include "bergamotstage/pooling/OperationRequest.h"
 #include "bergamotstage/pooling/TargetTable.h"
 
@@ -103,11 +104,17 @@
   Term NewTerm;
 };
 
-/// @brief Requests the receiver's configuration.
-struct ConfigRequest {};
-/// @brief Configuration in its stored text form.
+/// @brief Requests a configuration that is newer than the sender's, at once or
+/// as soon as the receiver has one.
+struct ConfigRequest {
+  std::uint64_t Version = 0; ///< Of the sender.
+  TextDigest Base;           ///< Of the sender's text, if it has one.
+};
+/// @brief Configuration in its stored form, as compressText() encodes it.
 struct ConfigText {
-  std::string Text;
+  std::uint64_t Version = 0;
+  TextDigest Base; ///< Of the base of the encoding, if it has one.
+  std::string Compressed;
 };
 
 /// @brief Requests changes from a VM that follows the store.
--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -3,6 +3,7 @@
 
 #include "bergamotstage/core/PlatformApi.h"
 #include "bergamotstage/metrics/Registry.h"
+#include "bergamotstage/pooling/ConfigExchange.h"
 #include "bergamotstage/pooling/Context.h"
 #include "bergamotstage/pooling/FailoverController.h"
 #include "bergamotstage/pooling/FleetMessage.h"
@@ -51,10 +52,10 @@
     std::function<void(PlatformRequest, PlatformCallback)> CallPlatform;
     /// Reads the configuration from the store at once.
     std::function<void()> ReadConfig;
-    /// Returns the current configuration in its stored text form.
-    std::function<std::string()> ConfigText;
-    /// Applies a configuration received from another VM.
-    std::function<void(const VmId &From, const std::string &)> ApplyConfigText;
+    /// Parses a text from another VM, which took a number of bytes, and passes
+    /// it to onConfigRead().
+    std::function<void(const VmId &, const std::string &, std::size_t)>
+        ApplyConfigText;
     /// Starts or stops following the store's tables.
     std::function<void(const StoreReaders::Following &)> FollowStore;
     std::function<void()> StopAccepting;
@@ -101,8 +102,7 @@
   void onPlatformAnswer(Instant Now, const PlatformCallback &Callback,
                         const PlatformAnswer &Answer);
   /// @brief A configuration was read; one that is not newer is ignored.
-  void onConfigRead(Instant Now, const SharedConfig &Config,
-                    const ConfigOrigin &Origin);
+  void onConfigRead(Instant Now, const ReceivedConfig &Received);
   /// @brief The users' policies were read, at the start or on a reload.
   void onPoliciesRead(Instant Now, const SitePolicies &Policies);
   void onTargetListed(Instant Now, const TargetEntry &Entry);
@@ -125,7 +125,7 @@
   /// @brief Whether this VM can serve callers.
   bool ready() const;
   std::uint64_t configVersion() const { return m_Config->Version; }
-  const ConfigCounts &configCounts() const { return m_ConfigCounts; }
+  const ConfigCounts &configCounts() const { return m_Configs.counts(); }
   const metrics::Registry &metrics() const { return m_Metrics; }
   const Sessions &sessions() const { return m_Sessions; }
   std::size_t links() const;
@@ -142,6 +142,7 @@
   FailoverController::Hooks failoverHooks();
   FleetRows::Hooks rowHooks();
   StoreReaders::Hooks readerHooks();
+  ConfigExchange::Hooks configHooks();
 
   void setTime(Instant Now);
   /// @brief Handles this VM's messages to itself until the queue is empty.
@@ -189,8 +190,6 @@
   bool holdsLease(const DatabaseId &Group) const;
   void acquireLeases();
   void acquireLeaseIfFirst(const DatabaseId &Group);
-  void onPeerConfigVersion(const VmId &From, std::uint64_t Version);
-  void fetchConfig(const VmId &From, std::uint64_t Version);
   void onMembersListed(const std::vector<MemberState> &Members);
   void markPeerLost(const VmId &Vm, const char *Reason);
   void setReachable(const VmId &Vm, bool Reachable);
@@ -211,6 +210,7 @@
   RateShare m_Rates;
   FleetRows m_Rows;
   RenewalBatcher m_Renewals;
+  ConfigExchange m_Configs;
   StoreReaders m_Readers;
   FailoverController m_Failover;
   Sessions m_Sessions;
@@ -218,10 +218,6 @@
   std::map<LinkId, TargetId> m_LinkTargets;
   std::map<VmId, Incarnation> m_Origins; ///< VMs with a stream to this one.
   std::map<DatabaseId, Instant> m_LeaseRequestedAt;
-  std::uint64_t m_FetchingVersion = 0; ///< 0 if none is being fetched.
-  /// Since when another VM has had a newer configuration.
-  std::optional<Instant> m_BehindSince;
-  ConfigCounts m_ConfigCounts;
   std::deque<LocalMessage> m_LocalMessages;
   bool m_Dispatching = false;
   std::optional<Instant> m_LeavingSince;
--- a/include/bergamotstage/pooling/SiteConfig.h
+++ b/include/bergamotstage/pooling/SiteConfig.h
@@ -58,10 +58,12 @@
 
 using SharedConfig = std::shared_ptr<const SiteConfig>;
 
-/// @brief How a VM received a configuration, for the log and the metrics.
-struct ConfigOrigin {
+/// @brief A configuration that a VM received.
+struct ReceivedConfig {
+  SharedConfig Config;
+  std::string Text;      ///< In its stored form.
   std::string Source;    ///< "store", or the name of another VM.
-  std::size_t Bytes = 0; ///< Length of the text as it was received.
+  std::size_t Bytes = 0; ///< Length of what was received.
 };
 
 /// @brief Counts of the configurations that a VM has received.
--- a/src/pooling/FleetMessage.cpp
+++ b/src/pooling/FleetMessage.cpp
@@ -248,8 +248,15 @@
     Out.text(Body.Target.value());
     Out.varint(Body.NewTerm.value());
   }
-  void operator()(const ConfigRequest &) {}
-  void operator()(const ConfigText &Body) { Out.text(Body.Text); }
+  void operator()(const ConfigRequest &Body) {
+    Out.varint(Body.Version);
+    Out.varint(Body.Base.value());
+  }
+  void operator()(const ConfigText &Body) {
+    Out.varint(Body.Version);
+    Out.varint(Body.Base.value());
+    Out.text(Body.Compressed);
+  }
   void operator()(const StoreUpdateRequest &Body) {
     Out.varint(Body.ConfigVersion);
     Out.varint(Body.TargetsVersion);
@@ -362,6 +369,21 @@
   return Body;
 }
 
+ConfigRequest readConfigRequest(ByteReader &In) {
+  ConfigRequest Body;
+  Body.Version = In.varint();
+  Body.Base = TextDigest(In.varint());
+  return Body;
+}
+
+ConfigText readConfigText(ByteReader &In) {
+  ConfigText Body;
+  Body.Version = In.varint();
+  Body.Base = TextDigest(In.varint());
+  Body.Compressed = In.text();
+  return Body;
+}
+
 Promoted readPromoted(ByteReader &In) {
   auto Body = readGroupAndTarget<Promoted>(In);
   Body.NewTerm = Term(In.varint());
@@ -408,9 +430,9 @@
   case tagOf<Promoted>():
     return readPromoted(In);
   case tagOf<ConfigRequest>():
-    return ConfigRequest{};
+    return readConfigRequest(In);
   case tagOf<ConfigText>():
-    return ConfigText{In.text()};
+    return readConfigText(In);
   case tagOf<StoreUpdateRequest>(): {
     StoreUpdateRequest Body;
     Body.ConfigVersion = In.varint();
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -67,7 +67,7 @@
                              [this](const VmId &To, FleetMessage &&Message) {
                                replyToPeer(To, std::move(Message));
                              }}),
-      m_Readers(m_Context, readerHooks()),
+      m_Configs(m_Context, configHooks()), m_Readers(m_Context, readerHooks()),
       m_Failover(m_Context, m_Targets, failoverHooks()),
       m_Sessions(m_Context, m_Targets, m_Selector, m_Rates, m_Metrics,
                  sessionHooks()) {}
@@ -398,34 +398,14 @@
   dispatchLocalMessages();
 }
 
-void PoolNode::onConfigRead(Instant Now, const SharedConfig &Config,
-                            const ConfigOrigin &Origin) {
+void PoolNode::onConfigRead(Instant Now, const ReceivedConfig &Received) {
   setTime(Now);
-  m_ConfigCounts.Bytes += Origin.Bytes;
-  if (Config->Version <= m_Config->Version) {
-    ++m_ConfigCounts.Outdated;
-    m_Context.log(WriteLog::Level::Info, "config_outdated",
-                  {{"version", std::to_string(Config->Version)},
-                   {"own", std::to_string(m_Config->Version)},
-                   {"source", Origin.Source},
-                   {"bytes", std::to_string(Origin.Bytes)}});
+  if (!m_Configs.accept(Received))
     return;
-  }
-  ++m_ConfigCounts.Applied;
-  Duration Behind =
-      m_BehindSince ? m_Context.now() - *m_BehindSince : Duration(0);
-  m_BehindSince.reset();
-  m_Config = Config;
-  m_Context.log(WriteLog::Level::Info, "config_in_force",
-                {{"version", std::to_string(Config->Version)},
-                 {"routes", std::to_string(Config->Routes.size())},
-                 {"keys", std::to_string(Config->Keys.size())},
-                 {"accounts", std::to_string(Config->Accounts.size())},
-                 {"source", Origin.Source},
-                 {"bytes", std::to_string(Origin.Bytes)},
-                 {"behind_ms", formatMilliseconds(Behind)}});
-  m_Sessions.setConfig(Config);
-  m_Rates.configure(Config->Accounts);
+  m_Config = Received.Config;
+  m_Sessions.setConfig(m_Config);
+  m_Rates.configure(m_Config->Accounts);
+  m_Configs.sendToWaiting();
   m_Readers.onConfigChanged();
   limitPools();
   dispatchLocalMessages();
--- a/src/pooling/PoolNodeHooks.cpp
+++ b/src/pooling/PoolNodeHooks.cpp
@@ -128,6 +128,20 @@
   return Callbacks;
 }
 
+ConfigExchange::Hooks PoolNode::configHooks() {
+  ConfigExchange::Hooks Callbacks;
+  Callbacks.SendRequest = [this](const VmId &To, FleetMessage &&Message) {
+    send(To, std::move(Message));
+  };
+  Callbacks.SendReply = [this](const VmId &To, FleetMessage &&Message) {
+    replyToPeer(To, std::move(Message));
+  };
+  Callbacks.Members = [this]() -> const RankedMembers & { return m_Members; };
+  Callbacks.ReadStore = m_Hooks.ReadConfig;
+  Callbacks.Apply = m_Hooks.ApplyConfigText;
+  return Callbacks;
+}
+
 StoreReaders::Hooks PoolNode::readerHooks() {
   StoreReaders::Hooks Callbacks;
   Callbacks.SendRequest = [this](const VmId &To, FleetMessage &&Message) {
@@ -146,7 +160,7 @@
   };
   Callbacks.SetFollowing = m_Hooks.FollowStore;
   Callbacks.OnConfigVersion = [this](const VmId &From, std::uint64_t Version) {
-    onPeerConfigVersion(From, Version);
+    m_Configs.onPeerVersion(From, Version);
   };
   Callbacks.ApplyUpdate = [this](const StoreUpdate &Update) {
     if (Update.BaseTargetsVersion == 0)
--- a/src/pooling/PoolNodeMessages.cpp
+++ b/src/pooling/PoolNodeMessages.cpp
@@ -13,11 +13,6 @@
 constexpr Duration MaxSharedProofAge = milliseconds(60);
 /// A target is alive if it has sent data within this time.
 constexpr Duration MaxAliveAge = milliseconds(300);
-/// Time in which a data centre's reader gets a new configuration.
-constexpr Duration DataCentreConfigTimeout = milliseconds(80);
-/// Timeout of a configuration request to another VM.
-constexpr Duration PeerConfigTimeout = milliseconds(400);
-const char *const ConfigSubject = "config of a data centre";
 
 } // namespace
 
@@ -80,70 +75,16 @@
   }
   if (Unknown)
     m_Rows.requestRefresh();
-  onPeerConfigVersion(From, Body.ConfigVersion);
-}
-
-void PoolNode::onPeerConfigVersion(const VmId &From, std::uint64_t Version) {
-  if (Version <= m_Config->Version)
-    return;
-  if (!m_BehindSince)
-    m_BehindSince = m_Context.now();
-  fetchConfig(From, Version);
-}
-
-/// @brief Fetches a configuration version reported by another VM.
-///
-/// One VM per data centre reads it from the store and the others there request
-/// it from that VM, because store calls and traffic between data centres both
-/// cost money.
-void PoolNode::fetchConfig(const VmId &From, std::uint64_t Version) {
-  if (Version <= m_FetchingVersion)
-    return;
-  m_FetchingVersion = Version;
-  m_Context.log(WriteLog::Level::Info, "newer_config_at_peer",
-                {{"vm", From.value()},
-                 {"version", std::to_string(Version)},
-                 {"own", std::to_string(m_Config->Version)}});
-  // Until its first list arrives, a VM has asked the store already. A peer
-  // helps out if the store is away.
-  if (m_Config->Version == 0) {
-    m_Context.scheduleAfter(PeerConfigTimeout, [this, From, Version] {
-      m_FetchingVersion = 0;
-      if (m_Config->Version < Version)
-        send(From, ConfigRequest{});
-    });
-    return;
-  }
-  const MemberState *Sender = m_Members.find(From);
-  bool SameDataCentre =
-      Sender != nullptr && Sender->DataCentre == m_Context.dataCentre();
-  std::vector<VmId> Candidates =
-      m_Members.ownerOrder(ConfigSubject, m_Context.dataCentre());
-  bool IsFirst = !Candidates.empty() && Candidates.front() == m_Context.self();
-  if (SameDataCentre)
-    send(From, ConfigRequest{});
-  else if (IsFirst)
-    m_Hooks.ReadConfig();
-  else if (!Candidates.empty())
-    m_Context.scheduleAfter(DataCentreConfigTimeout,
-                            [this, Version, Reader = Candidates.front()] {
-                              if (m_Config->Version < Version)
-                                send(Reader, ConfigRequest{});
-                            });
-  m_Context.scheduleAfter(PeerConfigTimeout, [this, Version] {
-    m_FetchingVersion = 0;
-    if (m_Config->Version < Version)
-      m_Hooks.ReadConfig();
-  });
+  m_Configs.onPeerVersion(From, Body.ConfigVersion);
 }
 
 void PoolNode::handle(const VmId &From, Ping &&Body) {
-  onPeerConfigVersion(From, Body.ConfigVersion);
+  m_Configs.onPeerVersion(From, Body.ConfigVersion);
   replyToPeer(From, Pong{m_Config->Version});
 }
 
 void PoolNode::handle(const VmId &From, Pong &&Body) {
-  onPeerConfigVersion(From, Body.ConfigVersion);
+  m_Configs.onPeerVersion(From, Body.ConfigVersion);
 }
 
 void PoolNode::handle(const VmId & /*From*/, StartOperation &&Body) {
@@ -231,12 +172,12 @@
   onPromoted(Body.Group, Body.Target, Body.NewTerm);
 }
 
-void PoolNode::handle(const VmId &From, ConfigRequest && /*Body*/) {
-  replyToPeer(From, ConfigText{m_Hooks.ConfigText()});
+void PoolNode::handle(const VmId &From, ConfigRequest &&Body) {
+  m_Configs.onRequest(From, Body);
 }
 
 void PoolNode::handle(const VmId &From, ConfigText &&Body) {
-  m_Hooks.ApplyConfigText(From, Body.Text);
+  m_Configs.onText(From, Body);
 }
 
 void PoolNode::handle(const VmId &From, StoreUpdateRequest &&Body) {
--- a/src/runtime/site/SiteDaemon.cpp
+++ b/src/runtime/site/SiteDaemon.cpp
@@ -155,9 +155,9 @@
       });
     };
     Hooks.ReadConfig = [this] { m_Config.refresh(); };
-    Hooks.ConfigText = [this] { return m_ConfigText; };
-    Hooks.ApplyConfigText = [this](const VmId &From, const std::string &Text) {
-      applyConfig(Text, From.value());
+    Hooks.ApplyConfigText = [this](const VmId &From, const std::string &Text,
+                                   std::size_t Bytes) {
+      applyConfig(Text, From.value(), Bytes);
     };
     Hooks.FollowStore = [this](const pooling::StoreReaders::Following &How) {
       m_Config.setFollowing(How);
@@ -293,10 +293,11 @@
 
   void applyConfigRow(const platform::ListedRow &Row) {
     if (Row.Key == platform::ConfigKey && !Row.Deleted)
-      applyConfig(Row.Value, "store");
+      applyConfig(Row.Value, "store", Row.Value.size());
   }
 
-  void applyConfig(const std::string &Text, const std::string &Source) {
+  void applyConfig(const std::string &Text, const std::string &Source,
+                   std::size_t Bytes) {
     auto Read = platform::parseConfig(Text);
     if (!Read) {
       log({WriteLog::Level::Error,
@@ -304,12 +305,10 @@
            {{"source", Source}, {"reason", Read.error()}}});
       return;
     }
-    if (Read->Version > m_Node.configVersion())
-      m_ConfigText = Text;
-    auto Config = std::make_shared<const pooling::SiteConfig>(std::move(*Read));
-    dispatch([&](Instant Now) {
-      m_Node.onConfigRead(Now, Config, {Source, Text.size()});
-    });
+    pooling::ReceivedConfig Received{
+        std::make_shared<const pooling::SiteConfig>(std::move(*Read)), Text,
+        Source, Bytes};
+    dispatch([&](Instant Now) { m_Node.onConfigRead(Now, Received); });
   }
 
   void logStore(const std::string &Table, bool Reachable,
@@ -499,7 +498,6 @@
   std::unique_ptr<HttpServer> m_Probe;
   std::unique_ptr<HttpServer> m_Metrics;
   PoolNode m_Node;
-  std::string m_ConfigText;
   std::uint64_t m_LinksOpened = 0;
   bool m_Leaving = false;
 };
--- a/src/standin/site/PoolFleet.cpp
+++ b/src/standin/site/PoolFleet.cpp
@@ -116,12 +116,14 @@
 
 void PoolFleet::deliverConfig(const VmId &Name, std::uint64_t Generation,
                               const std::function<void()> &OnArrived) {
-  std::size_t Bytes = m_Configs.at(m_Config->Version).Text.size();
-  Instant At = m_Vms.at(Name).Incoming.transfer(m_Now, encodedSize(Bytes));
+  const std::string &Text = m_Configs.at(m_Config->Version).Text;
+  pooling::ReceivedConfig Received{m_Config, Text, "store", Text.size()};
+  Instant At =
+      m_Vms.at(Name).Incoming.transfer(m_Now, encodedSize(Text.size()));
   deliverAfter(Name, Generation, At - m_Now,
-               [this, OnArrived, Bytes, Config = m_Config](PoolNode &Node) {
+               [this, OnArrived, Received](PoolNode &Node) {
                  OnArrived();
-                 Node.onConfigRead(m_Now, Config, {"store", Bytes});
+                 Node.onConfigRead(m_Now, Received);
                });
 }
 
@@ -293,19 +295,18 @@
                     [this, Name] { m_Vms.at(Name).Refreshing = false; });
     });
   };
-  Hooks.ConfigText = [this, Name] {
-    std::uint64_t Version = m_Vms.at(Name).Node->configVersion();
-    return Version == 0 ? std::string() : m_Configs.at(Version).Text;
-  };
   Hooks.ApplyConfigText = [this, Name, Generation](const VmId &From,
-                                                   const std::string &Text) {
-    auto Config = m_Configs.find(configVersionOf(Text));
-    if (Config != m_Configs.end())
-      deliverAfter(Name, Generation, Duration(0),
-                   [this, From, Config = Config->second.Config,
-                    Bytes = Text.size()](PoolNode &Node) {
-                     Node.onConfigRead(m_Now, Config, {From.value(), Bytes});
-                   });
+                                                   const std::string &Text,
+                                                   std::size_t Bytes) {
+    auto Read = m_Configs.find(configVersionOf(Text));
+    if (Read == m_Configs.end())
+      return;
+    pooling::ReceivedConfig Received{Read->second.Config, Text, From.value(),
+                                     Bytes};
+    deliverAfter(Name, Generation, Duration(0),
+                 [this, Received](PoolNode &Node) {
+                   Node.onConfigRead(m_Now, Received);
+                 });
   };
   Hooks.FollowStore = [this,
                        Name](const pooling::StoreReaders::Following &How) {
