--- a/src/runtime/site/SiteDaemon.cpp
+++ b/src/runtime/site/SiteDaemon.cpp
@@ -1,6 +1,5 @@
 #include "runtime/site/SiteDaemon.h"
 
-#include "bergamotstage/metrics/Prometheus.h"
 #include "bergamotstage/pooling/PoolNode.h"
 #include "platform/BootSettings.h"
 #include "platform/Documents.h"
@@ -14,6 +13,7 @@
 #include "runtime/site/LogBudget.h"
 #include "runtime/site/PeerStreams.h"
 #include "runtime/site/PolicyFile.h"
+#include "runtime/site/SiteMetrics.h"
 #include "runtime/site/StoreCalls.h"
 #include "runtime/site/TableFollower.h"
 
@@ -360,26 +360,7 @@
       return {m_Node.ready() ? HttpOk : HttpUnavailable, ""};
     if (Path != "/metrics")
       return {HttpNotFound, "page not found\n"};
-    std::string Text = metrics::renderPrometheus(m_Node.metrics());
-    Text += metrics::renderGauge("bergamotstage_sessions",
-                                 m_Node.sessions().size());
-    Text += metrics::renderGauge("bergamotstage_operations_open",
-                                 m_Node.sessions().operations());
-    Text += metrics::renderGauge("bergamotstage_links", m_Node.links());
-    Text +=
-        metrics::renderGauge("bergamotstage_links_opened_total", m_LinksOpened);
-    Text += metrics::renderGauge("bergamotstage_config_version",
-                                 m_Node.configVersion());
-    const pooling::ConfigCounts &Configs = m_Node.configCounts();
-    Text += metrics::renderGauge("bergamotstage_configs_applied_total",
-                                 Configs.Applied);
-    Text += metrics::renderGauge("bergamotstage_configs_outdated_total",
-                                 Configs.Outdated);
-    Text += metrics::renderGauge("bergamotstage_config_bytes_received_total",
-                                 Configs.Bytes);
-    Text +=
-        metrics::renderGauge("bergamotstage_rate_slots", m_Node.rateSlots());
-    return {HttpOk, Text};
+    return {HttpOk, renderSiteMetrics(m_Node, m_LinksOpened)};
   }
 
   /// @brief Passes an event to the node and rearms the timer.
