Report the retry delays of a VM that becomes a reader during an outage

A VM that followed the store with the slow retries of a large fleet, 15 s at 300 VMs, kept them when it became a reader because the readers were lost, so that the fleet could notice the store's return up to 15 s late instead of 1.5 s. The delays are reported when they change, and a pending retry that is later than the new delay allows is moved forward.

--- a/include/bergamotstage/pooling/StoreReaders.h
+++ b/include/bergamotstage/pooling/StoreReaders.h
@@ -27,6 +27,12 @@
     /// Delays after the first failed call and, doubled up to this, later ones.
     Duration FirstRetry{};
     Duration MaxRetry{};
+
+    friend bool operator==(const Following &Left, const Following &Right) {
+      return Left.Active == Right.Active &&
+             Left.FirstRetry == Right.FirstRetry &&
+             Left.MaxRetry == Right.MaxRetry;
+    }
   };
   struct Hooks {
     std::function<void(const VmId &, FleetMessage &&)> SendRequest;
@@ -35,7 +41,7 @@
     std::function<std::uint64_t()> ConfigVersion;
     /// Returns all targets known to this VM.
     std::function<std::vector<TargetEntry>()> Targets;
-    /// Starts or stops following the store from this VM.
+    /// Starts or stops following the store from this VM, or changes the delays.
     std::function<void(const Following &)> SetFollowing;
     std::function<void(const VmId &, std::uint64_t Version)> OnConfigVersion;
     std::function<void(const StoreUpdate &)> ApplyUpdate;
@@ -67,7 +73,7 @@
   std::vector<VmId> readers() const;
   void requestUpdate();
   void updateFollowing();
-  Following following() const;
+  Following following(bool Active) const;
   void publish(StoreUpdate Update);
   void extendValidity(const StoreUpdate &Update);
   StoreUpdateRequest makeRequest(std::uint64_t TargetsVersion) const;
@@ -75,7 +81,7 @@
 
   Context &m_Context;
   Hooks m_Hooks;
-  bool m_Following = false;
+  Following m_Following;   ///< As reported last.
   Instant m_MayReadFrom{}; ///< Earliest time at which this VM is a reader.
   Instant m_LastStoreResponse{};
   Instant m_UpdatesValidUntil{};   ///< End of the validity of readers' updates.
--- a/src/pooling/StoreReaders.cpp
+++ b/src/pooling/StoreReaders.cpp
@@ -102,23 +102,26 @@
   bool MayRead = m_Context.now() >= m_MayReadFrom;
   bool ShouldFollow =
       (MayRead && isReader()) || m_Context.now() >= m_UpdatesValidUntil;
-  if (ShouldFollow == m_Following)
+  Following Next = following(ShouldFollow);
+  bool Switched = Next.Active != m_Following.Active;
+  if (!Switched && (!Next.Active || Next == m_Following))
     return;
-  m_Following = ShouldFollow;
-  m_Context.log(WriteLog::Level::Info, "follows_store",
-                {{"follows", ShouldFollow ? "yes" : "no"},
-                 {"reader", isReader() ? "yes" : "no"}});
-  m_Hooks.SetFollowing(following());
+  m_Following = Next;
+  if (Switched)
+    m_Context.log(WriteLog::Level::Info, "follows_store",
+                  {{"follows", ShouldFollow ? "yes" : "no"},
+                   {"reader", isReader() ? "yes" : "no"}});
+  m_Hooks.SetFollowing(m_Following);
 }
 
 /// @brief Bounds the calls of a large fleet during an outage.
 ///
 /// While all readers lack the store, each VM tries once by itself. If that
 /// fails as well, the readers notice the end of the outage.
-StoreReaders::Following StoreReaders::following() const {
+StoreReaders::Following StoreReaders::following(bool Active) const {
   Duration PerFleet = RetryIntervalPerVm * m_Hooks.Members().all().size();
   bool Slow = !isReader() && PerFleet > MaxReaderRetry;
-  return {m_Following, Slow ? PerFleet : FirstReaderRetry,
+  return {Active, Slow ? PerFleet : FirstReaderRetry,
           Slow ? PerFleet : MaxReaderRetry};
 }
 
@@ -171,7 +174,7 @@
   StoreUpdate Update = makeUpdate();
   Update.Timestamp = Request.Timestamp;
   // Without following the store, this VM's list may lack targets.
-  bool HasCurrentList = m_Following && Update.StoreAge <= MaxStoreAge;
+  bool HasCurrentList = m_Following.Active && Update.StoreAge <= MaxStoreAge;
   if (!HasCurrentList)
     Update.TargetsVersion = Update.BaseTargetsVersion = 0;
   else if (Request.TargetsVersion != m_ListVersion) {
--- a/src/runtime/site/TableFollower.cpp
+++ b/src/runtime/site/TableFollower.cpp
@@ -29,7 +29,10 @@
 void TableFollower::setFollowing(const pooling::StoreReaders::Following &How) {
   m_Following = How;
   if (m_Following.Active && !m_Scheduled)
-    startNextCall();
+    return startNextCall();
+  auto Latest = std::chrono::steady_clock::now() + m_Following.MaxRetry;
+  if (m_RetryPending && m_Timer.expiry() > Latest)
+    scheduleRetry(m_Following.MaxRetry);
 }
 
 void TableFollower::startNextCall() {
@@ -43,11 +46,16 @@
 }
 
 void TableFollower::scheduleRetry(Duration Delay) {
+  m_RetryPending = true;
   m_Timer.expires_after(Delay);
-  m_Timer.async_wait([this](std::error_code Cancelled) {
-    if (!Cancelled)
-      startNextCall();
-  });
+  // A timer that has already expired cannot be cancelled.
+  m_Timer.async_wait(
+      [this, Number = ++m_RetryNumber](std::error_code Cancelled) {
+        if (Cancelled || Number != m_RetryNumber)
+          return;
+        m_RetryPending = false;
+        startNextCall();
+      });
 }
 
 void TableFollower::onFailed(const std::string &Reason) {
--- a/src/runtime/site/TableFollower.h
+++ b/src/runtime/site/TableFollower.h
@@ -67,6 +67,8 @@
   pooling::StoreReaders::Following m_Following{false, milliseconds(250),
                                                milliseconds(1500)};
   bool m_Scheduled = false; ///< A call or timer is pending.
+  bool m_RetryPending = false;
+  std::uint64_t m_RetryNumber = 0;
   bool m_Reachable = true;
   bool m_Refreshing = false;
   unsigned m_Failures = 0;
--- a/src/standin/site/PoolFleet.cpp
+++ b/src/standin/site/PoolFleet.cpp
@@ -310,8 +310,8 @@
   };
   Hooks.FollowStore = [this,
                        Name](const pooling::StoreReaders::Following &How) {
-    m_Vms.at(Name).Subscribed = How.Active;
-    if (!How.Active)
+    bool Subscribed = std::exchange(m_Vms.at(Name).Subscribed, How.Active);
+    if (!How.Active || Subscribed)
       return;
     readTables(Name, m_Vms.at(Name).Generation);
   };
--- a/test/unit-pool-store.cpp
+++ b/test/unit-pool-store.cpp
@@ -599,6 +599,24 @@
   CHECK_TRUE(CallsPerSecond < 8 / 1.5 + 21);
 }
 
+TEST(StoreReaders, AVmThatBecomesAReaderDuringAnOutageRetriesLikeOne) {
+  ReaderFleet All(300);
+  All.advance(seconds(4), true);
+  std::set<VmId> Lost;
+  for (const ReaderVm &Vm : All.Vms)
+    if (Vm.Following)
+      Lost.insert(Vm.Ctx.self());
+  All.advance(seconds(3), false);
+  for (ReaderVm &Vm : All.Vms)
+    for (const VmId &Reader : Lost)
+      Vm.Members.setReachable(Reader, false);
+  All.advance(seconds(1), false, Lost);
+  unsigned Fast = 0;
+  for (const ReaderVm &Vm : All.Vms)
+    Fast += Lost.count(Vm.Ctx.self()) == 0 && Vm.MaxRetry <= milliseconds(1500);
+  LONGS_EQUAL(Lost.size(), Fast);
+}
+
 TEST(StoreReaders, AllFollowBeforeAChangeCouldBeMissedForThreeSeconds) {
   // The readers lose the store just before a change, after a recent update.
   ReaderFleet All;
--- a/test/unit-runtime-site.cpp
+++ b/test/unit-runtime-site.cpp
@@ -1,6 +1,7 @@
 #include "runtime/site/CallerSockets.h"
 #include "runtime/site/HttpClient.h"
 #include "runtime/site/HttpServer.h"
+#include "runtime/site/TableFollower.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -271,6 +272,35 @@
 
 } // namespace
 
+TEST_GROUP(TableFollower){};
+
+TEST(TableFollower, ShorterDelaysReplaceAPendingRetry) {
+  asio::io_context Io;
+  std::string Address = freeAddress(Io);
+  TableFollower::Hooks Callbacks;
+  bool Reachable = true;
+  Callbacks.Reachable = [&](bool Now, const std::string &) { Reachable = Now; };
+  TableFollower Table(Io, Address, "servers", seconds(5), std::move(Callbacks));
+  Table.setFollowing({true, seconds(60), seconds(60)});
+  Io.run_for(std::chrono::milliseconds(50));
+  CHECK_FALSE(Reachable);
+  unsigned Calls = 0;
+  auto Server = HttpServer::listen(
+      Io, Address,
+      [&](const std::string &) {
+        ++Calls;
+        return HttpResponse{503, ""};
+      },
+      [](const std::string &) {});
+  CHECK_TRUE(Server.has_value());
+  Table.setFollowing({true, milliseconds(20), milliseconds(100)});
+  Io.restart();
+  Io.run_for(std::chrono::milliseconds(300));
+  // One retry runs at a time, after 100 ms and then every 100 ms.
+  CHECK_TRUE(Calls >= 1);
+  CHECK_TRUE(Calls <= 3);
+}
+
 TEST_GROUP(HttpClient){};
 
 TEST(HttpClient, AResponseIsNotGivenUpWhileItArrives) {
