--- a/include/bergamotstage/pooling/ConfigExchange.h
+++ b/include/bergamotstage/pooling/ConfigExchange.h
@@ -50,7 +50,6 @@
   void onRequest(const VmId &From, const ConfigRequest &Request);
   void onText(const VmId &From, const ConfigText &Reply);
 
-  std::uint64_t version() const { return m_Version; }
   const ConfigCounts &counts() const { return m_Counts; }
 
 private:
@@ -87,10 +86,10 @@
   std::map<TextDigest, std::string> m_Compressed;
   std::map<VmId, WaitingRequest> m_Waiting; ///< No newer text was known.
 
-  std::uint64_t m_KnownVersion = 0; ///< The newest one that any VM has.
-  VmId m_Holder;                    ///< A VM that has it.
-  std::optional<Instant> m_BehindSince;
-  std::optional<TimerId> m_NextStep; ///< Of the fetch, if one runs.
+  std::uint64_t m_KnownVersion = 0;     ///< The newest one that any VM has.
+  VmId m_Holder;                        ///< The VM that reported it.
+  std::optional<Instant> m_BehindSince; ///< A newer version exists since.
+  std::optional<TimerId> m_NextStep;    ///< Of the fetch, if one runs.
   ConfigCounts m_Counts;
 };
 
--- a/src/explain/RequestTimeline.cpp
+++ b/src/explain/RequestTimeline.cpp
@@ -24,7 +24,7 @@
       "policies_refused", "store_lost",           "store_regained",
       "follows_store",    "rate_slots_changed",   "log_lines_left_out",
       "config_malformed", "newer_config_at_peer", "log_lines_dropped",
-      "config_outdated"};
+      "config_outdated",  "config_not_received"};
   return Events.count(Event) > 0;
 }
 
--- a/src/pooling/ConfigExchange.cpp
+++ b/src/pooling/ConfigExchange.cpp
@@ -124,8 +124,12 @@
   scheduleStep(PeerTimeout, &ConfigExchange::endFetch);
 }
 
-/// @brief The next VM that reports a newer version starts another fetch.
-void ConfigExchange::endFetch() {}
+/// @brief Lets the next VM that reports a newer version start another fetch.
+void ConfigExchange::endFetch() {
+  m_Context.log(WriteLog::Level::Warning, "config_not_received",
+                {{"version", std::to_string(m_KnownVersion)},
+                 {"own", std::to_string(m_Version)}});
+}
 
 void ConfigExchange::request(const VmId &From, TextDigest Base) {
   if (From != m_Context.self())
