--- a/src/standin/site/ModelConfig.cpp
+++ b/src/standin/site/ModelConfig.cpp
@@ -18,7 +18,7 @@
     Text += "{\"name\":\"" + Route.Name.value() + "\",\"database\":\"" +
             Database + "\",\"service\":\"" + Route.Group.value() +
             "\",\"prefix\":\"/\",\"type\":\"read_your_writes\","
-            "\"timeout_ms\":800,\"target_latency_ms\":250,\"priority\":2,"
+            "\"timeout_ms\":800,\"latency_goal_ms\":250,\"priority\":2,"
             "\"max_attempts\":2,\"max_age_ms\":2500,\"public\":false}\n";
   }
   return Text;
