Let a VM that is receiving a configuration trust the readers for a second

Cause: an update of a reader that has a newer configuration did not extend the validity of its list of targets, although the VM was fetching that configuration by other means.

Such an update now counts for a second from the first one that names the version; after it the VM follows the store as before, at most 2.3 s after the change. Failed before (8 of 8 VMs follow) and passes now: AVmThatIsReceivingAConfigurationDoesNotFollow; AVmThatReceivesNoConfigurationFollows guards the fallback and passed before. unit-pool-store 32 of 32.

--- a/include/bergamotstage/pooling/StoreReaders.h
+++ b/include/bergamotstage/pooling/StoreReaders.h
@@ -69,12 +69,19 @@
   void onUpdate(const VmId &From, const StoreUpdate &Update);
 
 private:
+  /// @brief A configuration that a reader has and this VM lacks.
+  struct ConfigFetch {
+    std::uint64_t Version = 0;
+    Instant Until; ///< When it should have arrived.
+  };
+
   bool isReader() const;
   std::vector<VmId> readers() const;
   void requestUpdate();
   void updateFollowing();
   Following following(bool Active) const;
   void publish(StoreUpdate Update);
+  bool hasOrFetchesConfig(std::uint64_t Version);
   void extendValidity(const StoreUpdate &Update);
   StoreUpdateRequest makeRequest(std::uint64_t TargetsVersion) const;
   StoreUpdate makeUpdate() const;
@@ -89,6 +96,7 @@
   std::map<VmId, std::uint64_t> m_AppliedVersions; ///< For each reader.
   std::map<VmId, Instant> m_Subscribers;
   std::size_t m_NextReader = 0;
+  std::optional<ConfigFetch> m_Fetch;
   std::optional<TimerId> m_ExpiryTimer; ///< Runs at m_UpdatesValidUntil.
 };
 
--- a/src/pooling/StoreReaders.cpp
+++ b/src/pooling/StoreReaders.cpp
@@ -20,6 +20,10 @@
 /// Maximum time until the next update from a reader.
 constexpr Duration UpdateValidity = milliseconds(1300);
 
+/// Time in which a VM receives a configuration that a reader has, from other
+/// VMs or by a single read of the store.
+constexpr Duration ConfigFetchTimeout = seconds(1);
+
 /// Time that a VM which has just read all tables waits for the first update
 /// from a reader before it follows the store itself.
 constexpr Duration FirstUpdateTimeout = milliseconds(2500);
@@ -203,11 +207,24 @@
   }
   bool UpToDate = Update.TargetsVersion > 0 &&
                   AppliedVersion == Update.TargetsVersion &&
-                  Update.ConfigVersion <= m_Hooks.ConfigVersion() &&
                   Update.StoreAge <= MaxStoreAge;
-  if (UpToDate)
+  if (UpToDate && hasOrFetchesConfig(Update.ConfigVersion))
     extendValidity(Update);
   updateFollowing();
 }
 
+/// @brief Whether this VM has a configuration or may still be receiving it.
+///
+/// Following the store transfers the whole configuration, which would delay the
+/// one that is on its way.
+bool StoreReaders::hasOrFetchesConfig(std::uint64_t Version) {
+  if (m_Fetch && m_Fetch->Version <= m_Hooks.ConfigVersion())
+    m_Fetch.reset();
+  if (Version <= m_Hooks.ConfigVersion())
+    return true;
+  if (!m_Fetch)
+    m_Fetch = {Version, m_Context.now() + ConfigFetchTimeout};
+  return m_Context.now() < m_Fetch->Until;
+}
+
 } // namespace bergamotstage::pooling
--- a/test/unit-pool-store.cpp
+++ b/test/unit-pool-store.cpp
@@ -599,6 +599,36 @@
   CHECK_TRUE(CallsPerSecond < 8 / 1.5 + 21);
 }
 
+TEST(StoreReaders, AVmThatIsReceivingAConfigurationDoesNotFollow) {
+  ReaderFleet All;
+  All.advance(seconds(4), true);
+  for (ReaderVm &Vm : All.Vms)
+    Vm.Config = Vm.Following ? 2 : 1;
+  All.advance(milliseconds(1800), true);
+  LONGS_EQUAL(2, All.followerCount());
+}
+
+TEST(StoreReaders, AVmThatReceivesNoConfigurationFollows) {
+  ReaderFleet All;
+  All.advance(seconds(4), true);
+  for (ReaderVm &Vm : All.Vms)
+    Vm.Config = Vm.Following ? 2 : 1;
+  All.advance(milliseconds(2600), true);
+  LONGS_EQUAL(8, All.followerCount());
+}
+
+TEST(StoreReaders,
+     AVmThatIsReceivingOneConfigurationAfterAnotherDoesNotFollow) {
+  ReaderFleet All;
+  All.advance(seconds(4), true);
+  for (std::uint64_t Version = 2; Version < 12; ++Version) {
+    for (ReaderVm &Vm : All.Vms)
+      Vm.Config = Vm.Following ? Version : Version - 1;
+    All.advance(milliseconds(500), true);
+  }
+  LONGS_EQUAL(2, All.followerCount());
+}
+
 TEST(StoreReaders, AVmThatBecomesAReaderDuringAnOutageRetriesLikeOne) {
   ReaderFleet All(300);
   All.advance(seconds(4), true);
