Move rate shares and the choice of a target into modules of their own

Change: RateShare and RatePlan are in ratelimit, TargetSelector in balancing. Ruled out: moving FleetRows, which also keeps members and leases. Result: no behaviour changes; the unit tests only name the new headers.

--- a/include/bergamotstage/pooling/TargetSelector.h
+++ b/include/bergamotstage/balancing/TargetSelector.h
@@ -1,5 +1,5 @@
-#ifndef BERGAMOTSTAGE_POOLING_TARGETSELECTOR_H
-#define BERGAMOTSTAGE_POOLING_TARGETSELECTOR_H
+#ifndef BERGAMOTSTAGE_BALANCING_TARGETSELECTOR_H
+#define BERGAMOTSTAGE_BALANCING_TARGETSELECTOR_H
 
 #include "bergamotstage/pooling/Context.h"
 #include "bergamotstage/pooling/OperationRequest.h"
@@ -13,7 +13,7 @@
 #include <optional>
 #include <vector>
 
-namespace bergamotstage::pooling {
+namespace bergamotstage::balancing {
 
 /// @brief Selects the target of an operation and the VM that owns its links.
 class TargetSelector {
@@ -33,49 +33,54 @@
     Kind Type = Kind::NoPrimary;
     TargetId Target;
     VmId Owner;
-    Access AccessMode = Access::Primary;
+    pooling::Access AccessMode = pooling::Access::Primary;
     std::optional<HistoryPoint> After; ///< Position required of a replica.
   };
 
-  TargetSelector(Context &Ctx, const TargetTable &Targets, OwnersHook Owners)
+  TargetSelector(pooling::Context &Ctx, const pooling::TargetTable &Targets,
+                 OwnersHook Owners)
       : m_Context(Ctx), m_Targets(Targets), m_Owners(std::move(Owners)) {}
 
   /// @brief Selects target and owner of an operation.
   /// Complexity: linear in the targets of the group.
-  Choice select(const Session &Caller, const Operation &Op) const;
+  Choice select(const pooling::Session &Caller,
+                const pooling::Operation &Op) const;
 
   /// @brief Proven positions of a group.
-  PositionProofs &proofs(const DatabaseId &Group) { return m_Proofs[Group]; }
+  pooling::PositionProofs &proofs(const DatabaseId &Group) {
+    return m_Proofs[Group];
+  }
 
   /// @brief Records queue length and failure rate of a target.
-  void recordLoad(const TargetId &Target, const TargetLoad &Load);
+  void recordLoad(const TargetId &Target, const pooling::TargetLoad &Load);
   void markBehind(const TargetId &Target);
   void markUnreachable(const TargetId &Target);
   void forget(const TargetId &Target) { m_States.erase(Target); }
 
 private:
   struct TargetState {
-    TargetLoad Load;
+    pooling::TargetLoad Load;
     Instant LoadAt{};
     Instant BehindUntil{};
     Instant UnreachableUntil{};
   };
 
-  Choice selectPrimary(const Operation &Op) const;
-  std::optional<HistoryPoint> requiredPosition(const Session &Caller,
-                                               const Operation &Op) const;
-  double estimateCost(const ReadRule &Rule, const TargetEntry &Target,
-                      bool IsPrimary) const;
+  Choice selectPrimary(const pooling::Operation &Op) const;
+  std::optional<HistoryPoint>
+  requiredPosition(const pooling::Session &Caller,
+                   const pooling::Operation &Op) const;
+  double estimateCost(const pooling::ReadRule &Rule,
+                      const pooling::TargetEntry &Target, bool IsPrimary) const;
   std::optional<VmId> selectOwner(const TargetId &Target,
-                                  const Operation &Op) const;
+                                  const pooling::Operation &Op) const;
 
-  Context &m_Context;
-  const TargetTable &m_Targets;
+  pooling::Context &m_Context;
+  const pooling::TargetTable &m_Targets;
   OwnersHook m_Owners;
-  std::map<DatabaseId, PositionProofs> m_Proofs;
+  std::map<DatabaseId, pooling::PositionProofs> m_Proofs;
   std::map<TargetId, TargetState> m_States;
 };
 
-} // namespace bergamotstage::pooling
+} // namespace bergamotstage::balancing
 
-#endif // BERGAMOTSTAGE_POOLING_TARGETSELECTOR_H
+#endif // BERGAMOTSTAGE_BALANCING_TARGETSELECTOR_H
--- a/include/bergamotstage/pooling/FleetRows.h
+++ b/include/bergamotstage/pooling/FleetRows.h
@@ -5,7 +5,7 @@
 #include "bergamotstage/fleet/MemberState.h"
 #include "bergamotstage/pooling/Context.h"
 #include "bergamotstage/pooling/FleetMessage.h"
-#include "bergamotstage/pooling/RatePlan.h"
+#include "bergamotstage/ratelimit/RatePlan.h"
 
 #include <functional>
 #include <map>
@@ -17,6 +17,8 @@
 
 namespace bergamotstage::pooling {
 
+using ratelimit::RatePlan;
+
 /// @brief Lease that allows its holder to order promotions in a group.
 struct PromotionLease {
   VmId Holder;
--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -1,6 +1,7 @@
 #ifndef BERGAMOTSTAGE_POOLING_POOLNODE_H
 #define BERGAMOTSTAGE_POOLING_POOLNODE_H
 
+#include "bergamotstage/balancing/TargetSelector.h"
 #include "bergamotstage/core/PlatformApi.h"
 #include "bergamotstage/metrics/Registry.h"
 #include "bergamotstage/pooling/ConfigExchange.h"
@@ -10,15 +11,14 @@
 #include "bergamotstage/pooling/FleetRows.h"
 #include "bergamotstage/pooling/PeerHealth.h"
 #include "bergamotstage/pooling/RankedMembers.h"
-#include "bergamotstage/pooling/RateShare.h"
 #include "bergamotstage/pooling/RenewalBatcher.h"
 #include "bergamotstage/pooling/Sessions.h"
 #include "bergamotstage/pooling/SiteConfig.h"
 #include "bergamotstage/pooling/SitePolicies.h"
 #include "bergamotstage/pooling/StoreReaders.h"
 #include "bergamotstage/pooling/TargetPool.h"
-#include "bergamotstage/pooling/TargetSelector.h"
 #include "bergamotstage/pooling/TargetTable.h"
+#include "bergamotstage/ratelimit/RateShare.h"
 
 #include <deque>
 #include <functional>
@@ -29,6 +29,9 @@
 
 namespace bergamotstage::pooling {
 
+using balancing::TargetSelector;
+using ratelimit::RateShare;
+
 /// @brief Event-driven core of one VM, for targets that report their own state.
 ///
 /// It reads no clock and opens no socket: each event carries the time, and
--- a/include/bergamotstage/pooling/Sessions.h
+++ b/include/bergamotstage/pooling/Sessions.h
@@ -1,13 +1,13 @@
 #ifndef BERGAMOTSTAGE_POOLING_SESSIONS_H
 #define BERGAMOTSTAGE_POOLING_SESSIONS_H
 
+#include "bergamotstage/balancing/TargetSelector.h"
 #include "bergamotstage/metrics/Registry.h"
 #include "bergamotstage/pooling/Context.h"
 #include "bergamotstage/pooling/FleetMessage.h"
-#include "bergamotstage/pooling/RateShare.h"
 #include "bergamotstage/pooling/Session.h"
-#include "bergamotstage/pooling/TargetSelector.h"
 #include "bergamotstage/pooling/TargetTable.h"
+#include "bergamotstage/ratelimit/RateShare.h"
 
 #include <deque>
 #include <functional>
@@ -17,6 +17,9 @@
 
 namespace bergamotstage::pooling {
 
+using balancing::TargetSelector;
+using ratelimit::RateShare;
+
 /// @brief Manages the sessions of this VM's callers and their operations.
 class Sessions {
 public:
--- a/include/bergamotstage/pooling/RatePlan.h
+++ b/include/bergamotstage/ratelimit/RatePlan.h
@@ -1,5 +1,5 @@
-#ifndef BERGAMOTSTAGE_POOLING_RATEPLAN_H
-#define BERGAMOTSTAGE_POOLING_RATEPLAN_H
+#ifndef BERGAMOTSTAGE_RATELIMIT_RATEPLAN_H
+#define BERGAMOTSTAGE_RATELIMIT_RATEPLAN_H
 
 #include "bergamotstage/core/Ids.h"
 
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-namespace bergamotstage::pooling {
+namespace bergamotstage::ratelimit {
 
 /// @brief Assignment of rate slots to VMs.
 ///
@@ -52,6 +52,6 @@
   std::vector<VmId> m_Holders; ///< By slot.
 };
 
-} // namespace bergamotstage::pooling
+} // namespace bergamotstage::ratelimit
 
-#endif // BERGAMOTSTAGE_POOLING_RATEPLAN_H
+#endif // BERGAMOTSTAGE_RATELIMIT_RATEPLAN_H
--- a/include/bergamotstage/pooling/RateShare.h
+++ b/include/bergamotstage/ratelimit/RateShare.h
@@ -1,11 +1,11 @@
-#ifndef BERGAMOTSTAGE_POOLING_RATESHARE_H
-#define BERGAMOTSTAGE_POOLING_RATESHARE_H
+#ifndef BERGAMOTSTAGE_RATELIMIT_RATESHARE_H
+#define BERGAMOTSTAGE_RATELIMIT_RATESHARE_H
 
 #include "bergamotstage/account/TokenBucket.h"
 #include "bergamotstage/pooling/Context.h"
 #include "bergamotstage/pooling/FleetMessage.h"
-#include "bergamotstage/pooling/RatePlan.h"
 #include "bergamotstage/pooling/SiteConfig.h"
+#include "bergamotstage/ratelimit/RatePlan.h"
 
 #include <deque>
 #include <functional>
@@ -15,7 +15,7 @@
 #include <set>
 #include <vector>
 
-namespace bergamotstage::pooling {
+namespace bergamotstage::ratelimit {
 
 /// @brief This VM's share of the rate of every client account.
 ///
@@ -31,15 +31,15 @@
     Duration RetryAfter{};
   };
   using AdmitCallback = std::function<void(const Decision &)>;
-  using SendHook = std::function<void(const VmId &, FleetMessage &&)>;
+  using SendHook = std::function<void(const VmId &, pooling::FleetMessage &&)>;
   using PeersHook = std::function<std::vector<VmId>()>;
 
   /// @param Peers returns the reachable VMs in ascending order
-  RateShare(Context &Ctx, SendHook Send, PeersHook Peers)
+  RateShare(pooling::Context &Ctx, SendHook Send, PeersHook Peers)
       : m_Context(Ctx), m_Send(std::move(Send)), m_Peers(std::move(Peers)) {}
 
   /// @brief Sets rates and bursts. Complexity: linear in the accounts.
-  void configure(const std::map<AccountId, AccountConfig> &Accounts);
+  void configure(const std::map<AccountId, pooling::AccountConfig> &Accounts);
 
   /// @brief Sets the plan and the slots that this VM may spend.
   /// @param LeaseEnd nothing of the slots is spent or lent from then on, also
@@ -62,8 +62,8 @@
   /// @brief Returns the token of an operation that was not run.
   void refund(const AccountId &Account);
 
-  void onTokenMessage(const VmId &From, const TokenRequest &Request);
-  void onTokenMessage(const VmId &From, const TokenGrant &Grant);
+  void onTokenMessage(const VmId &From, const pooling::TokenRequest &Request);
+  void onTokenMessage(const VmId &From, const pooling::TokenGrant &Grant);
 
 private:
   struct PendingAdmission {
@@ -75,7 +75,7 @@
     std::uint64_t LeftMilliTokens = 0;
   };
   struct AccountState {
-    AccountConfig Contract;
+    pooling::AccountConfig Contract;
     TokenBucket Bucket;
     std::vector<VmId> Holders; ///< VMs with slots of the account.
     TokenCount Borrowed;
@@ -102,7 +102,7 @@
   void admitPending(const AccountId &Id);
   Duration retryAfter(AccountState &State);
 
-  Context &m_Context;
+  pooling::Context &m_Context;
   SendHook m_Send;
   PeersHook m_Peers;
   std::shared_ptr<const RatePlan> m_Plan;
@@ -113,6 +113,6 @@
   std::map<AccountId, AccountState> m_Accounts;
 };
 
-} // namespace bergamotstage::pooling
+} // namespace bergamotstage::ratelimit
 
-#endif // BERGAMOTSTAGE_POOLING_RATESHARE_H
+#endif // BERGAMOTSTAGE_RATELIMIT_RATESHARE_H
--- a/src/pooling/TargetSelector.cpp
+++ b/src/balancing/TargetSelector.cpp
@@ -1,8 +1,11 @@
-#include "bergamotstage/pooling/TargetSelector.h"
+#include "bergamotstage/balancing/TargetSelector.h"
 
 #include <algorithm>
 
-namespace bergamotstage::pooling {
+namespace bergamotstage::balancing {
+
+using namespace pooling;
+
 namespace {
 
 /// A replica that lacked a position gets no reads for this time.
@@ -162,4 +165,4 @@
   return Best;
 }
 
-} // namespace bergamotstage::pooling
+} // namespace bergamotstage::balancing
--- a/src/pooling/RatePlan.cpp
+++ b/src/ratelimit/RatePlan.cpp
@@ -1,11 +1,11 @@
-#include "bergamotstage/pooling/RatePlan.h"
+#include "bergamotstage/ratelimit/RatePlan.h"
 
 #include <xxhash.h>
 
 #include <algorithm>
 #include <sstream>
 
-namespace bergamotstage::pooling {
+namespace bergamotstage::ratelimit {
 namespace {
 
 /// Slots per VM in the first plan, so that some can move to later VMs.
@@ -115,4 +115,4 @@
   }
 }
 
-} // namespace bergamotstage::pooling
+} // namespace bergamotstage::ratelimit
--- a/src/pooling/RateShare.cpp
+++ b/src/ratelimit/RateShare.cpp
@@ -1,10 +1,15 @@
-#include "bergamotstage/pooling/RateShare.h"
+#include "bergamotstage/ratelimit/RateShare.h"
 
 #include <algorithm>
 #include <cmath>
 #include <utility>
 
-namespace bergamotstage::pooling {
+namespace bergamotstage::ratelimit {
+
+using pooling::AccountConfig;
+using pooling::TokenGrant;
+using pooling::TokenRequest;
+
 namespace {
 
 /// Maximum wait of an operation for a loan: a few round trips.
@@ -323,4 +328,4 @@
   admitPending(Grant.Account);
 }
 
-} // namespace bergamotstage::pooling
+} // namespace bergamotstage::ratelimit
--- a/test/unit-pool-choice.cpp
+++ b/test/unit-pool-choice.cpp
@@ -1,7 +1,7 @@
+#include "bergamotstage/balancing/TargetSelector.h"
 #include "bergamotstage/forward/Rendezvous.h"
 #include "bergamotstage/pooling/PeerHealth.h"
 #include "bergamotstage/pooling/PositionProofs.h"
-#include "bergamotstage/pooling/TargetSelector.h"
 #include "bergamotstage/pooling/TargetTable.h"
 
 #include <CppUTest/TestHarness.h>
@@ -10,6 +10,7 @@
 #include <memory>
 
 using namespace bergamotstage;
+using namespace bergamotstage::balancing;
 using namespace bergamotstage::pooling;
 
 namespace {
--- a/test/unit-pool-rate.cpp
+++ b/test/unit-pool-rate.cpp
@@ -1,5 +1,5 @@
-#include "bergamotstage/pooling/RatePlan.h"
-#include "bergamotstage/pooling/RateShare.h"
+#include "bergamotstage/ratelimit/RatePlan.h"
+#include "bergamotstage/ratelimit/RateShare.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -10,6 +10,7 @@
 
 using namespace bergamotstage;
 using namespace bergamotstage::pooling;
+using namespace bergamotstage::ratelimit;
 
 namespace {
 
