Share the tokens of an account by priority over all VMs

Cause: RateShare gave a token to whichever operation asked first, and a lender did not know for whom a borrower asked. Change: with 'policy rate priority', a borrower reports its demand by priority with each request; the holders of an account's slots add the demand up, queue requests by priority and deadline, keep a reserve for more urgent ones, and answer with the part of each priority's demand that the rate covers. VMs refuse the rest at once, retries last, with a time to return that follows from that part. loans and split are as before. Ruled out: a queue at one VM for each account, which would put a round trip and a single point of failure before every operation; sharing by demand, which starves a small urgent kind.

--- a/include/bergamotstage/pooling/FleetMessage.h
+++ b/include/bergamotstage/pooling/FleetMessage.h
@@ -7,6 +7,7 @@
 #include "bergamotstage/fleet/TextDelta.h"
 #include "bergamotstage/pooling/OperationRequest.h"
 #include "bergamotstage/pooling/TargetTable.h"
+#include "bergamotstage/ratelimit/TokenDemand.h"
 
 #include <cstdint>
 #include <optional>
@@ -79,12 +80,17 @@
 struct TokenRequest {
   AccountId Account;
   std::uint64_t MilliTokens = 0;
+  /// Demand at the sender and its waiting operations, the highest priority
+  /// first; empty unless tokens are shared by priority.
+  std::vector<ratelimit::PriorityDemand> Demand;
+  std::vector<ratelimit::WaitingOperations> Waiting;
 };
 /// @brief Transfers tokens to the receiver.
 struct TokenGrant {
   AccountId Account;
   std::uint64_t MilliTokens = 0;
   std::uint64_t LeftMilliTokens = 0; ///< Tokens that the sender can still lend.
+  std::vector<ratelimit::PriorityShare> Shares; ///< Empty as for Demand.
 };
 
 /// @brief Reports that the sender cannot reach the primary of a group.
--- a/include/bergamotstage/pooling/Session.h
+++ b/include/bergamotstage/pooling/Session.h
@@ -78,6 +78,8 @@
   std::optional<Operation> Op;
   std::deque<Statement> Backlog; ///< Received before the last reply.
   bool HasReply = false;         ///< A statement of it has a reply.
+  /// Until then, its next operation retries one that got no token.
+  Instant RetryExpectedUntil{};
 
   SessionState state() const {
     bool Transaction = Op && isTransaction(Op->Mode);
--- a/include/bergamotstage/pooling/Sessions.h
+++ b/include/bergamotstage/pooling/Sessions.h
@@ -92,6 +92,7 @@
   void endFailedTransaction(Session &CallerSession, const Statement &Stmt);
   void runStatement(Session &CallerSession, Statement Stmt);
   void admit(Session &CallerSession);
+  ratelimit::Urgency tokenUrgency(const Session &CallerSession) const;
   void dispatch(Session &CallerSession);
   void defer(Session &CallerSession, const char *Reason);
   void sendNextStatement(Session &CallerSession);
--- a/include/bergamotstage/pooling/SitePolicies.h
+++ b/include/bergamotstage/pooling/SitePolicies.h
@@ -4,6 +4,7 @@
 #include "bergamotstage/core/Ids.h"
 #include "bergamotstage/core/Outcome.h"
 #include "bergamotstage/core/Time.h"
+#include "bergamotstage/ratelimit/RateSharing.h"
 #include "bergamotstage/rules/RuleSet.h"
 
 #include <tl/expected.hpp>
@@ -56,8 +57,8 @@
 
   /// @brief Whether targets use fair queueing over accounts instead of FIFO.
   bool usesFairQueues() const;
-  /// @brief Whether VMs borrow tokens from each other.
-  bool usesRateLoans() const;
+  /// @brief How VMs share the rates of accounts.
+  ratelimit::RateSharing rateSharing() const;
 
   const RuleSet &rules() const { return m_Rules; }
 
--- a/include/bergamotstage/ratelimit/RatePlan.h
+++ b/include/bergamotstage/ratelimit/RatePlan.h
@@ -40,6 +40,8 @@
   double share(const AccountId &Account, const std::set<Slot> &Usable) const;
   /// @brief Distinct VMs that hold slots of an account.
   std::vector<VmId> holders(const AccountId &Account) const;
+  /// @brief Share of an account's rate of each VM that holds any, from 0 to 1.
+  std::map<VmId, double> holderShares(const AccountId &Account) const;
   /// @brief Number of slots of each VM that holds any.
   std::map<VmId, std::size_t> slotCounts() const;
   /// @brief Distinct VMs that hold slots.
--- a/include/bergamotstage/ratelimit/RateShare.h
+++ b/include/bergamotstage/ratelimit/RateShare.h
@@ -5,14 +5,21 @@
 #include "bergamotstage/pooling/Context.h"
 #include "bergamotstage/pooling/FleetMessage.h"
 #include "bergamotstage/pooling/SiteConfig.h"
+#include "bergamotstage/ratelimit/DemandMeter.h"
+#include "bergamotstage/ratelimit/FleetDemand.h"
+#include "bergamotstage/ratelimit/LoanQueue.h"
 #include "bergamotstage/ratelimit/RatePlan.h"
+#include "bergamotstage/ratelimit/RateSharing.h"
+#include "bergamotstage/ratelimit/ShareFilter.h"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace bergamotstage::ratelimit {
@@ -46,18 +53,21 @@
   /// if this VM was frozen and runs again later
   void setPlan(std::shared_ptr<const RatePlan> Plan,
                const std::set<RatePlan::Slot> &Usable, Instant LeaseEnd);
-  /// @brief Enables requests for loans; this VM always lends.
-  void setBorrowing(bool Enabled) { m_BorrowingEnabled = Enabled; }
+  /// @brief Sets how this VM obtains tokens; it always lends.
+  void setSharing(RateSharing Sharing) { m_Sharing = Sharing; }
   /// @brief Number of slots that this VM may spend.
   std::size_t slotCount() const { return m_Usable.size(); }
 
   /// @brief Consumes a token for one operation, at once or after a short wait.
   ///
-  /// Accounts without a contract are admitted.
-  void admit(const AccountId &Account, AdmitCallback Callback);
+  /// Accounts without a contract are admitted. With RateSharing::Priority, an
+  /// operation waits for a part of its latency target at most, behind more
+  /// urgent ones.
+  void admit(const AccountId &Account, const Urgency &Need,
+             AdmitCallback Callback);
 
   /// @brief Consumes a token if one is available at once.
-  bool tryAdmit(const AccountId &Account);
+  bool tryAdmit(const AccountId &Account, const Urgency &Need);
 
   /// @brief Returns the token of an operation that was not run.
   void refund(const AccountId &Account);
@@ -65,9 +75,23 @@
   void onTokenMessage(const VmId &From, const pooling::TokenRequest &Request);
   void onTokenMessage(const VmId &From, const pooling::TokenGrant &Grant);
 
+  /// @brief Admissions of an account at one priority since the start.
+  struct Counts {
+    std::uint64_t Admitted = 0;
+    std::uint64_t Refused = 0;
+    Duration Waited{}; ///< Sum over the admitted operations.
+  };
+  /// @brief Counts by account and priority, for metrics.
+  const std::map<std::pair<AccountId, unsigned>, Counts> &counts() const {
+    return m_Counts;
+  }
+
 private:
   struct PendingAdmission {
-    Instant Deadline;
+    Urgency Need;
+    Instant Since{};
+    Instant Deadline{};
+    unsigned RefusedRequests = 0; ///< Requests that got no token for it.
     AdmitCallback Callback;
   };
   struct Lender {
@@ -84,10 +108,17 @@
     std::map<VmId, Lender> Lenders;
     std::optional<VmId> PendingLender;
     Instant RequestedAt{};
-    double Demand = 0; ///< Operations per second, moving average.
-    unsigned RecentCount = 0;
-    Instant WindowStart{};
+    unsigned RequestedPriority = 0; ///< Most urgent one of the last request.
+    DemandMeter Demand;
     std::optional<TimerId> WakeTimer;
+
+    // With RateSharing::Priority.
+    double OwnShare = 0; ///< Of the rate, in this VM's slots; from 0 to 1.
+    std::map<VmId, double> HolderShares;
+    FleetDemand Fleet; ///< As reported to this VM as a holder.
+    LoanQueue Loans;   ///< Requests of other VMs that wait for tokens.
+    ShareFilter Filter;
+    bool OverRate = false; ///< As logged last.
   };
 
   void applyContract(AccountState &State);
@@ -95,12 +126,43 @@
   TokenCount ownTokens(AccountState &State);
   Duration timeUntilToken(AccountState &State);
   TokenCount available(AccountState &State);
-  bool consumeToken(AccountState &State);
-  void recordDemand(AccountState &State);
+  bool consumeToken(AccountState &State, unsigned Priority);
   void requestLoan(const AccountId &Id, AccountState &State);
   std::optional<VmId> chooseLender(const AccountState &State) const;
   void admitPending(const AccountId &Id);
   Duration retryAfter(AccountState &State);
+  void lend(const VmId &To, AccountState &State,
+            const pooling::TokenRequest &Request);
+  void finish(PendingAdmission Ended, const AccountId &Id,
+              const Decision &Result);
+
+  // RateSharing::Priority, in RatePriority.cpp.
+  void admitByPriority(const AccountId &Id, AccountState &State,
+                       const Urgency &Need, AdmitCallback Callback);
+  void insertPending(const AccountId &Id, AccountState &State,
+                     PendingAdmission Waiting);
+  void distribute(const AccountId &Id);
+  void admitBorrowed(AccountState &State, std::vector<PendingAdmission> &Done);
+  void spendOwnTokens(const AccountId &Id, AccountState &State,
+                      std::vector<PendingAdmission> &Done);
+  void refuseExpired(const AccountId &Id, AccountState &State);
+  void refuseHopelessLoans(const AccountId &Id, AccountState &State);
+  void scheduleDistribution(const AccountId &Id, AccountState &State);
+  void requestByPriority(const AccountId &Id, AccountState &State);
+  std::vector<WaitingOperations>
+  waitingOperations(const AccountState &State) const;
+  void queueLoan(const VmId &From, AccountState &State,
+                 const pooling::TokenRequest &Request);
+  void grantLoan(const AccountId &Id, AccountState &State, const VmId &To,
+                 std::uint64_t MilliTokens);
+  void onGrantByPriority(const VmId &From, AccountState &State,
+                         const pooling::TokenGrant &Grant);
+  TokenCount reservedAbove(AccountState &State, unsigned Priority);
+  std::vector<PriorityShare> currentShares(const AccountId &Id,
+                                           AccountState &State);
+  double spendableRate(AccountState &State);
+  Duration retryAfterShare(AccountState &State, unsigned Priority);
+  bool isHolder(const AccountState &State) const { return State.OwnShare > 0; }
 
   pooling::Context &m_Context;
   SendHook m_Send;
@@ -108,9 +170,10 @@
   std::shared_ptr<const RatePlan> m_Plan;
   std::set<RatePlan::Slot> m_Usable;
   Instant m_LeaseEnd{};
-  bool m_BorrowingEnabled = true;
+  RateSharing m_Sharing = RateSharing::Loans;
   bool m_Started = false; ///< Slots were assigned before.
   std::map<AccountId, AccountState> m_Accounts;
+  std::map<std::pair<AccountId, unsigned>, Counts> m_Counts;
 };
 
 } // namespace bergamotstage::ratelimit
--- a/src/pooling/FleetMessage.cpp
+++ b/src/pooling/FleetMessage.cpp
@@ -55,11 +55,27 @@
   void operator()(const TokenRequest &Body) {
     Out.text(Body.Account.value());
     Out.varint(Body.MilliTokens);
+    Out.varint(Body.Demand.size());
+    for (const ratelimit::PriorityDemand &Level : Body.Demand) {
+      Out.varint(Level.Priority);
+      Out.varint(Level.MilliPerSecond);
+    }
+    Out.varint(Body.Waiting.size());
+    for (const ratelimit::WaitingOperations &Group : Body.Waiting) {
+      Out.varint(Group.Priority);
+      Out.varint(Group.Count);
+      write(Out, Group.MaxWait);
+    }
   }
   void operator()(const TokenGrant &Body) {
     Out.text(Body.Account.value());
     Out.varint(Body.MilliTokens);
     Out.varint(Body.LeftMilliTokens);
+    Out.varint(Body.Shares.size());
+    for (const ratelimit::PriorityShare &Share : Body.Shares) {
+      Out.varint(Share.Priority);
+      Out.varint(Share.Permille);
+    }
   }
   void operator()(const PrimarySuspected &Body) {
     Out.text(Body.Group.value());
@@ -162,6 +178,19 @@
   TokenRequest Body;
   Body.Account = AccountId(In.text());
   Body.MilliTokens = In.varint();
+  for (std::uint64_t Count = In.varint(); Count > 0 && In.isValid(); --Count) {
+    ratelimit::PriorityDemand Level;
+    Level.Priority = static_cast<unsigned>(In.varint());
+    Level.MilliPerSecond = In.varint();
+    Body.Demand.push_back(Level);
+  }
+  for (std::uint64_t Count = In.varint(); Count > 0 && In.isValid(); --Count) {
+    ratelimit::WaitingOperations Group;
+    Group.Priority = static_cast<unsigned>(In.varint());
+    Group.Count = In.varint();
+    Group.MaxWait = readDuration(In);
+    Body.Waiting.push_back(Group);
+  }
   return Body;
 }
 
@@ -170,6 +199,12 @@
   Body.Account = AccountId(In.text());
   Body.MilliTokens = In.varint();
   Body.LeftMilliTokens = In.varint();
+  for (std::uint64_t Count = In.varint(); Count > 0 && In.isValid(); --Count) {
+    ratelimit::PriorityShare Share;
+    Share.Priority = static_cast<unsigned>(In.varint());
+    Share.Permille = static_cast<unsigned>(In.varint());
+    Body.Shares.push_back(Share);
+  }
   return Body;
 }
 
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -424,7 +424,7 @@
                    {"line", std::to_string(Rule.Source.Line)},
                    {"author", Rule.Source.Author}});
   m_FairQueues = Policies.usesFairQueues();
-  m_Rates.setBorrowing(Policies.usesRateLoans());
+  m_Rates.setSharing(Policies.rateSharing());
   m_Sessions.setPolicies(Policies);
   limitPools();
   dispatchLocalMessages();
--- a/src/pooling/Sessions.cpp
+++ b/src/pooling/Sessions.cpp
@@ -21,6 +21,9 @@
 constexpr Duration NoTargetRetryAfter = milliseconds(200);
 /// Time after which an unanswered proof request may be repeated.
 constexpr Duration ProofTimeout = milliseconds(250);
+/// Time after its retry delay in which the next operation of a session that was
+/// refused for its account's rate counts as a retry.
+constexpr Duration RetryGrace = milliseconds(500);
 /// Maximum number of statements that a caller may pipeline.
 constexpr std::size_t MaxBacklog = 64;
 
@@ -270,20 +273,30 @@
   admit(CallerSession);
 }
 
+ratelimit::Urgency Sessions::tokenUrgency(const Session &CallerSession) const {
+  const RouteConfig &Route = CallerSession.Op->Route;
+  return {Route.Priority, Route.LatencyTarget,
+          m_Context.now() <= CallerSession.RetryExpectedUntil};
+}
+
 void Sessions::admit(Session &CallerSession) {
   CallerId Caller = CallerSession.Id;
   std::uint64_t Number = CallerSession.Op->Number;
-  m_Rates.admit(CallerSession.Op->Account,
+  m_Rates.admit(CallerSession.Op->Account, tokenUrgency(CallerSession),
                 [this, Caller, Number](const RateShare::Decision &Admission) {
                   Session *Remaining = find(Caller);
                   bool SameOperation = Remaining != nullptr && Remaining->Op &&
                                        Remaining->Op->Number == Number;
                   if (!SameOperation)
                     return;
-                  if (!Admission.Admitted)
+                  if (!Admission.Admitted) {
+                    Remaining->RetryExpectedUntil =
+                        m_Context.now() + Admission.RetryAfter + RetryGrace;
                     return refuse(*Remaining, ErrorCode::Busy,
                                   "the client account is over its rate",
                                   Admission.RetryAfter);
+                  }
+                  Remaining->RetryExpectedUntil = Instant();
                   Remaining->Op->Admitted = true;
                   dispatch(*Remaining);
                 });
--- a/src/pooling/SessionsOutcome.cpp
+++ b/src/pooling/SessionsOutcome.cpp
@@ -87,7 +87,8 @@
 /// account and therefore requires an available token.
 bool Sessions::retryRead(Session &CallerSession) {
   Operation &Op = *CallerSession.Op;
-  if (!Op.isSingleRead() || Op.Retried || !m_Rates.tryAdmit(Op.Account))
+  if (!Op.isSingleRead() || Op.Retried ||
+      !m_Rates.tryAdmit(Op.Account, tokenUrgency(CallerSession)))
     return false;
   Op.Retried = true;
   Op.ExcludedTargets.insert(Op.Target);
--- a/src/pooling/SitePolicies.cpp
+++ b/src/pooling/SitePolicies.cpp
@@ -107,8 +107,12 @@
   return choosePolicy(m_Rules, QueueKind, "fair", 0).Choice == "fair";
 }
 
-bool SitePolicies::usesRateLoans() const {
-  return choosePolicy(m_Rules, RateKind, "loans", 0).Choice == "loans";
+ratelimit::RateSharing SitePolicies::rateSharing() const {
+  std::string Choice = choosePolicy(m_Rules, RateKind, "loans", 0).Choice;
+  if (Choice == "priority")
+    return ratelimit::RateSharing::Priority;
+  return Choice == "split" ? ratelimit::RateSharing::Split
+                           : ratelimit::RateSharing::Loans;
 }
 
 } // namespace bergamotstage::pooling
--- a/src/ratelimit/RatePlan.cpp
+++ b/src/ratelimit/RatePlan.cpp
@@ -93,6 +93,14 @@
   return {Distinct.begin(), Distinct.end()};
 }
 
+std::map<VmId, double> RatePlan::holderShares(const AccountId &Account) const {
+  std::map<VmId, double> Shares;
+  std::vector<Slot> Slots = slotsOf(Account);
+  for (Slot Index : Slots)
+    Shares[m_Holders[Index]] += 1 / static_cast<double>(Slots.size());
+  return Shares;
+}
+
 std::map<VmId, std::size_t> RatePlan::slotCounts() const {
   std::map<VmId, std::size_t> Counts;
   for (const VmId &Holder : m_Holders)
--- a/src/ratelimit/RateShare.cpp
+++ b/src/ratelimit/RateShare.cpp
@@ -1,11 +1,17 @@
 #include "bergamotstage/ratelimit/RateShare.h"
 
+#include "bergamotstage/ratelimit/detail/Tokens.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
 
 namespace bergamotstage::ratelimit {
 
+using detail::fromMilli;
+using detail::MilliPerToken;
+using detail::tokens;
+using detail::toMilli;
 using pooling::AccountConfig;
 using pooling::TokenGrant;
 using pooling::TokenRequest;
@@ -29,33 +35,15 @@
 /// Operations per second below which tokens are not prefetched, since most
 /// would expire unused.
 constexpr double MinPrefetchDemand = 4;
-/// Window of the demand counter, and weight of the newest sample.
-constexpr Duration DemandWindow = milliseconds(250);
-constexpr double DemandWeight = 0.4;
 /// Added to the burst so that synchronized arrivals are not rejected. Up to 10%
 /// above the contract is tolerated in any 5 s; this is less than half of that.
 constexpr double ExtraBurstSeconds = 0.15;
 /// Minimum downtime of a restarting process. Nothing is spent meanwhile, so the
 /// bucket starts with the tokens earned in this time.
 constexpr double MinDowntimeSeconds = 0.3;
-constexpr double MilliPerToken = 1000;
-constexpr std::int64_t PicoPerMilli = TokenCount::PicoPerToken / 1000;
 constexpr std::size_t MaxPending = 256;
 constexpr Duration MinRetryAfter = milliseconds(20);
 
-TokenCount tokens(double Amount) {
-  return {static_cast<std::int64_t>(
-      std::max(0.0, Amount) * static_cast<double>(TokenCount::PicoPerToken))};
-}
-
-std::uint64_t toMilli(TokenCount Amount) {
-  return static_cast<std::uint64_t>(Amount.Pico / PicoPerMilli);
-}
-
-TokenCount fromMilli(std::uint64_t Amount) {
-  return {static_cast<std::int64_t>(Amount) * PicoPerMilli};
-}
-
 } // namespace
 
 void RateShare::configure(const std::map<AccountId, AccountConfig> &Accounts) {
@@ -105,8 +93,11 @@
   State.Bucket.configure(
       makeContract(State.Contract.Rate * Share, Burst * Share),
       m_Context.now());
+  State.OwnShare = Share;
   State.Holders =
       m_Plan ? m_Plan->holders(State.Contract.Id) : std::vector<VmId>();
+  State.HolderShares = m_Plan ? m_Plan->holderShares(State.Contract.Id)
+                              : std::map<VmId, double>();
 }
 
 /// @brief Tokens of this VM's own slots.
@@ -129,52 +120,66 @@
   return ownTokens(State) + State.Borrowed;
 }
 
-bool RateShare::consumeToken(AccountState &State) {
-  if (available(State) < OneToken)
-    return false;
+/// @brief Takes a token; own ones only beyond the reserve for more urgent
+/// operations.
+bool RateShare::consumeToken(AccountState &State, unsigned Priority) {
+  available(State); // Drops expired borrowed tokens.
   TokenCount FromBorrowed = std::min(State.Borrowed, OneToken);
+  TokenCount FromBucket = OneToken - FromBorrowed;
+  bool NeedsBucket = TokenCount{} < FromBucket;
+  if (NeedsBucket &&
+      ownTokens(State) < FromBucket + reservedAbove(State, Priority))
+    return false;
   State.Borrowed = State.Borrowed - FromBorrowed;
-  State.Bucket.tryTake(OneToken - FromBorrowed, m_Context.now());
+  State.Bucket.tryTake(FromBucket, m_Context.now());
   return true;
 }
 
-void RateShare::recordDemand(AccountState &State) {
-  ++State.RecentCount;
-  Duration Span = m_Context.now() - State.WindowStart;
-  if (Span < DemandWindow)
-    return;
-  double Rate = State.RecentCount / toSeconds(Span);
-  State.Demand += DemandWeight * (Rate - State.Demand);
-  State.RecentCount = 0;
-  State.WindowStart = m_Context.now();
+/// @brief Reports the decision on an operation that waited.
+void RateShare::finish(PendingAdmission Ended, const AccountId &Id,
+                       const Decision &Result) {
+  Counts &Total = m_Counts[{Id, Ended.Need.Priority}];
+  if (Result.Admitted) {
+    ++Total.Admitted;
+    Total.Waited += m_Context.now() - Ended.Since;
+  } else {
+    ++Total.Refused;
+  }
+  Ended.Callback(Result);
 }
 
-void RateShare::admit(const AccountId &Id, AdmitCallback Callback) {
+void RateShare::admit(const AccountId &Id, const Urgency &Need,
+                      AdmitCallback Callback) {
   auto Found = m_Accounts.find(Id);
   if (Found == m_Accounts.end())
     return Callback({true, {}});
   AccountState &State = Found->second;
-  recordDemand(State);
-  bool Taken = State.Pending.empty() && consumeToken(State);
+  Instant Now = m_Context.now();
+  State.Demand.record(Need.Priority, Now);
+  if (m_Sharing == RateSharing::Priority)
+    return admitByPriority(Id, State, Need, std::move(Callback));
+  PendingAdmission Asking{Need, Now, Now + MaxWait, 0, std::move(Callback)};
+  bool Taken = State.Pending.empty() && consumeToken(State, Need.Priority);
   if (Taken) {
     // Prefetched tokens spare later operations the wait.
-    bool Prefetch =
-        State.Demand >= MinPrefetchDemand &&
-        available(State) < tokens(State.Demand * ReservedDemandSeconds);
+    double Demand = State.Demand.total(Now);
+    bool Prefetch = Demand >= MinPrefetchDemand &&
+                    available(State) < tokens(Demand * ReservedDemandSeconds);
     if (Prefetch)
       requestLoan(Id, State);
-    return Callback({true, {}});
+    return finish(std::move(Asking), Id, {true, {}});
   }
   if (State.Pending.size() >= MaxPending)
-    return Callback({false, retryAfter(State)});
-  State.Pending.push_back({m_Context.now() + MaxWait, std::move(Callback)});
+    return finish(std::move(Asking), Id, {false, retryAfter(State)});
+  State.Pending.push_back(std::move(Asking));
   admitPending(Id);
 }
 
-bool RateShare::tryAdmit(const AccountId &Id) {
+bool RateShare::tryAdmit(const AccountId &Id, const Urgency &Need) {
   auto Found = m_Accounts.find(Id);
   return Found == m_Accounts.end() ||
-         (Found->second.Pending.empty() && consumeToken(Found->second));
+         (Found->second.Pending.empty() &&
+          consumeToken(Found->second, Need.Priority));
 }
 
 void RateShare::refund(const AccountId &Id) {
@@ -242,24 +247,28 @@
   auto Lender = chooseLender(State);
   if (!Lender)
     return;
-  double Prefetch = State.Demand >= MinPrefetchDemand
-                        ? State.Demand * BorrowedDemandSeconds
-                        : 0;
+  double Demand = State.Demand.total(m_Context.now());
+  double Prefetch =
+      Demand >= MinPrefetchDemand ? Demand * BorrowedDemandSeconds : 0;
   double Needed = static_cast<double>(State.Pending.size()) + Prefetch;
   State.PendingLender = Lender;
   State.RequestedAt = m_Context.now();
   m_Send(*Lender,
-         TokenRequest{Id, static_cast<std::uint64_t>(Needed * MilliPerToken)});
+         TokenRequest{
+             Id, static_cast<std::uint64_t>(Needed * MilliPerToken), {}, {}});
 }
 
 void RateShare::admitPending(const AccountId &Id) {
+  if (m_Sharing == RateSharing::Priority)
+    return distribute(Id);
   AccountState &State = m_Accounts.at(Id);
   std::deque<PendingAdmission> Admitted;
-  while (!State.Pending.empty() && consumeToken(State)) {
+  while (!State.Pending.empty() &&
+         consumeToken(State, State.Pending.front().Need.Priority)) {
     Admitted.push_back(std::move(State.Pending.front()));
     State.Pending.pop_front();
   }
-  if (m_BorrowingEnabled && !State.Pending.empty())
+  if (m_Sharing == RateSharing::Loans && !State.Pending.empty())
     requestLoan(Id, State);
   bool NoTokensExpected =
       !State.PendingLender && timeUntilToken(State) > MaxWait;
@@ -284,30 +293,36 @@
     });
   }
   for (PendingAdmission &Next : Admitted)
-    Next.Callback({true, {}});
+    finish(std::move(Next), Id, {true, {}});
   for (PendingAdmission &Next : Refused)
-    Next.Callback({false, RetryAfter});
+    finish(std::move(Next), Id, {false, RetryAfter});
 }
 
-void RateShare::onTokenMessage(const VmId &From, const TokenRequest &Request) {
+void RateShare::lend(const VmId &To, AccountState &State,
+                     const TokenRequest &Request) {
   TokenGrant Grant;
   Grant.Account = Request.Account;
+  TokenCount Available = ownTokens(State);
+  TokenCount Reserved =
+      tokens(State.Demand.total(m_Context.now()) * ReservedDemandSeconds);
+  TokenCount Spare = State.Pending.empty() && Reserved < Available
+                         ? Available - Reserved
+                         : TokenCount{};
+  Grant.MilliTokens = std::min(Request.MilliTokens, toMilli(Spare));
+  State.Bucket.tryTake(fromMilli(Grant.MilliTokens), m_Context.now());
+  Grant.LeftMilliTokens = toMilli(Spare) - Grant.MilliTokens;
+  m_Send(To, std::move(Grant));
+}
+
+void RateShare::onTokenMessage(const VmId &From, const TokenRequest &Request) {
   auto Found = m_Accounts.find(Request.Account);
-  if (Found != m_Accounts.end()) {
-    AccountState &State = Found->second;
-    // Without admissions the demand is not updated.
-    if (State.WindowStart + 4 * DemandWindow < m_Context.now())
-      State.Demand = 0;
-    TokenCount Available = ownTokens(State);
-    TokenCount Reserved = tokens(State.Demand * ReservedDemandSeconds);
-    TokenCount Spare = State.Pending.empty() && Reserved < Available
-                           ? Available - Reserved
-                           : TokenCount{};
-    Grant.MilliTokens = std::min(Request.MilliTokens, toMilli(Spare));
-    State.Bucket.tryTake(fromMilli(Grant.MilliTokens), m_Context.now());
-    Grant.LeftMilliTokens = toMilli(Spare) - Grant.MilliTokens;
-  }
-  m_Send(From, std::move(Grant));
+  if (Found == m_Accounts.end())
+    return m_Send(From, TokenGrant{Request.Account, 0, 0, {}});
+  // Only a VM with RateSharing::Priority reports its demand.
+  if (Request.Demand.empty())
+    return lend(From, Found->second, Request);
+  queueLoan(From, Found->second, Request);
+  distribute(Request.Account);
 }
 
 void RateShare::onTokenMessage(const VmId &From, const TokenGrant &Grant) {
@@ -315,16 +330,22 @@
   if (Found == m_Accounts.end())
     return;
   AccountState &State = Found->second;
-  if (State.PendingLender == From)
+  bool Expected = State.PendingLender == From;
+  if (Expected)
     State.PendingLender.reset();
   Lender &Entry = State.Lenders[From];
   Entry.LeftMilliTokens = Grant.LeftMilliTokens;
-  bool Empty = Grant.LeftMilliTokens < toMilli(OneToken);
-  Entry.NotBefore =
-      m_Context.now() + (Empty ? EmptyLenderBackoff : Duration(0));
   available(State); // Drops expired borrowed tokens.
   State.Borrowed = State.Borrowed + fromMilli(Grant.MilliTokens);
   State.BorrowedAt = m_Context.now();
+  if (m_Sharing == RateSharing::Priority) {
+    if (Expected)
+      onGrantByPriority(From, State, Grant);
+  } else {
+    bool Empty = Grant.LeftMilliTokens < toMilli(OneToken);
+    Entry.NotBefore =
+        m_Context.now() + (Empty ? EmptyLenderBackoff : Duration(0));
+  }
   admitPending(Grant.Account);
 }
 
--- a/src/rules/PolicyKinds.cpp
+++ b/src/rules/PolicyKinds.cpp
@@ -29,7 +29,7 @@
        true},
       {"acknowledge", {"confirmed", "immediate"}, {}, false},
       {"queue", {"fair", "fifo"}, {}, false},
-      {"rate", {"loans", "split"}, {}, false},
+      {"rate", {"loans", "split", "priority"}, {}, false},
       {"failover", {"vote", "fixed"}, {durationParameter("timeout")}, false},
       {"home", {"rendezvous", "none"}, {}, false},
   };
--- a/test/unit-pool-policy.cpp
+++ b/test/unit-pool-policy.cpp
@@ -35,7 +35,7 @@
   CHECK_TRUE(Policies.readRule(1)->Type == ReadRule::Kind::EarliestFinish);
   CHECK_EQUAL(0U, Policies.readRule(1)->Source.Line);
   CHECK_TRUE(Policies.usesFairQueues());
-  CHECK_TRUE(Policies.usesRateLoans());
+  CHECK_TRUE(Policies.rateSharing() == ratelimit::RateSharing::Loans);
 }
 
 TEST(SitePolicies, ReadsPoliciesWithTheirAuthor) {
@@ -46,7 +46,7 @@
   CHECK_TRUE(Policies.readRule(1)->PrimaryCost == milliseconds(30));
   CHECK_EQUAL("ops", Policies.readRule(1)->Source.Author);
   CHECK_FALSE(Policies.usesFairQueues());
-  CHECK_FALSE(Policies.usesRateLoans());
+  CHECK_TRUE(Policies.rateSharing() == ratelimit::RateSharing::Split);
 }
 
 TEST(SitePolicies, AssignsAShareOfSessionsToAnotherPolicy) {
--- a/test/unit-pool-rate.cpp
+++ b/test/unit-pool-rate.cpp
@@ -91,7 +91,7 @@
 unsigned admitted(RateShare &At, unsigned Count) {
   unsigned Passed = 0;
   for (unsigned Index = 0; Index < Count; ++Index)
-    At.admit(Ward, [&](const RateShare::Decision &Result) {
+    At.admit(Ward, {}, [&](const RateShare::Decision &Result) {
       Passed += Result.Admitted ? 1 : 0;
     });
   return Passed;
@@ -150,7 +150,7 @@
   TwoVms Both(10, 10);
   unsigned Passed = 0;
   for (unsigned Index = 0; Index < 8; ++Index)
-    Both.First.admit(Ward, [&](const RateShare::Decision &Result) {
+    Both.First.admit(Ward, {}, [&](const RateShare::Decision &Result) {
       Passed += Result.Admitted ? 1 : 0;
     });
   LONGS_EQUAL(5, Passed);
@@ -175,7 +175,7 @@
   admitted(Both.First, 5);
   Duration RetryAfter{};
   bool Admitted = true;
-  Both.First.admit(Ward, [&](const RateShare::Decision &Result) {
+  Both.First.admit(Ward, {}, [&](const RateShare::Decision &Result) {
     Admitted = Result.Admitted;
     RetryAfter = Result.RetryAfter;
   });
@@ -190,7 +190,7 @@
   Both.First.setPlan(Plan, {}, Instant::max());
   RateShare::Decision Made{true, {}};
   for (unsigned Count = 0; Count < 3; ++Count) {
-    Both.First.admit(Ward,
+    Both.First.admit(Ward, {},
                      [&](const RateShare::Decision &Result) { Made = Result; });
     Both.advance(milliseconds(45));
   }
@@ -217,7 +217,7 @@
   CHECK_TRUE(*Both.FirstCtx.timers().next() >=
              Both.FirstCtx.now() + milliseconds(40));
   Both.ToSecond.clear();
-  Both.First.onTokenMessage(VmId("vm-1"), TokenRequest{Ward, 1000});
+  Both.First.onTokenMessage(VmId("vm-1"), TokenRequest{Ward, 1000, {}, {}});
   LONGS_EQUAL(0, std::get<TokenGrant>(Both.ToSecond.back()).MilliTokens);
 }
 
