Admit statements at a target by the work before them and by deadline

Cause: a newcomer was refused when all that waits, times one mean slot time, exceeded its queue time, and the order was strictly by priority: an urgent statement was refused for less urgent ones that waited, and fair shares charged every statement the same time. Change: with 'policy queue urgency', admission::TargetQueue runs statements by the middle of the time that they may wait, moves accounts beyond their fair share back by the slot time that they are ahead, measures slot times by route and kind of statement, and lets the least important statements give way as soon as not all can start in time. One account holds half of the connections at most. A read that gives way tries one other target. fair and fifo are as before. Order by age with priority classes: it needs a rate of ageing that no caller states.

--- a/include/bergamotstage/pooling/OperationRequest.h
+++ b/include/bergamotstage/pooling/OperationRequest.h
@@ -47,6 +47,7 @@
   OperationId Id;
   TargetId Target;
   AccountId Account;
+  RouteId Route;
   Access Mode = Access::Primary;
   std::optional<HistoryPoint> RequiredPosition; ///< Minimum for a replica.
   unsigned Priority = 0;                        ///< 0 is the highest.
@@ -58,13 +59,21 @@
 
 /// @brief Why an operation was not sent to its target.
 enum class NotRunReason : std::uint8_t {
-  Overloaded,  ///< No slot or link was free in time.
-  Unreachable, ///< The target does not answer this VM.
-  Leaving,     ///< The VM or the target is draining.
+  Overloaded,   ///< No slot or link was free in time.
+  TooLate,      ///< Others precede it until it is too late to start.
+  AccountLimit, ///< Its account holds its share of the connections.
+  Unreachable,  ///< The target does not answer this VM.
+  Leaving,      ///< The VM or the target is draining.
   UnknownTarget
 };
 
 const char *notRunReasonName(NotRunReason Reason);
+/// @brief Whether the target is reachable and only its load prevented a run.
+inline bool isOverload(NotRunReason Reason) {
+  return Reason == NotRunReason::Overloaded ||
+         Reason == NotRunReason::TooLate ||
+         Reason == NotRunReason::AccountLimit;
+}
 
 /// @brief Load of a target as measured by its owner.
 struct TargetLoad {
--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -25,6 +25,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bergamotstage::pooling {
@@ -40,6 +41,9 @@
 class PoolNode {
 public:
   using PlatformCallback = std::function<void(const PlatformAnswer &)>;
+  /// Operations that this VM's pools refused as not run.
+  using RefusalCounts =
+      std::map<std::pair<NotRunReason, unsigned>, std::uint64_t>;
   struct Hooks {
     std::function<void(CallerId, CallerReply &&)> Answer;
     std::function<void(CallerId)> CloseCaller;
@@ -132,6 +136,10 @@
   const metrics::Registry &metrics() const { return m_Metrics; }
   const Sessions &sessions() const { return m_Sessions; }
   std::size_t links() const;
+  /// @brief Refusals by reason and priority since the start.
+  const RefusalCounts &refusals() const { return m_Refusals; }
+  /// @brief Calls a function with each pool of links to a target.
+  void forEachPool(const std::function<void(const TargetPool &)> &Visit) const;
   std::size_t rateSlots() const { return m_Rates.slotCount(); }
 
 private:
@@ -204,7 +212,8 @@
   Hooks m_Hooks;
   Context m_Context;
   SharedConfig m_Config;
-  bool m_FairQueues = true;
+  admission::QueueOrder m_QueueOrder = admission::QueueOrder::Fair;
+  RefusalCounts m_Refusals;
   metrics::Registry m_Metrics;
   TargetTable m_Targets;
   RankedMembers m_Members;
--- a/include/bergamotstage/pooling/SitePolicies.h
+++ b/include/bergamotstage/pooling/SitePolicies.h
@@ -1,6 +1,7 @@
 #ifndef BERGAMOTSTAGE_POOLING_SITEPOLICIES_H
 #define BERGAMOTSTAGE_POOLING_SITEPOLICIES_H
 
+#include "bergamotstage/admission/QueueOrder.h"
 #include "bergamotstage/core/Ids.h"
 #include "bergamotstage/core/Outcome.h"
 #include "bergamotstage/core/Time.h"
@@ -54,8 +55,8 @@
   /// Complexity: linear in the shares.
   std::shared_ptr<const ReadRule> readRule(std::uint64_t SessionHash) const;
 
-  /// @brief Whether targets use fair queueing over accounts instead of FIFO.
-  bool usesFairQueues() const;
+  /// @brief Order of the operations that wait for a target.
+  admission::QueueOrder queueOrder() const;
   /// @brief Whether VMs borrow tokens from each other.
   bool usesRateLoans() const;
 
--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -1,6 +1,7 @@
 #ifndef BERGAMOTSTAGE_POOLING_TARGETPOOL_H
 #define BERGAMOTSTAGE_POOLING_TARGETPOOL_H
 
+#include "bergamotstage/admission/TargetQueue.h"
 #include "bergamotstage/pooling/Context.h"
 #include "bergamotstage/pooling/LinkMessage.h"
 #include "bergamotstage/pooling/OperationRequest.h"
@@ -36,6 +37,8 @@
     std::function<void(const TargetId &, Instant RequestedAt,
                        const HistoryPoint &)>
         PositionProven;
+    /// An operation of a priority was refused as not run.
+    std::function<void(NotRunReason, unsigned Priority)> Refused;
   };
 
   /// @brief Limits of one target.
@@ -44,7 +47,7 @@
     unsigned MaxLinks = 2; ///< Maximum number of connections of this VM.
     Duration IdleLinkTimeout = seconds(3);
     Duration TransactionIdleTimeout = seconds(3);
-    bool Fair = true; ///< Fair queueing over accounts; otherwise FIFO.
+    admission::QueueOrder Order = admission::QueueOrder::Fair;
   };
 
   using ProofCallback =
@@ -57,7 +60,10 @@
   TargetPool(const TargetPool &) = delete;
   TargetPool &operator=(const TargetPool &) = delete;
 
-  void setLimits(const Limits &NewLimits) { m_Limits = NewLimits; }
+  void setLimits(const Limits &NewLimits) {
+    m_Limits = NewLimits;
+    m_Queue.setOrder(NewLimits.Order);
+  }
   /// @brief Rejects new operations; open transactions continue.
   void stopAdmission() { m_AcceptsOperations = false; }
   void resumeAdmission() { m_AcceptsOperations = true; }
@@ -107,6 +113,7 @@
   Instant lastReceivedAt() const { return m_LastReceivedAt; }
   std::size_t linkCount() const { return m_Links.size(); }
   unsigned waitingCount() const;
+  const admission::SlotTimes &slotTimes() const { return m_Queue.slotTimes(); }
 
 private:
   enum class Phase : std::uint8_t {
@@ -126,6 +133,7 @@
     Instant SentAt{};
     Instant NotBefore{}; ///< Backoff after the target was busy.
     std::uint64_t ArrivalNumber = 0;
+    double ChargedSeconds = 0; ///< Slot time charged for its statement.
   };
   struct ControlRequest {
     AccountId Account;
@@ -136,8 +144,20 @@
 
   void dispatchWaiting();
   QueueEntry *nextDispatchable();
-  bool precedes(const QueueEntry &Left, const QueueEntry &Right) const;
-  double startTag(const QueueEntry &Operation) const;
+  // The queue, in TargetPoolQueue.cpp.
+  std::vector<admission::WaitingWork>
+  sortedWaiting(std::vector<QueueEntry *> &Entries);
+  std::optional<NotRunReason>
+  admissionFault(const OperationRequest &Request) const;
+  void refuseHopeless();
+  void chargeSlotTime(QueueEntry &Next);
+  void recordSlotTime(const QueueEntry &Ended, Duration Held);
+  Duration timeUntilSlot() const;
+  bool usesUrgency() const {
+    return m_Limits.Order == admission::QueueOrder::Urgency;
+  }
+  unsigned accountLinkLimit() const;
+  unsigned openTransactions(const AccountId &Account) const;
   bool acquireLink(QueueEntry &Operation);
   bool mayOpenLink(const QueueEntry &Operation) const;
   bool openLink(const AccountId &Account);
@@ -184,8 +204,7 @@
   std::map<OperationId, QueueEntry> m_Operations;
   std::map<LinkId, PoolLink> m_Links;
   std::map<std::uint64_t, ControlRequest> m_ControlRequests;
-  std::map<AccountId, double> m_FinishTags; ///< Virtual finish times in s.
-  double m_VirtualTime = 0;
+  admission::TargetQueue m_Queue;
   unsigned m_SlotsUsed = 0;
   std::uint64_t m_LastArrivalNumber = 0;
   std::uint64_t m_LastControlRequestId = 0;
--- a/src/pooling/FieldCodec.cpp
+++ b/src/pooling/FieldCodec.cpp
@@ -95,6 +95,7 @@
   Out.varint(Request.Id.Number);
   Out.text(Request.Target.value());
   Out.text(Request.Account.value());
+  Out.text(Request.Route.value());
   Out.byte(static_cast<std::uint8_t>(Request.Mode));
   write(Out, Request.RequiredPosition);
   Out.varint(Request.Priority);
@@ -109,6 +110,7 @@
   Request.Id.Number = In.varint();
   Request.Target = TargetId(In.text());
   Request.Account = AccountId(In.text());
+  Request.Route = RouteId(In.text());
   Request.Mode = readEnum(In, Access::ReplicaTransaction);
   Request.RequiredPosition = readOptionalPoint(In);
   Request.Priority = static_cast<unsigned>(In.varint());
--- a/src/pooling/Names.cpp
+++ b/src/pooling/Names.cpp
@@ -70,6 +70,10 @@
   switch (Reason) {
   case NotRunReason::Overloaded:
     return "overloaded";
+  case NotRunReason::TooLate:
+    return "too-late";
+  case NotRunReason::AccountLimit:
+    return "account-limit";
   case NotRunReason::Unreachable:
     return "unreachable";
   case NotRunReason::Leaving:
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -214,7 +214,7 @@
     Limits.IdleLinkTimeout =
         IsOwner ? OwnerIdleLinkTimeout : OtherIdleLinkTimeout;
     Limits.TransactionIdleTimeout = m_Config->TransactionIdle;
-    Limits.Fair = m_FairQueues;
+    Limits.Order = m_QueueOrder;
     Pool->setLimits(Limits);
     bool IsPrimary = m_Targets.primary(Target->Group) == Id &&
                      m_Targets.mayServeAsPrimary(Id, m_Context.now());
@@ -423,7 +423,7 @@
                    {"arm", armLabel(Rule.Choice, Rule.Parameters).value()},
                    {"line", std::to_string(Rule.Source.Line)},
                    {"author", Rule.Source.Author}});
-  m_FairQueues = Policies.usesFairQueues();
+  m_QueueOrder = Policies.queueOrder();
   m_Rates.setBorrowing(Policies.usesRateLoans());
   m_Sessions.setPolicies(Policies);
   limitPools();
--- a/src/pooling/PoolNodeHooks.cpp
+++ b/src/pooling/PoolNodeHooks.cpp
@@ -45,9 +45,18 @@
     if (const TargetEntry *Target = m_Targets.find(Id))
       m_Selector.proofs(Target->Group).add(RequestedAt, Position);
   };
+  Callbacks.Refused = [this](NotRunReason Reason, unsigned Priority) {
+    ++m_Refusals[{Reason, Priority}];
+  };
   return Callbacks;
 }
 
+void PoolNode::forEachPool(
+    const std::function<void(const TargetPool &)> &Visit) const {
+  for (const auto &[Id, Pool] : m_Pools)
+    Visit(*Pool);
+}
+
 FailoverController::Hooks PoolNode::failoverHooks() {
   FailoverController::Hooks Callbacks;
   Callbacks.ProvePrimary = [this](const TargetId &Id,
--- a/src/pooling/Sessions.cpp
+++ b/src/pooling/Sessions.cpp
@@ -325,6 +325,7 @@
   Request.Id = {m_Context.self(), Op.Number};
   Request.Target = Selected.Target;
   Request.Account = Op.Account;
+  Request.Route = Op.Route.Name;
   Request.Mode = Selected.AccessMode;
   Request.RequiredPosition = Selected.After;
   Request.Priority = Op.Route.Priority;
--- a/src/pooling/SessionsOutcome.cpp
+++ b/src/pooling/SessionsOutcome.cpp
@@ -9,6 +9,8 @@
 
 /// Maximum number of times that an operation is sent to an owner.
 constexpr unsigned MaxAttempts = 4;
+/// The same for a read that targets refuse because of their load: two replicas.
+constexpr unsigned MaxOverloadedAttempts = 2;
 constexpr Duration BusyRetryAfter = milliseconds(50);
 /// One in this many successful statements within the latency target is logged.
 constexpr std::uint64_t SuccessLogInterval = 256;
@@ -147,7 +149,15 @@
                       notRunReasonName(Result.Reason),
                   Result.RetryAfter);
   }
-  if (Result.Reason != NotRunReason::Overloaded) {
+  bool ElsewhereInTime = Result.Reason == NotRunReason::TooLate &&
+                         !needsPrimary(Op.Mode) &&
+                         Op.Attempts < MaxOverloadedAttempts;
+  if (ElsewhereInTime) {
+    Op.ExcludedTargets.insert(Op.Target);
+    if (retryElsewhere(CallerSession, notRunReasonName(Result.Reason)))
+      return;
+  }
+  if (!isOverload(Result.Reason)) {
     Op.ExcludedOwners.insert({Op.Owner, Op.Target});
     if (!needsPrimary(Op.Mode))
       Op.ExcludedTargets.insert(Op.Target);
--- a/src/pooling/SitePolicies.cpp
+++ b/src/pooling/SitePolicies.cpp
@@ -103,8 +103,12 @@
   return Result;
 }
 
-bool SitePolicies::usesFairQueues() const {
-  return choosePolicy(m_Rules, QueueKind, "fair", 0).Choice == "fair";
+admission::QueueOrder SitePolicies::queueOrder() const {
+  std::string Choice = choosePolicy(m_Rules, QueueKind, "fair", 0).Choice;
+  if (Choice == "urgency")
+    return admission::QueueOrder::Urgency;
+  return Choice == "fifo" ? admission::QueueOrder::Fifo
+                          : admission::QueueOrder::Fair;
 }
 
 bool SitePolicies::usesRateLoans() const {
--- a/src/pooling/TargetPool.cpp
+++ b/src/pooling/TargetPool.cpp
@@ -12,11 +12,8 @@
 constexpr Duration BusyRetryDelay = milliseconds(5);
 /// Service time assumed before any was measured.
 constexpr double InitialServiceSeconds = 0.02;
-constexpr double ServiceTimeWeight = 0.05; ///< Weight of the newest sample.
 /// Detects a target that fails 40% of its statements after about ten of them.
 constexpr double FailureWeight = 0.1;
-/// Bounds the queue's memory; operations beyond it would miss their deadline.
-constexpr std::size_t MaxWaiting = 512;
 constexpr Duration MinRetryAfter = milliseconds(20);
 
 /// @brief Whether an operation is a single read that needs the primary.
@@ -45,13 +42,9 @@
       [](const auto &Entry) { return Entry.second.State == Phase::Waiting; }));
 }
 
-Duration TargetPool::expectedWait() const {
-  return scaled(seconds(1), m_ServiceSeconds * waitingCount() /
-                                std::max(1U, m_Limits.Slots));
-}
-
 void TargetPool::enqueue(OperationRequest Request) {
   auto Reject = [&](NotRunReason Reason) {
+    m_Hooks.Refused(Reason, Request.Priority);
     m_Hooks.Reply(Request.Id, makeNotRunResult(Reason));
   };
   if (!m_AcceptsOperations)
@@ -60,8 +53,8 @@
   // taken for one to the new operation.
   if (m_Unreachable || m_Operations.count(Request.Id) > 0)
     return Reject(NotRunReason::Unreachable);
-  if (m_Operations.size() >= MaxWaiting || expectedWait() > Request.QueueTime)
-    return Reject(NotRunReason::Overloaded);
+  if (auto Fault = admissionFault(Request))
+    return Reject(*Fault);
   QueueEntry Queued;
   Queued.WaitingSince = m_Context.now();
   Queued.Deadline = m_Context.now() + Request.QueueTime;
@@ -70,6 +63,7 @@
   Queued.Request = std::move(Request);
   m_Operations[Id] = std::move(Queued);
   dispatchWaiting();
+  refuseHopeless();
 }
 
 void TargetPool::enqueueNext(const OperationId &Id, Statement Stmt,
@@ -155,6 +149,7 @@
     Link.ActiveOperation.reset();
     rollBack(Link);
   }
+  m_Hooks.Refused(Reason, Refused.Request.Priority);
   reply(Refused, makeNotRunResult(Reason));
 }
 
@@ -176,38 +171,14 @@
     reply(Lost, std::move(Result));
 }
 
-double TargetPool::startTag(const QueueEntry &Operation) const {
-  auto Found = m_FinishTags.find(Operation.Request.Account);
-  double FinishTag = Found == m_FinishTags.end() ? 0 : Found->second;
-  return std::max(FinishTag, m_VirtualTime);
-}
-
-bool TargetPool::precedes(const QueueEntry &Left,
-                          const QueueEntry &Right) const {
-  if (Left.AssignedLink.has_value() != Right.AssignedLink.has_value())
-    return Left.AssignedLink.has_value();
-  if (Left.Request.Priority != Right.Request.Priority)
-    return Left.Request.Priority < Right.Request.Priority;
-  double LeftTag = m_Limits.Fair ? startTag(Left) : 0;
-  double RightTag = m_Limits.Fair ? startTag(Right) : 0;
-  if (LeftTag != RightTag)
-    return LeftTag < RightTag;
-  return Left.ArrivalNumber < Right.ArrivalNumber;
-}
-
 TargetPool::QueueEntry *TargetPool::nextDispatchable() {
-  std::vector<QueueEntry *> Waiting;
-  for (auto &[Id, Operation] : m_Operations)
-    if (Operation.State == Phase::Waiting &&
-        Operation.NotBefore <= m_Context.now())
-      Waiting.push_back(&Operation);
-  std::sort(Waiting.begin(), Waiting.end(),
-            [this](const QueueEntry *Left, const QueueEntry *Right) {
-              return precedes(*Left, *Right);
-            });
-  for (QueueEntry *Next : Waiting) {
+  std::vector<QueueEntry *> Entries;
+  for (const admission::WaitingWork &Work : sortedWaiting(Entries)) {
     if (m_SlotsUsed >= m_Limits.Slots)
       return nullptr;
+    QueueEntry *Next = Entries[Work.Key];
+    if (Next->NotBefore > m_Context.now())
+      continue;
     if (Next->AssignedLink || acquireLink(*Next))
       return Next;
   }
@@ -260,9 +231,7 @@
   if (needsSlot(Next.Request.First.Kind))
     acquireSlot(Link);
   Next.SentAt = m_Context.now();
-  double Start = startTag(Next);
-  m_VirtualTime = Start;
-  m_FinishTags[Next.Request.Account] = Start + m_ServiceSeconds;
+  chargeSlotTime(Next);
   restoreSession(Link, Next);
   bool Opens = !Next.TransactionOpen && (isTransaction(Next.Request.Mode) ||
                                          isPrimaryRead(Next.Request));
@@ -435,8 +404,7 @@
   bool Commits = Operation.Request.First.Kind == Verb::Commit;
   bool Single = !isTransaction(Operation.Request.Mode);
   Duration ServiceTime = m_Context.now() - Operation.SentAt;
-  m_ServiceSeconds +=
-      ServiceTimeWeight * (toSeconds(ServiceTime) - m_ServiceSeconds);
+  recordSlotTime(Operation, ServiceTime);
   recordOutcome(Reply.Error == ErrorCode::Failed ||
                 Reply.Error == ErrorCode::Timeout ||
                 Reply.Error == ErrorCode::Busy);
--- a/src/pooling/TargetPoolLinks.cpp
+++ b/src/pooling/TargetPoolLinks.cpp
@@ -58,16 +58,19 @@
 bool TargetPool::mayOpenLink(const QueueEntry &Operation) const {
   if (m_Context.now() < m_NoOpenBefore || m_Unreachable)
     return false;
-  bool HasLink = false;
+  unsigned LinksOfAccount = 0;
   for (const auto &[Id, Link] : m_Links) {
     if (Link.Account != Operation.Request.Account)
       continue;
     // The link being opened can serve any operation of the account.
     if (!Link.Open)
       return false;
-    HasLink = true;
+    ++LinksOfAccount;
   }
-  return !HasLink || m_Context.now() - Operation.WaitingSince >= ExtraLinkDelay;
+  if (usesUrgency() && LinksOfAccount >= accountLinkLimit())
+    return false;
+  return LinksOfAccount == 0 ||
+         m_Context.now() - Operation.WaitingSince >= ExtraLinkDelay;
 }
 
 bool TargetPool::openLink(const AccountId &Account) {
@@ -260,6 +263,7 @@
 
 void TargetPool::onTick() {
   enforceDeadlines();
+  refuseHopeless();
   checkLiveness();
   dispatchControlRequests();
   dispatchWaiting();
@@ -350,8 +354,8 @@
   AccountId Account;
   for (const auto &[Id, Operation] : m_Operations)
     Account = Operation.Request.Account;
-  if (Account.value().empty() && !m_FinishTags.empty())
-    Account = m_FinishTags.begin()->first;
+  if (Account.value().empty())
+    Account = m_Queue.shares().anyAccount();
   if (Account.value().empty())
     return;
   if (m_Links.size() >= m_Limits.MaxLinks && !evictIdleLink())
--- a/src/rules/PolicyKinds.cpp
+++ b/src/rules/PolicyKinds.cpp
@@ -28,7 +28,7 @@
        {durationParameter("wait"), durationParameter("primary-cost")},
        true},
       {"acknowledge", {"confirmed", "immediate"}, {}, false},
-      {"queue", {"fair", "fifo"}, {}, false},
+      {"queue", {"fair", "fifo", "urgency"}, {}, false},
       {"rate", {"loans", "split"}, {}, false},
       {"failover", {"vote", "fixed"}, {durationParameter("timeout")}, false},
       {"home", {"rendezvous", "none"}, {}, false},
--- a/test/unit-pool-policy.cpp
+++ b/test/unit-pool-policy.cpp
@@ -34,7 +34,7 @@
   SitePolicies Policies = parsed("");
   CHECK_TRUE(Policies.readRule(1)->Type == ReadRule::Kind::EarliestFinish);
   CHECK_EQUAL(0U, Policies.readRule(1)->Source.Line);
-  CHECK_TRUE(Policies.usesFairQueues());
+  CHECK_TRUE(Policies.queueOrder() == admission::QueueOrder::Fair);
   CHECK_TRUE(Policies.usesRateLoans());
 }
 
@@ -45,7 +45,7 @@
              "policy rate split # ops\n");
   CHECK_TRUE(Policies.readRule(1)->PrimaryCost == milliseconds(30));
   CHECK_EQUAL("ops", Policies.readRule(1)->Source.Author);
-  CHECK_FALSE(Policies.usesFairQueues());
+  CHECK_TRUE(Policies.queueOrder() == admission::QueueOrder::Fifo);
   CHECK_FALSE(Policies.usesRateLoans());
 }
 
--- a/test/unit-pool-target.cpp
+++ b/test/unit-pool-target.cpp
@@ -54,6 +54,7 @@
     };
     Callbacks.PositionProven = [](const TargetId &, Instant,
                                   const HistoryPoint &) {};
+    Callbacks.Refused = [](NotRunReason, unsigned) {};
     return Callbacks;
   }
 
