--- a/include/bergamotstage/pooling/SitePolicies.h
+++ b/include/bergamotstage/pooling/SitePolicies.h
@@ -1,6 +1,7 @@
 #ifndef BERGAMOTSTAGE_POOLING_SITEPOLICIES_H
 #define BERGAMOTSTAGE_POOLING_SITEPOLICIES_H
 
+#include "bergamotstage/admission/QueueOrder.h"
 #include "bergamotstage/core/Ids.h"
 #include "bergamotstage/core/Outcome.h"
 #include "bergamotstage/core/Time.h"
@@ -55,10 +56,10 @@
   /// Complexity: linear in the shares.
   std::shared_ptr<const ReadRule> readRule(std::uint64_t SessionHash) const;
 
-  /// @brief Whether targets use fair queueing over accounts instead of FIFO.
-  bool usesFairQueues() const;
   /// @brief How VMs share the rates of accounts.
   ratelimit::RateSharing rateSharing() const;
+  /// @brief Order of the operations that wait for a target.
+  admission::QueueOrder queueOrder() const;
 
   const RuleSet &rules() const { return m_Rules; }
 
--- a/test/unit-pool-policy.cpp
+++ b/test/unit-pool-policy.cpp
@@ -34,8 +34,8 @@
   SitePolicies Policies = parsed("");
   CHECK_TRUE(Policies.readRule(1)->Type == ReadRule::Kind::EarliestFinish);
   CHECK_EQUAL(0U, Policies.readRule(1)->Source.Line);
-  CHECK_TRUE(Policies.usesFairQueues());
   CHECK_TRUE(Policies.rateSharing() == ratelimit::RateSharing::Loans);
+  CHECK_TRUE(Policies.queueOrder() == admission::QueueOrder::Fair);
 }
 
 TEST(SitePolicies, ReadsPoliciesWithTheirAuthor) {
@@ -45,8 +45,8 @@
              "policy rate split # ops\n");
   CHECK_TRUE(Policies.readRule(1)->PrimaryCost == milliseconds(30));
   CHECK_EQUAL("ops", Policies.readRule(1)->Source.Author);
-  CHECK_FALSE(Policies.usesFairQueues());
   CHECK_TRUE(Policies.rateSharing() == ratelimit::RateSharing::Split);
+  CHECK_TRUE(Policies.queueOrder() == admission::QueueOrder::Fifo);
 }
 
 TEST(SitePolicies, AssignsAShareOfSessionsToAnotherPolicy) {
