--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -140,6 +140,7 @@
   const RefusalCounts &refusals() const { return m_Refusals; }
   /// @brief Calls a function with each pool of links to a target.
   void forEachPool(const std::function<void(const TargetPool &)> &Visit) const;
+  const RateShare &rates() const { return m_Rates; }
   std::size_t rateSlots() const { return m_Rates.slotCount(); }
 
 private:
--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -113,6 +113,7 @@
   Instant lastReceivedAt() const { return m_LastReceivedAt; }
   std::size_t linkCount() const { return m_Links.size(); }
   unsigned waitingCount() const;
+  const TargetId &id() const { return m_Id; }
   const admission::SlotTimes &slotTimes() const { return m_Queue.slotTimes(); }
 
 private:
--- a/src/metrics/Prometheus.cpp
+++ b/src/metrics/Prometheus.cpp
@@ -84,4 +84,19 @@
   return Name + " " + std::to_string(Value) + "\n";
 }
 
+std::string renderLabelled(
+    const std::string &Name,
+    std::initializer_list<std::pair<const char *, std::string>> Labels,
+    double Value) {
+  std::ostringstream Out;
+  Out << Name << "{";
+  const char *Separator = "";
+  for (const auto &[Label, Text] : Labels) {
+    Out << Separator << Label << "=\"" << escapeLabel(Text) << "\"";
+    Separator = ",";
+  }
+  Out << "} " << Value << "\n";
+  return Out.str();
+}
+
 } // namespace bergamotstage::metrics
--- a/src/runtime/site/SiteMetrics.cpp
+++ b/src/runtime/site/SiteMetrics.cpp
@@ -5,6 +5,52 @@
 #include <utility>
 
 namespace bergamotstage::runtime {
+namespace {
+
+using metrics::renderLabelled;
+
+/// @brief Admissions to the rates of accounts, by account and priority.
+std::string renderRates(const ratelimit::RateShare &Rates) {
+  std::string Text;
+  for (const auto &[Key, Counts] : Rates.counts()) {
+    const std::string &Account = Key.first.value();
+    std::string Priority = std::to_string(Key.second);
+    Text += renderLabelled("bergamotstage_rate_admitted_total",
+                           {{"account", Account}, {"priority", Priority}},
+                           static_cast<double>(Counts.Admitted));
+    Text += renderLabelled("bergamotstage_rate_refused_total",
+                           {{"account", Account}, {"priority", Priority}},
+                           static_cast<double>(Counts.Refused));
+    Text += renderLabelled("bergamotstage_rate_wait_seconds_total",
+                           {{"account", Account}, {"priority", Priority}},
+                           toSeconds(Counts.Waited));
+  }
+  return Text;
+}
+
+/// @brief Queues of the targets that this VM owns.
+std::string renderPools(const pooling::PoolNode &Node) {
+  std::string Text;
+  for (const auto &[Key, Count] : Node.refusals())
+    Text += renderLabelled("bergamotstage_target_refusals_total",
+                           {{"reason", pooling::notRunReasonName(Key.first)},
+                            {"priority", std::to_string(Key.second)}},
+                           static_cast<double>(Count));
+  Node.forEachPool([&Text](const pooling::TargetPool &Pool) {
+    const std::string &Target = Pool.id().value();
+    Text += renderLabelled("bergamotstage_target_waiting", {{"target", Target}},
+                           Pool.waitingCount());
+    for (const auto &[Kind, Estimate] : Pool.slotTimes().estimates())
+      Text += renderLabelled("bergamotstage_slot_seconds",
+                             {{"target", Target},
+                              {"route", Kind.Route.value()},
+                              {"class", admission::workClassName(Kind.Class)}},
+                             Estimate.Seconds);
+  });
+  return Text;
+}
+
+} // namespace
 
 std::string renderSiteMetrics(const pooling::PoolNode &Node,
                               std::uint64_t LinksOpened) {
@@ -22,7 +68,7 @@
   std::string Text = metrics::renderPrometheus(Node.metrics());
   for (const auto &[Name, Value] : Gauges)
     Text += metrics::renderGauge(Name, Value);
-  return Text;
+  return Text + renderRates(Node.rates()) + renderPools(Node);
 }
 
 } // namespace bergamotstage::runtime
