Evacuate data centres, and keep operations in their home regions

Cause: nothing in the code knew the rows evacuate/NAME of table op, nor regions to which a route or an account is restricted. Change: placement::Evacuations keeps the data centres with the store's version; readers of the store pass them on with each update. TargetTable excludes targets there, so that reads move and primaries are replaced by a planned promotion; after a grace period connections there are closed. placement::HomeRegions limits targets and owners. Decoding of the store's tables moved from SiteDaemon to StoreTables, promotion leases and candidates to files of their own. Ruled out: a list in the configuration, which a storm of versions would delay; cutting open transactions at once, which loses work that ends in time.

--- a/include/bergamotstage/balancing/TargetSelector.h
+++ b/include/bergamotstage/balancing/TargetSelector.h
@@ -22,19 +22,23 @@
   /// The selector does not keep the reference.
   using OwnersHook = std::function<const std::vector<VmId> &(const TargetId &)>;
 
+  using DataCentreHook = std::function<DataCentreId(const VmId &)>;
+
   /// @brief The selected target and owner, or why there is none.
   struct Choice {
     enum class Kind : std::uint8_t {
       Chosen,
       NoPrimary,  ///< No usable primary is known.
       NoPosition, ///< No sufficiently recent position is proven.
-      NoOwner     ///< No reachable VM can own links to the target.
+      NoOwner,    ///< No reachable VM can own links to the target.
+      NotAllowed  ///< Evacuations or home regions exclude all targets.
     };
     Kind Type = Kind::NoPrimary;
     TargetId Target;
     VmId Owner;
     pooling::Access AccessMode = pooling::Access::Primary;
     std::optional<HistoryPoint> After; ///< Position required of a replica.
+    const char *Reason = "";           ///< For NotAllowed.
   };
 
   TargetSelector(pooling::Context &Ctx, const pooling::TargetTable &Targets,
@@ -46,6 +50,13 @@
   Choice select(const pooling::Session &Caller,
                 const pooling::Operation &Op) const;
 
+  /// @brief Sets the regions of data centres, and a function that returns the
+  /// data centre of a VM. Without it, home regions are not enforced.
+  void setHomes(placement::HomeRegions Homes, DataCentreHook DataCentreOf) {
+    m_Homes = std::move(Homes);
+    m_DataCentreOf = std::move(DataCentreOf);
+  }
+
   /// @brief Proven positions of a group.
   pooling::PositionProofs &proofs(const DatabaseId &Group) {
     return m_Proofs[Group];
@@ -71,12 +82,17 @@
                    const pooling::Operation &Op) const;
   double estimateCost(const pooling::ReadRule &Rule,
                       const pooling::TargetEntry &Target, bool IsPrimary) const;
+  bool mayRunAt(const TargetId &Target, const pooling::Operation &Op) const;
+  bool mayPass(const VmId &Vm, const pooling::Operation &Op) const;
+  Choice notAllowed(const char *Reason) const;
   std::optional<VmId> selectOwner(const TargetId &Target,
                                   const pooling::Operation &Op) const;
 
   pooling::Context &m_Context;
   const pooling::TargetTable &m_Targets;
   OwnersHook m_Owners;
+  DataCentreHook m_DataCentreOf;
+  placement::HomeRegions m_Homes;
   std::map<DatabaseId, pooling::PositionProofs> m_Proofs;
   std::map<TargetId, TargetState> m_States;
 };
--- a/include/bergamotstage/core/Ids.h
+++ b/include/bergamotstage/core/Ids.h
@@ -12,6 +12,8 @@
 using VmId = Strong<struct VmIdTag, std::string>;
 /// @brief Name of a data centre.
 using DataCentreId = Strong<struct DataCentreIdTag, std::string>;
+/// @brief Name of a region, which has one or more data centres.
+using RegionId = Strong<struct RegionIdTag, std::string>;
 /// @brief Name of a client account.
 using AccountId = Strong<struct AccountIdTag, std::string>;
 /// @brief Name of a target: one instance of a database group.
--- a/include/bergamotstage/pooling/FailoverController.h
+++ b/include/bergamotstage/pooling/FailoverController.h
@@ -101,8 +101,11 @@
   void chooseCandidate(const DatabaseId &Group, std::uint64_t Number);
   bool maySkipUnresponsive(const DatabaseId &Group) const;
   bool mustPauseReplicas(const DatabaseId &Group, const Attempt &Current) const;
+  bool isCandidate(const DatabaseId &Group, const Attempt &Current,
+                   const TargetId &Id) const;
   void resumeReplicas(const DatabaseId &Group,
                       const std::set<TargetId> &Paused);
+  void dropEvacuated(const DatabaseId &Group, Attempt &Current);
   void stepDown(const DatabaseId &Group, std::uint64_t Number);
   void awaitCatchUp(const DatabaseId &Group, std::uint64_t Number,
                     Instant Until);
--- a/include/bergamotstage/pooling/FleetMessage.h
+++ b/include/bergamotstage/pooling/FleetMessage.h
@@ -82,15 +82,15 @@
   std::uint64_t MilliTokens = 0;
   /// Demand at the sender and its waiting operations, the highest priority
   /// first; empty unless tokens are shared by priority.
-  std::vector<ratelimit::PriorityDemand> Demand;
-  std::vector<ratelimit::WaitingOperations> Waiting;
+  std::vector<ratelimit::PriorityDemand> Demand{};
+  std::vector<ratelimit::WaitingOperations> Waiting{};
 };
 /// @brief Transfers tokens to the receiver.
 struct TokenGrant {
   AccountId Account;
   std::uint64_t MilliTokens = 0;
   std::uint64_t LeftMilliTokens = 0; ///< Tokens that the sender can still lend.
-  std::vector<ratelimit::PriorityShare> Shares; ///< Empty as for Demand.
+  std::vector<ratelimit::PriorityShare> Shares{}; ///< Empty as for Demand.
 };
 
 /// @brief Reports that the sender cannot reach the primary of a group.
@@ -139,6 +139,7 @@
   std::uint64_t TargetsVersion = 0;
   std::vector<TargetEntry> Changed;
   std::vector<TargetId> Removed;
+  placement::EvacuationList Evacuations;
 };
 
 /// @brief Converts a time of this VM's clock for a message that echoes it.
--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -24,6 +24,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -72,6 +74,10 @@
   struct Settings {
     MemberState Self;
     Duration Grace = seconds(6); ///< From the signal to the forced exit.
+    /// From the acknowledgement of an evacuation until nothing may arrive.
+    Duration EvacuationBound = seconds(5);
+    /// Region of each data centre, for routes and accounts with home regions.
+    std::map<DataCentreId, RegionId> Regions;
   };
 
   PoolNode(Settings Initial, std::uint64_t Seed, Hooks Callbacks);
@@ -116,6 +122,11 @@
   void onTargetRemoved(Instant Now, const TargetId &Id);
   /// @brief The full list was read; targets that it lacks are removed.
   void onTargetsListed(Instant Now, const std::vector<TargetEntry> &All);
+  /// @brief All rows of evacuated data centres were read.
+  void onEvacuationsListed(Instant Now, const placement::EvacuationList &List);
+  /// @brief The row of one data centre was written or removed.
+  void onEvacuationChanged(Instant Now, const DataCentreId &DataCentre,
+                           bool Evacuated, std::uint64_t Version);
   /// @brief The store answered a read or poll of its tables.
   void onStoreResponse(Instant Now);
 
@@ -141,6 +152,8 @@
   /// @brief Calls a function with each pool of links to a target.
   void forEachPool(const std::function<void(const TargetPool &)> &Visit) const;
   const RateShare &rates() const { return m_Rates; }
+  /// @brief Operations at targets of evacuated data centres.
+  std::size_t evacuatedOperations() const;
   std::size_t rateSlots() const { return m_Rates.slotCount(); }
 
 private:
@@ -206,6 +219,13 @@
   void markPeerLost(const VmId &Vm, const char *Reason);
   void setReachable(const VmId &Vm, bool Reachable);
   void checkPeers();
+  void applyEvacuations(const placement::EvacuationList &List);
+  void onEvacuationsUpdated(const std::set<DataCentreId> &Before);
+  void logEvacuation(const char *Event, const DataCentreId &DataCentre);
+  void scheduleEvacuationDeadline();
+  void checkEvacuations();
+  std::size_t operationsIn(const DataCentreId &DataCentre) const;
+  std::vector<DatabaseId> groups() const;
   void runHousekeeping();
   void drain();
 
@@ -216,6 +236,10 @@
   admission::QueueOrder m_QueueOrder = admission::QueueOrder::Fair;
   RefusalCounts m_Refusals;
   metrics::Registry m_Metrics;
+  placement::Evacuations m_Evacuations;
+  /// Evacuated data centres in which operations may be left.
+  std::set<DataCentreId> m_OccupiedEvacuations;
+  std::optional<TimerId> m_EvacuationTimer;
   TargetTable m_Targets;
   RankedMembers m_Members;
   PeerHealth m_Health;
--- a/include/bergamotstage/pooling/Session.h
+++ b/include/bergamotstage/pooling/Session.h
@@ -32,6 +32,7 @@
   RouteConfig Route;                     ///< Copied when the operation begins.
   std::shared_ptr<const ReadRule> Reads; ///< Copied; null for default.
   AccountId Account;
+  placement::RegionSet AccountHomes;
   Access Mode = Access::Primary;
   Instant Arrived{};
   Statement Current;          ///< Latest statement.
--- a/include/bergamotstage/pooling/SiteConfig.h
+++ b/include/bergamotstage/pooling/SiteConfig.h
@@ -3,6 +3,7 @@
 
 #include "bergamotstage/core/Ids.h"
 #include "bergamotstage/core/Time.h"
+#include "bergamotstage/placement/HomeRegions.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -30,6 +31,7 @@
   Duration LatencyTarget{};    ///< For one statement, queueing included.
   unsigned Priority = 0;       ///< 0 is the highest.
   bool Open = false;           ///< Requires no key.
+  placement::RegionSet Homes;  ///< Regions in which it may run; empty for all.
 };
 
 /// @brief Rate and burst of a client account, in operations.
@@ -37,6 +39,7 @@
   AccountId Id;
   double Rate = 0; ///< Operations per second.
   double Burst = 0;
+  placement::RegionSet Homes{}; ///< As for RouteConfig.
 };
 
 /// @brief A group of targets that replicate one database.
--- a/include/bergamotstage/pooling/StoreReaders.h
+++ b/include/bergamotstage/pooling/StoreReaders.h
@@ -45,6 +45,9 @@
     std::function<void(const Following &)> SetFollowing;
     std::function<void(const VmId &, std::uint64_t Version)> OnConfigVersion;
     std::function<void(const StoreUpdate &)> ApplyUpdate;
+    /// Returns the evacuated data centres known to this VM.
+    std::function<placement::EvacuationList()> Evacuations;
+    std::function<void(const placement::EvacuationList &)> ApplyEvacuations;
   };
 
   StoreReaders(Context &Ctx, Hooks Callbacks)
@@ -64,6 +67,8 @@
   void onTargetsListed();
   /// @brief This VM applied a new configuration.
   void onConfigChanged();
+  /// @brief This VM learned of a change of evacuated data centres.
+  void onEvacuationsChanged();
 
   void onUpdateRequest(const VmId &From, const StoreUpdateRequest &Request);
   void onUpdate(const VmId &From, const StoreUpdate &Update);
--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -66,7 +66,16 @@
   }
   /// @brief Rejects new operations; open transactions continue.
   void stopAdmission() { m_AcceptsOperations = false; }
-  void resumeAdmission() { m_AcceptsOperations = true; }
+  void resumeAdmission() {
+    m_AcceptsOperations = true;
+    m_Evacuated = false;
+  }
+  /// @brief Refuses operations that wait for a first slot, so that they run
+  /// elsewhere.
+  void refuseWaiting();
+  /// @brief Sends nothing more: ends all operations but statements in flight
+  /// and closes their links, which rolls transactions back.
+  void evacuate();
 
   /// @brief Queues a new operation. Each statement gets exactly one reply
   /// unless the operation is aborted.
@@ -108,6 +117,7 @@
 
   bool hasLink(LinkId Id) const { return m_Links.count(Id) > 0; }
   bool isIdle() const { return m_Operations.empty(); }
+  std::size_t operationCount() const { return m_Operations.size(); }
   bool isReachable() const { return !m_Unreachable; }
   /// @brief Time at which the target last sent data.
   Instant lastReceivedAt() const { return m_LastReceivedAt; }
@@ -202,6 +212,7 @@
   Hooks m_Hooks;
   Limits m_Limits;
   bool m_AcceptsOperations = true;
+  bool m_Evacuated = false; ///< Nothing more may be sent.
   std::map<OperationId, QueueEntry> m_Operations;
   std::map<LinkId, PoolLink> m_Links;
   std::map<std::uint64_t, ControlRequest> m_ControlRequests;
--- a/include/bergamotstage/pooling/TargetTable.h
+++ b/include/bergamotstage/pooling/TargetTable.h
@@ -3,6 +3,7 @@
 
 #include "bergamotstage/core/Ids.h"
 #include "bergamotstage/core/Time.h"
+#include "bergamotstage/placement/Evacuations.h"
 
 #include <cstdint>
 #include <map>
@@ -46,11 +47,22 @@
   const TargetEntry *find(const TargetId &Id) const;
   /// @brief Targets of a group; empty if it is unknown.
   std::vector<TargetId> groupMembers(const DatabaseId &Group) const;
-  /// @brief Whether a target is listed and not draining.
+  /// @brief Uses the evacuated data centres, which outlive the table.
+  void setEvacuations(const placement::Evacuations &Known) {
+    m_Evacuations = &Known;
+  }
+  /// @brief Whether a target is listed, not draining, and not in an evacuated
+  /// data centre.
   bool acceptsOperations(const TargetId &Id) const;
-  /// @brief Whether a primary may get operations. A draining one may until the
-  /// deadline for its failover.
+  /// @brief Whether a primary may get operations. A draining or evacuated one
+  /// may until the deadline for its failover.
   bool mayServeAsPrimary(const TargetId &Id, Instant Now) const;
+  /// @brief Whether a target is in an evacuated data centre.
+  bool isEvacuated(const TargetId &Id) const;
+  /// @brief Whether statements of open transactions may be sent to a target.
+  bool maySend(const TargetId &Id, Instant Now) const;
+  /// @brief Whether all targets of a group are in evacuated data centres.
+  bool isWhollyEvacuated(const DatabaseId &Group) const;
 
   /// @brief The primary of a group; empty if unknown.
   std::optional<TargetId> primary(const DatabaseId &Group) const;
@@ -75,6 +87,7 @@
   std::map<TargetId, std::uint64_t> m_RejectedClaims; ///< Version of the row.
   std::map<DatabaseId, PromotionRecord> m_Promoted;
   std::uint64_t m_NewestVersion = 0;
+  const placement::Evacuations *m_Evacuations = nullptr;
 };
 
 } // namespace bergamotstage::pooling
--- a/src/balancing/TargetSelector.cpp
+++ b/src/balancing/TargetSelector.cpp
@@ -51,17 +51,45 @@
 std::optional<VmId> TargetSelector::selectOwner(const TargetId &Target,
                                                 const Operation &Op) const {
   for (const VmId &Vm : m_Owners(Target))
-    if (Op.ExcludedOwners.count({Vm, Target}) == 0)
+    if (Op.ExcludedOwners.count({Vm, Target}) == 0 && mayPass(Vm, Op))
       return Vm;
   return std::nullopt;
 }
 
+/// @brief Whether the home regions of an operation include a target's.
+bool TargetSelector::mayRunAt(const TargetId &Target,
+                              const Operation &Op) const {
+  const TargetEntry *Entry = m_Targets.find(Target);
+  return Entry == nullptr ||
+         m_Homes.mayRunIn(Entry->DataCentre, Op.Route.Homes, Op.AccountHomes);
+}
+
+bool TargetSelector::mayPass(const VmId &Vm, const Operation &Op) const {
+  bool Restricted = !Op.Route.Homes.empty() || !Op.AccountHomes.empty();
+  return !Restricted || !m_DataCentreOf || Vm == m_Context.self() ||
+         m_Homes.mayPass(m_DataCentreOf(Vm), m_Context.dataCentre(),
+                         Op.Route.Homes, Op.AccountHomes);
+}
+
+TargetSelector::Choice TargetSelector::notAllowed(const char *Reason) const {
+  Choice Result;
+  Result.Type = Choice::Kind::NotAllowed;
+  Result.Reason = Reason;
+  return Result;
+}
+
 TargetSelector::Choice
 TargetSelector::selectPrimary(const Operation &Op) const {
   Choice Result;
   Result.AccessMode =
       isTransaction(Op.Mode) ? Access::PrimaryTransaction : Access::Primary;
   auto Primary = m_Targets.primary(Op.Route.Group);
+  if (Primary && !mayRunAt(*Primary, Op))
+    return notAllowed("the primary is outside of the home regions");
+  bool Withdrawn = Primary && !m_Targets.maySend(*Primary, m_Context.now()) &&
+                   m_Targets.isWhollyEvacuated(Op.Route.Group);
+  if (Withdrawn)
+    return notAllowed("the data centres of all targets are evacuated");
   if (!Primary || !m_Targets.mayServeAsPrimary(*Primary, m_Context.now()))
     return Result;
   auto Owner = selectOwner(*Primary, Op);
@@ -140,7 +168,7 @@
       HasBest ? estimateCost(Rule, *m_Targets.find(Best.Target), true) : 0;
   for (const TargetId &Id : m_Targets.groupMembers(Op.Route.Group)) {
     bool Usable = Primary != Id && m_Targets.acceptsOperations(Id) &&
-                  Op.ExcludedTargets.count(Id) == 0;
+                  Op.ExcludedTargets.count(Id) == 0 && mayRunAt(Id, Op);
     if (!Usable)
       continue;
     auto State = m_States.find(Id);
--- a/src/pooling/FailoverController.cpp
+++ b/src/pooling/FailoverController.cpp
@@ -1,7 +1,6 @@
 #include "bergamotstage/pooling/FailoverController.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 #include <variant>
 
@@ -19,8 +18,6 @@
 constexpr Duration CatchUpTimeout = milliseconds(600);
 constexpr Duration CatchUpInterval = milliseconds(20);
 constexpr Duration RetryDelay = milliseconds(150);
-/// One order may be lost; a target that ignores a second one may be skipped.
-constexpr int MaxOrdersPerTarget = 2;
 /// Failover starts when the store lists no primary of a group for this time.
 constexpr Duration NoPrimaryTimeout = milliseconds(1500);
 /// Minimum time to the next attempt after a false alarm or a promotion.
@@ -29,60 +26,6 @@
 
 } // namespace
 
-/// @brief Returns the replica with the longest received log; ties go to the
-/// fewest failed orders.
-///
-/// @param SkipUnresponsive ranks targets that ignored promotion orders last
-std::map<TargetId, TargetStatus>::const_iterator
-FailoverController::Attempt::bestReplica(bool SkipUnresponsive) const {
-  auto Rank = [this, SkipUnresponsive](const auto &Entry) {
-    auto Found = FailedOrders.find(Entry.first);
-    int OrderCount = Found == FailedOrders.end() ? 0 : Found->second;
-    int Skipped = SkipUnresponsive ? OrderCount / MaxOrdersPerTarget : 0;
-    return std::make_tuple(-Skipped, Entry.second.Received, -OrderCount);
-  };
-  return std::max_element(Statuses.begin(), Statuses.end(),
-                          [&Rank](const auto &Left, const auto &Right) {
-                            return Rank(Left) < Rank(Right);
-                          });
-}
-
-/// @brief Whether a replica with a shorter log may be promoted in place of
-/// unresponsive targets.
-///
-/// An acknowledged commit is in the logs of the primary and its synchronous
-/// replicas. If the whole group answers and at most as many targets are skipped
-/// as there are synchronous replicas, one of the others holds the commit.
-bool FailoverController::maySkipUnresponsive(const DatabaseId &Group) const {
-  unsigned SyncReplicas = m_Hooks.SyncReplicas(Group);
-  if (SyncReplicas == 0)
-    return true;
-  const Attempt &Current = m_Attempts.at(Group);
-  auto Unresponsive = std::count_if(
-      Current.FailedOrders.begin(), Current.FailedOrders.end(),
-      [](const auto &Entry) { return Entry.second >= MaxOrdersPerTarget; });
-  return Current.Statuses.size() >= m_LargestGroupSize.at(Group) &&
-         static_cast<std::size_t>(Unresponsive) <= SyncReplicas;
-}
-
-/// @brief Whether replicas must stop receiving before their logs are compared.
-///
-/// A primary that this VM cannot reach may go on acknowledging commits that
-/// one replica has received.
-bool FailoverController::mustPauseReplicas(const DatabaseId &Group,
-                                           const Attempt &Current) const {
-  return m_Hooks.SyncReplicas(Group) > 0 && !Current.Planned;
-}
-
-/// @brief Whether every reply was sent by a replica that had stopped.
-bool FailoverController::Attempt::hasFinalLogEnds() const {
-  return PauseTerm &&
-         std::all_of(Statuses.begin(), Statuses.end(),
-                     [this](const auto &Entry) {
-                       return Entry.second.HighestTerm < *PauseTerm;
-                     });
-}
-
 FailoverController::Attempt *
 FailoverController::findAttempt(const DatabaseId &Group, std::uint64_t Number) {
   auto Found = m_Attempts.find(Group);
@@ -167,7 +110,9 @@
     auto Primary = m_Targets.primary(Group);
     if (Primary) {
       m_NoPrimarySince.erase(Group);
-      if (!m_Targets.acceptsOperations(*Primary))
+      bool MustMove = !m_Targets.acceptsOperations(*Primary) &&
+                      !m_Targets.isWhollyEvacuated(Group);
+      if (MustMove)
         start(Group, Primary, true);
       continue;
     }
@@ -251,8 +196,10 @@
   std::size_t &Largest = m_LargestGroupSize[Group];
   Largest = std::max(Largest, Members.size());
   for (const TargetId &Id : Members)
-    if (Id != Current->OldPrimary && m_Targets.acceptsOperations(Id))
+    if (Id != Current->OldPrimary && isCandidate(Group, *Current, Id))
       Replicas.push_back(Id);
+  if (Replicas.empty() && m_Targets.isWhollyEvacuated(Group))
+    return finish(Group, "all targets are evacuated");
   if (Replicas.empty())
     return scheduleRetry(Group, Number, "no replica is known");
   Current->ExpectedReplies = Replicas.size();
@@ -310,6 +257,7 @@
       m_Hooks.Broadcast(Promoted{Group, Id, Status.HighestTerm});
       return finish(Group, "another target is primary");
     }
+  dropEvacuated(Group, *Current);
   if (Current->Statuses.empty())
     return scheduleRetry(Group, Number, "no follower answers");
   bool Synchronous = m_Hooks.SyncReplicas(Group) > 0;
--- a/src/pooling/FleetMessage.cpp
+++ b/src/pooling/FleetMessage.cpp
@@ -116,6 +116,10 @@
     Out.varint(Body.Removed.size());
     for (const TargetId &Id : Body.Removed)
       Out.text(Id.value());
+    Out.varint(Body.Evacuations.Version);
+    Out.varint(Body.Evacuations.DataCentres.size());
+    for (const DataCentreId &Id : Body.Evacuations.DataCentres)
+      Out.text(Id.value());
   }
   void operator()(const RenewalRequest &Body) {
     Out.text(Body.Row);
@@ -227,6 +231,9 @@
     Body.Changed.push_back(readEntry(In));
   for (std::uint64_t Count = In.varint(); Count > 0 && In.isValid(); --Count)
     Body.Removed.emplace_back(In.text());
+  Body.Evacuations.Version = In.varint();
+  for (std::uint64_t Count = In.varint(); Count > 0 && In.isValid(); --Count)
+    Body.Evacuations.DataCentres.emplace(In.text());
   return Body;
 }
 
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -24,9 +24,6 @@
 /// Idle timeouts of free links.
 constexpr Duration OwnerIdleLinkTimeout = seconds(25);
 constexpr Duration OtherIdleLinkTimeout = seconds(3);
-/// Time that a lease holder must be lost before another VM takes the lease.
-constexpr Duration HolderLossTimeout = seconds(2);
-constexpr Duration LeaseRequestTimeout = seconds(3);
 /// New connections arrive after the signal until the platform's two readiness
 /// probes, one second apart, have failed.
 constexpr Duration AcceptAfterSignal = milliseconds(2300);
@@ -70,7 +67,15 @@
       m_Configs(m_Context, configHooks()), m_Readers(m_Context, readerHooks()),
       m_Failover(m_Context, m_Targets, failoverHooks()),
       m_Sessions(m_Context, m_Targets, m_Selector, m_Rates, m_Metrics,
-                 sessionHooks()) {}
+                 sessionHooks()) {
+  m_Evacuations.setBound(m_Settings.EvacuationBound);
+  m_Targets.setEvacuations(m_Evacuations);
+  m_Selector.setHomes(
+      placement::HomeRegions(m_Settings.Regions), [this](const VmId &Vm) {
+        const MemberState *Member = m_Members.find(Vm);
+        return Member == nullptr ? DataCentreId() : Member->DataCentre;
+      });
+}
 
 void PoolNode::setTime(Instant Now) { m_Context.setNow(Now); }
 
@@ -222,6 +227,10 @@
       Pool->resumeAdmission();
     else
       Pool->stopAdmission();
+    if (m_Targets.isEvacuated(Id) && !IsPrimary)
+      Pool->refuseWaiting();
+    if (!m_Targets.maySend(Id, m_Context.now()))
+      Pool->evacuate();
   }
 }
 
@@ -348,47 +357,6 @@
   m_Sessions.retryDeferred();
 }
 
-// Promotion leases.
-
-const std::vector<VmId> &
-PoolNode::leaseCandidates(const DatabaseId &Group) const {
-  return m_Members.ownerOrder("duty " + Group.value(), DataCentreId());
-}
-
-bool PoolNode::holdsLease(const DatabaseId &Group) const {
-  auto Lease = m_Rows.promotionLease(Group);
-  return Lease && Lease->Holder == m_Context.self() && !m_LeavingSince;
-}
-
-void PoolNode::acquireLeaseIfFirst(const DatabaseId &Group) {
-  if (!m_Rows.isLoaded() || m_LeavingSince || holdsLease(Group))
-    return;
-  auto Request = m_LeaseRequestedAt.find(Group);
-  bool RequestPending = Request != m_LeaseRequestedAt.end() &&
-                        Request->second + LeaseRequestTimeout > m_Context.now();
-  const std::vector<VmId> &Candidates = leaseCandidates(Group);
-  bool IsFirst = !Candidates.empty() && Candidates.front() == m_Context.self();
-  auto Lease = m_Rows.promotionLease(Group);
-  bool HolderUnavailable = true;
-  if (Lease) {
-    const MemberState *Holder = m_Members.find(Lease->Holder);
-    HolderUnavailable = Holder == nullptr || Holder->Leaving ||
-                        m_Health.lostDuration(Lease->Holder, m_Context.now()) >=
-                            HolderLossTimeout;
-  }
-  if (RequestPending || !IsFirst || !HolderUnavailable)
-    return;
-  m_LeaseRequestedAt[Group] = m_Context.now();
-  m_Rows.acquireLease(Group, [this, Group](std::optional<std::uint64_t>) {
-    m_LeaseRequestedAt.erase(Group);
-  });
-}
-
-void PoolNode::acquireLeases() {
-  for (const auto &[Group, Rule] : m_Config->Groups)
-    acquireLeaseIfFirst(Group);
-}
-
 // The platform.
 
 void PoolNode::onPlatformAnswer(Instant Now, const PlatformCallback &Callback,
@@ -438,10 +406,8 @@
   for (auto &[Id, Pool] : m_Pools)
     Pool->closeUnusedLinks();
   acquireLeases();
-  std::vector<DatabaseId> Groups;
-  for (const auto &[Group, Rule] : m_Config->Groups)
-    Groups.push_back(Group);
-  m_Failover.checkGroups(Groups);
+  m_Failover.checkGroups(groups());
+  checkEvacuations();
   std::vector<VmId> Peers = peers();
   std::uniform_int_distribution<unsigned> Draw(0, VersionPingPeriod - 1);
   if (!Peers.empty() && Draw(m_Context.random()) == 0) {
--- a/src/pooling/PoolNodeHooks.cpp
+++ b/src/pooling/PoolNodeHooks.cpp
@@ -171,6 +171,10 @@
   Callbacks.OnConfigVersion = [this](const VmId &From, std::uint64_t Version) {
     m_Configs.onPeerVersion(From, Version);
   };
+  Callbacks.Evacuations = [this] { return m_Evacuations.list(); };
+  Callbacks.ApplyEvacuations = [this](const placement::EvacuationList &List) {
+    applyEvacuations(List);
+  };
   Callbacks.ApplyUpdate = [this](const StoreUpdate &Update) {
     if (Update.BaseTargetsVersion == 0)
       return applyTargets(Update.Changed);
--- a/src/pooling/Sessions.cpp
+++ b/src/pooling/Sessions.cpp
@@ -17,6 +17,9 @@
 /// The same for a statement of an open transaction, whose earlier work a
 /// timeout would discard.
 constexpr double TransactionQueueTimeFactor = 2.5;
+/// Suggested retry delay while all targets that could serve are excluded by an
+/// operator.
+constexpr Duration EvacuatedRetryAfter = seconds(2);
 /// Suggested retry delay while no target is reachable.
 constexpr Duration NoTargetRetryAfter = milliseconds(200);
 /// Time after which an unanswered proof request may be repeated.
@@ -212,6 +215,9 @@
   Op.Reads = CallerSession.Reads;
   Op.Account =
       Key == m_Config->Keys.end() ? AccountId("-") : AccountId(Key->second);
+  auto Account = m_Config->Accounts.find(Op.Account);
+  if (Account != m_Config->Accounts.end())
+    Op.AccountHomes = Account->second.Homes;
   Op.Mode = Mode;
   Op.ReplicaAllowed = !needsPrimary(Mode);
   Op.Arrived = m_Context.now();
@@ -316,6 +322,9 @@
     Op.ExcludedOwners.clear();
     Op.ExcludedTargets.clear();
     return defer(CallerSession, "no VM can reach the target");
+  case TargetSelector::Choice::Kind::NotAllowed:
+    return refuse(CallerSession, ErrorCode::Busy, Selected.Reason,
+                  EvacuatedRetryAfter);
   case TargetSelector::Choice::Kind::Chosen:
     break;
   }
--- a/src/pooling/StoreReaders.cpp
+++ b/src/pooling/StoreReaders.cpp
@@ -137,6 +137,7 @@
   Update.ConfigVersion = m_Hooks.ConfigVersion();
   Update.BaseTargetsVersion = m_ListVersion;
   Update.TargetsVersion = m_ListVersion;
+  Update.Evacuations = m_Hooks.Evacuations();
   return Update;
 }
 
@@ -172,6 +173,8 @@
 
 void StoreReaders::onConfigChanged() { publish(makeUpdate()); }
 
+void StoreReaders::onEvacuationsChanged() { publish(makeUpdate()); }
+
 void StoreReaders::onUpdateRequest(const VmId &From,
                                    const StoreUpdateRequest &Request) {
   m_Subscribers[From] = m_Context.now();
@@ -190,6 +193,7 @@
 
 void StoreReaders::onUpdate(const VmId &From, const StoreUpdate &Update) {
   m_Hooks.OnConfigVersion(From, Update.ConfigVersion);
+  m_Hooks.ApplyEvacuations(Update.Evacuations);
   std::uint64_t &AppliedVersion = m_AppliedVersions[From];
   if (Update.StoreAge > MaxStoreAge)
     return updateFollowing();
--- a/src/pooling/TargetPool.cpp
+++ b/src/pooling/TargetPool.cpp
@@ -408,7 +408,7 @@
   recordOutcome(Reply.Error == ErrorCode::Failed ||
                 Reply.Error == ErrorCode::Timeout ||
                 Reply.Error == ErrorCode::Busy);
-  bool RetryBusy = Reply.Error == ErrorCode::Busy &&
+  bool RetryBusy = !m_Evacuated && Reply.Error == ErrorCode::Busy &&
                    m_Context.now() + BusyRetryDelay < Operation.Deadline &&
                    !Operation.Aborted;
   if (RetryBusy && Single) {
@@ -439,12 +439,17 @@
   if (!Finished && !Operation.Aborted) {
     Operation.State = Phase::Idle;
     Operation.WaitingSince = m_Context.now();
-    return reply(Operation, std::move(Result));
+    reply(Operation, std::move(Result));
+    if (m_Evacuated)
+      dropLink(Link.Id, true);
+    return;
   }
   QueueEntry Ended = std::move(Operation);
   m_Operations.erase(Found);
   Link.ActiveOperation.reset();
-  if (!Finished)
+  if (m_Evacuated)
+    dropLink(Link.Id, true);
+  else if (!Finished)
     rollBack(Link);
   else
     releaseLink(Link);
--- a/src/pooling/TargetPoolLinks.cpp
+++ b/src/pooling/TargetPoolLinks.cpp
@@ -341,7 +341,8 @@
     dropLink(Probe, true);
     return markUnreachable("a probe connection was not opened in time");
   }
-  bool ProbeAgain = m_Unreachable && m_ProbedAt + ReprobeInterval <= Now;
+  bool ProbeAgain =
+      m_Unreachable && !m_Evacuated && m_ProbedAt + ReprobeInterval <= Now;
   std::optional<Instant> Oldest;
   for (const auto &[Id, Link] : m_Links)
     if (!Link.Unanswered.empty() &&
@@ -421,6 +422,31 @@
     dropLink(Id, true);
 }
 
+void TargetPool::refuseWaiting() {
+  std::vector<OperationId> Refused;
+  for (const auto &[Id, Operation] : m_Operations)
+    if (Operation.State == Phase::Waiting && !Operation.AssignedLink)
+      Refused.push_back(Id);
+  for (const OperationId &Id : Refused)
+    rejectOperation(Id, NotRunReason::Leaving);
+}
+
+void TargetPool::evacuate() {
+  if (m_Evacuated)
+    return;
+  m_Evacuated = true;
+  m_AcceptsOperations = false;
+  refuseWaiting();
+  std::vector<LinkId> Unused;
+  for (const auto &[Id, Link] : m_Links) {
+    bool InFlight = !Link.Unanswered.empty();
+    if (Link.Open && !InFlight)
+      Unused.push_back(Id);
+  }
+  for (LinkId Id : Unused)
+    dropLink(Id, true);
+}
+
 void TargetPool::shutDown(const std::string &Reason) {
   m_AcceptsOperations = false;
   m_Context.log(WriteLog::Level::Info, "target_released",
--- a/src/pooling/TargetTable.cpp
+++ b/src/pooling/TargetTable.cpp
@@ -65,10 +65,31 @@
 
 bool TargetTable::acceptsOperations(const TargetId &Id) const {
   const TargetEntry *Entry = find(Id);
-  return Entry != nullptr && !Entry->Draining;
+  return Entry != nullptr && !Entry->Draining && !isEvacuated(Id);
+}
+
+bool TargetTable::isEvacuated(const TargetId &Id) const {
+  const TargetEntry *Entry = find(Id);
+  return Entry != nullptr && m_Evacuations != nullptr &&
+         m_Evacuations->contains(Entry->DataCentre);
+}
+
+bool TargetTable::maySend(const TargetId &Id, Instant Now) const {
+  const TargetEntry *Entry = find(Id);
+  return Entry == nullptr || m_Evacuations == nullptr ||
+         m_Evacuations->maySend(Entry->DataCentre, Now);
+}
+
+bool TargetTable::isWhollyEvacuated(const DatabaseId &Group) const {
+  std::vector<TargetId> Members = groupMembers(Group);
+  return !Members.empty() &&
+         std::all_of(Members.begin(), Members.end(),
+                     [this](const TargetId &Id) { return isEvacuated(Id); });
 }
 
 bool TargetTable::mayServeAsPrimary(const TargetId &Id, Instant Now) const {
+  if (!maySend(Id, Now))
+    return false;
   auto Since = m_DrainingSince.find(Id);
   return Since == m_DrainingSince.end() ||
          Now < Since->second + DrainingPrimaryTimeout;
--- a/src/runtime/site/SiteDaemon.cpp
+++ b/src/runtime/site/SiteDaemon.cpp
@@ -2,7 +2,6 @@
 
 #include "bergamotstage/pooling/PoolNode.h"
 #include "platform/BootSettings.h"
-#include "platform/Documents.h"
 #include "platform/StoreCodec.h"
 #include "runtime/LogThread.h"
 #include "runtime/TextFile.h"
@@ -15,7 +14,7 @@
 #include "runtime/site/PolicyFile.h"
 #include "runtime/site/SiteMetrics.h"
 #include "runtime/site/StoreCalls.h"
-#include "runtime/site/TableFollower.h"
+#include "runtime/site/StoreTables.h"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -23,6 +22,7 @@
 
 #include <csignal>
 #include <random>
+#include <set>
 #include <utility>
 
 namespace bergamotstage::runtime {
@@ -31,11 +31,6 @@
 using pooling::FleetMessage;
 using pooling::PoolNode;
 
-/// New configurations must apply within 3 s despite a silent connection loss;
-/// a reader's data must stay valid until 0.5 s after the next reply is due.
-constexpr Duration ConfigPollTimeout = milliseconds(1500);
-/// A leaving target must receive no new statements after seven seconds.
-constexpr Duration TargetsPollTimeout = seconds(5);
 /// The settings file is polled because it may change without a signal.
 constexpr Duration SettingsCheckInterval = seconds(5);
 constexpr unsigned HttpOk = 200;
@@ -74,10 +69,7 @@
         m_Log(m_Options.LogLevel), m_Signals(m_Io, SIGTERM, SIGINT, SIGHUP),
         m_NodeTimer(m_Io), m_SettingsTimer(m_Io),
         m_Calls(m_Io, m_Boot.Vm, m_Boot.StoreAddress, m_Boot.PromotionAddress),
-        m_Config(m_Io, m_Boot.StoreAddress, platform::ConfigTable,
-                 ConfigPollTimeout, configHooks()),
-        m_Targets(m_Io, m_Boot.StoreAddress, platform::TargetTableName,
-                  TargetsPollTimeout, targetHooks()),
+        m_Tables(m_Io, m_Boot.StoreAddress, knownDataCentres(), tableHooks()),
         m_Links(m_Io, linkHooks()),
         m_Node(nodeSettings(), std::random_device{}(), nodeHooks()) {
     m_Node.setLogHook([this](WriteLog &&Entry) { log(std::move(Entry)); });
@@ -102,8 +94,7 @@
     if (m_Options.SignalsHandled)
       m_Options.SignalsHandled();
     scheduleSettingsCheck();
-    m_Config.start();
-    m_Targets.start();
+    m_Tables.start();
     m_Node.start(bootTime());
     if (*Policies)
       m_Node.onPoliciesRead(bootTime(), **Policies);
@@ -121,6 +112,8 @@
         m_Boot.Vm, m_Boot.DataCentre, m_Boot.PeerAddress, m_Start, true,
         false,     m_Boot.Cores};
     Result.Grace = m_Boot.GracePeriod;
+    Result.EvacuationBound = m_Boot.EvacuationBound;
+    Result.Regions = m_Boot.Regions;
     return Result;
   }
 
@@ -154,14 +147,13 @@
             [&](Instant Now) { m_Node.onPlatformAnswer(Now, OnDone, Answer); });
       });
     };
-    Hooks.ReadConfig = [this] { m_Config.refresh(); };
+    Hooks.ReadConfig = [this] { m_Tables.refreshConfig(); };
     Hooks.ApplyConfigText = [this](const VmId &From, const std::string &Text,
                                    std::size_t Bytes) {
-      applyConfig(Text, From.value(), Bytes);
+      m_Tables.applyConfig(Text, From.value(), Bytes);
     };
     Hooks.FollowStore = [this](const pooling::StoreReaders::Following &How) {
-      m_Config.setFollowing(How);
-      m_Targets.setFollowing(How);
+      m_Tables.setFollowing(How);
     };
     Hooks.StopAccepting = [this] { m_Callers->stopAccepting(); };
     Hooks.Exit = [this] { m_Io.stop(); };
@@ -234,94 +226,39 @@
     return Hooks;
   }
 
-  TableFollower::Hooks configHooks() {
-    TableFollower::Hooks Hooks;
-    Hooks.Listed = [this](const std::vector<platform::ListedRow> &Rows) {
-      for (const platform::ListedRow &Row : Rows)
-        applyConfigRow(Row);
+  StoreTables::Hooks tableHooks() {
+    StoreTables::Hooks Hooks;
+    Hooks.Config = [this](const pooling::ReceivedConfig &Received) {
+      dispatch([&](Instant Now) { m_Node.onConfigRead(Now, Received); });
     };
-    Hooks.Changed = [this](const platform::ListedRow &Row) {
-      applyConfigRow(Row);
+    Hooks.Evacuations = [this](const placement::EvacuationList &List) {
+      dispatch([&](Instant Now) { m_Node.onEvacuationsListed(Now, List); });
     };
-    Hooks.Reachable = [this](bool Reachable, const std::string &Reason) {
-      logStore(platform::ConfigTable, Reachable, Reason);
-    };
-    Hooks.RefreshFailed = [this](const std::string &Reason) {
-      logRefreshFailed(platform::ConfigTable, Reason);
+    Hooks.Evacuation = [this](const DataCentreId &DataCentre, bool Evacuated,
+                              std::uint64_t Version) {
+      dispatch([&](Instant Now) {
+        m_Node.onEvacuationChanged(Now, DataCentre, Evacuated, Version);
+      });
     };
-    Hooks.Answered = [this] { m_Node.onStoreResponse(bootTime()); };
-    return Hooks;
-  }
-
-  TableFollower::Hooks targetHooks() {
-    TableFollower::Hooks Hooks;
-    Hooks.Listed = [this](const std::vector<platform::ListedRow> &Rows) {
-      std::vector<pooling::TargetEntry> All;
-      for (const platform::ListedRow &Row : Rows)
-        if (auto Entry = parseEntry(Row))
-          All.push_back(*Entry);
+    Hooks.Targets = [this](const std::vector<pooling::TargetEntry> &All) {
       dispatch([&](Instant Now) { m_Node.onTargetsListed(Now, All); });
     };
-    Hooks.Changed = [this](const platform::ListedRow &Row) {
-      if (Row.Deleted)
-        return dispatch([&](Instant Now) {
-          m_Node.onTargetRemoved(Now, TargetId(Row.Key));
-        });
-      if (auto Entry = parseEntry(Row))
-        dispatch([&](Instant Now) { m_Node.onTargetListed(Now, *Entry); });
-    };
-    Hooks.Reachable = [this](bool Reachable, const std::string &Reason) {
-      logStore(platform::TargetTableName, Reachable, Reason);
+    Hooks.Target = [this](const pooling::TargetEntry &Entry) {
+      dispatch([&](Instant Now) { m_Node.onTargetListed(Now, Entry); });
     };
-    Hooks.RefreshFailed = [this](const std::string &Reason) {
-      logRefreshFailed(platform::TargetTableName, Reason);
+    Hooks.TargetRemoved = [this](const TargetId &Id) {
+      dispatch([&](Instant Now) { m_Node.onTargetRemoved(Now, Id); });
     };
-    Hooks.Answered = [] {};
+    Hooks.Answered = [this] { m_Node.onStoreResponse(bootTime()); };
+    Hooks.Log = [this](WriteLog &&Entry) { log(std::move(Entry)); };
     return Hooks;
   }
 
-  std::optional<pooling::TargetEntry>
-  parseEntry(const platform::ListedRow &Row) {
-    auto Entry = platform::parseTargetEntry(Row.Key, Row.Value, Row.Version);
-    if (Entry)
-      return *Entry;
-    log({WriteLog::Level::Warning,
-         "target_entry_skipped",
-         {{"target", Row.Key}, {"reason", Entry.error()}}});
-    return std::nullopt;
-  }
-
-  void applyConfigRow(const platform::ListedRow &Row) {
-    if (Row.Key == platform::ConfigKey && !Row.Deleted)
-      applyConfig(Row.Value, "store", Row.Value.size());
-  }
-
-  void applyConfig(const std::string &Text, const std::string &Source,
-                   std::size_t Bytes) {
-    auto Read = platform::parseConfig(Text);
-    if (!Read) {
-      log({WriteLog::Level::Error,
-           "config_malformed",
-           {{"source", Source}, {"reason", Read.error()}}});
-      return;
-    }
-    pooling::ReceivedConfig Received{
-        std::make_shared<const pooling::SiteConfig>(std::move(*Read)), Text,
-        Source, Bytes};
-    dispatch([&](Instant Now) { m_Node.onConfigRead(Now, Received); });
-  }
-
-  void logStore(const std::string &Table, bool Reachable,
-                const std::string &Reason) {
-    log({Reachable ? WriteLog::Level::Info : WriteLog::Level::Warning,
-         Reachable ? "store_regained" : "store_lost",
-         {{"table", Table}, {"reason", Reason}}});
-  }
-
-  void logRefreshFailed(const std::string &Table, const std::string &Reason) {
-    log({WriteLog::Level::Warning,
-         "store_refresh_failed",
-         {{"table", Table}, {"reason", Reason}}});
+  std::set<DataCentreId> knownDataCentres() const {
+    std::set<DataCentreId> Known;
+    for (const auto &[DataCentre, Region] : m_Boot.Regions)
+      Known.insert(DataCentre);
+    return Known;
   }
 
   tl::expected<void, std::string> openSockets() {
@@ -471,8 +408,7 @@
   asio::steady_timer m_SettingsTimer;
   std::optional<Instant> m_TimerDeadline;
   StoreCalls m_Calls;
-  TableFollower m_Config;
-  TableFollower m_Targets;
+  StoreTables m_Tables;
   LinkSockets m_Links;
   std::unique_ptr<CallerSockets> m_Callers;
   std::unique_ptr<PeerStreams> m_Peers;
--- a/src/runtime/site/TableFollower.cpp
+++ b/src/runtime/site/TableFollower.cpp
@@ -94,7 +94,7 @@
                      return readPages(Parsed->Rows.back().Key);
                    m_Synchronized = true;
                    m_Listed = true;
-                   m_Hooks.Listed(m_Rows);
+                   m_Hooks.Listed(m_Rows, m_Version);
                    m_Rows.clear();
                    startNextCall();
                  });
--- a/src/runtime/site/TableFollower.h
+++ b/src/runtime/site/TableFollower.h
@@ -22,8 +22,10 @@
 class TableFollower {
 public:
   struct Hooks {
-    /// The whole table has been read.
-    std::function<void(const std::vector<platform::ListedRow> &)> Listed;
+    /// The whole table has been read, as of a version.
+    std::function<void(const std::vector<platform::ListedRow> &,
+                       std::uint64_t Version)>
+        Listed;
     std::function<void(const platform::ListedRow &)> Changed;
     /// The store became reachable or unreachable.
     std::function<void(bool Reachable, const std::string &Reason)> Reachable;
--- a/src/standin/site/PoolFleet.cpp
+++ b/src/standin/site/PoolFleet.cpp
@@ -187,6 +187,7 @@
                  std::vector<pooling::TargetEntry> All;
                  for (const auto &[Target, Unused] : m_Targets)
                    All.push_back(targetEntry(Target));
+                 Node.onEvacuationsListed(m_Now, {m_Version, m_Evacuated});
                  Node.onTargetsListed(m_Now, All);
                  if (m_Config)
                    deliverConfig(Name, Generation, [] {});
--- a/src/standin/site/PoolFleet.h
+++ b/src/standin/site/PoolFleet.h
@@ -92,6 +92,8 @@
   /// @brief Sets whether a target ignores requests and new links.
   void setUnresponsive(const TargetId &Target, bool Unresponsive);
   void drain(const TargetId &Target, bool Draining);
+  /// @brief Writes or removes the row that evacuates a data centre.
+  void evacuate(const DataCentreId &DataCentre, bool Evacuated);
   void setLag(Duration Lag) { m_Settings.ReplicaLag = Lag; }
   void setStoreDown(bool Down);
   /// @brief Sets the fraction (0 to 1) of store writes without answer; half of
@@ -105,6 +107,12 @@
     m_Targets.at(Target).ReadFailureRatio = Ratio;
   }
 
+  /// @brief Last time at which a statement of a caller arrived at a target of a
+  /// data centre.
+  Instant lastStatementIn(const DataCentreId &DataCentre) const;
+  DataCentreId dataCentreOf(const TargetId &Target) const {
+    return m_Targets.at(Target).DataCentre;
+  }
   std::uint64_t promotions() const { return m_Promotions; }
   std::uint64_t linksOpened() const { return m_LinksOpened; }
   /// @brief Reads of the configuration beside those that follow the store.
@@ -140,6 +148,7 @@
     unsigned RunningStatements = 0;
     std::uint64_t Version = 0;
     bool ReportsPrimary = false;
+    Instant LastStatementAt{};
   };
   struct Link {
     VmId Vm;
@@ -206,6 +215,7 @@
   std::uint64_t m_LastLink = 0;
   std::map<std::string, TableRow> m_Rows;
   std::uint64_t m_Version = 0;
+  std::set<DataCentreId> m_Evacuated;
   std::map<DatabaseId, std::uint64_t> m_FencingTokens;
   pooling::SharedConfig m_Config;
   std::map<std::uint64_t, PublishedConfig> m_Configs; ///< By version.
--- a/src/standin/site/PoolFleetEnvironment.cpp
+++ b/src/standin/site/PoolFleetEnvironment.cpp
@@ -98,6 +98,8 @@
   ModelGroup &Group = *m_Groups[Model.Group];
   if (!Group.hasLink(Key))
     return;
+  if (Request.Type == LinkRequest::Kind::CallerStatement)
+    Model.LastStatementAt = m_Now;
   bool TakesSlot = Request.Type == LinkRequest::Kind::CallerStatement ||
                    Request.Type == LinkRequest::Kind::Status;
   bool Full = TakesSlot && Model.RunningStatements >= m_Settings.Slots;
@@ -249,6 +251,25 @@
   publishTarget(Target);
 }
 
+void PoolFleet::evacuate(const DataCentreId &DataCentre, bool Evacuated) {
+  if (Evacuated)
+    m_Evacuated.insert(DataCentre);
+  else
+    m_Evacuated.erase(DataCentre);
+  notifySubscribers(
+      [this, DataCentre, Evacuated, Version = ++m_Version](PoolNode &Node) {
+        Node.onEvacuationChanged(m_Now, DataCentre, Evacuated, Version);
+      });
+}
+
+Instant PoolFleet::lastStatementIn(const DataCentreId &DataCentre) const {
+  Instant Last{};
+  for (const auto &[Id, Model] : m_Targets)
+    if (Model.DataCentre == DataCentre)
+      Last = std::max(Last, Model.LastStatementAt);
+  return Last;
+}
+
 pooling::TargetEntry PoolFleet::targetEntry(const TargetId &Target) const {
   const TargetModel &Model = m_Targets.at(Target);
   pooling::TargetEntry Entry;
--- a/test/unit-pool-store.cpp
+++ b/test/unit-pool-store.cpp
@@ -463,6 +463,8 @@
     };
     Callbacks.OnConfigVersion = [](const VmId &, std::uint64_t) {};
     Callbacks.ApplyUpdate = [this](const StoreUpdate &) { ++Applied; };
+    Callbacks.Evacuations = [] { return placement::EvacuationList(); };
+    Callbacks.ApplyEvacuations = [](const placement::EvacuationList &) {};
     return Callbacks;
   }
 
