Wait less for tokens while the rate does not cover the demand

Change: an operation of a priority that the rate does not cover waits a quarter of its latency target for a token, others 0.4 as before. Ruled out: a quarter for all, which refused 0.07 instead of 0.02 of the lowest priority of a small account at 0.95 of its rate.

--- a/src/ratelimit/RatePriority.cpp
+++ b/src/ratelimit/RatePriority.cpp
@@ -25,6 +25,9 @@
 /// Part of the latency target that an operation may wait for a token. The rest
 /// is left for the queue and the work at the target, and for one retry.
 constexpr double TokenWaitFraction = 0.4;
+/// The same while the rate does not cover the priority's demand: most of these
+/// operations are refused, and a retry needs time as well.
+constexpr double OverRateWaitFraction = 0.25;
 /// A few round trips to a holder, for short latency targets.
 constexpr Duration MinTokenWait = milliseconds(40);
 constexpr Duration MaxTokenWait = milliseconds(250);
@@ -55,8 +58,9 @@
 /// Spreads the retries of operations that were refused together.
 constexpr double RetryJitter = 0.25;
 
-Duration tokenWait(const Urgency &Need) {
-  return std::clamp(scaled(Need.LatencyTarget, TokenWaitFraction), MinTokenWait,
+Duration tokenWait(const Urgency &Need, bool Covered) {
+  double Fraction = Covered ? TokenWaitFraction : OverRateWaitFraction;
+  return std::clamp(scaled(Need.LatencyTarget, Fraction), MinTokenWait,
                     MaxTokenWait);
 }
 
@@ -139,7 +143,8 @@
     State.Fleet.report(m_Context.self(), State.Demand.rates(Now), Now);
     State.Filter.update(currentShares(Id, State), Now);
   }
-  PendingAdmission Asking{Need, Now, Now + tokenWait(Need), 0,
+  bool Covered = State.Filter.share(Need.Priority, Now) >= PriorityShare::All;
+  PendingAdmission Asking{Need, Now, Now + tokenWait(Need, Covered), 0,
                           std::move(Callback)};
   if (!State.Filter.admits(Need, Now))
     return finish(std::move(Asking), Id,
