Base the retry delay of a VM without slots on the fleet's rate

Such a VM now uses the announced share, and the back-off of the holders as with loans. Using the share alone was ruled out: without a share it gives 20 ms while no holder can be reached.

TheRetryDelayOfAVmWithoutSlotsFollowsTheFleetsRate failed before and passes.

--- a/src/ratelimit/RatePriority.cpp
+++ b/src/ratelimit/RatePriority.cpp
@@ -125,8 +125,10 @@
       PriorityShare::All;
   Duration Base = Part > 0 ? scaled(seconds(1), std::min(10.0, 1 / Part - 1))
                            : MaxRetryAfter;
-  Base = std::clamp(std::max(Base, timeUntilToken(State)), MinRetryAfter,
-                    MaxRetryAfter);
+  // A VM without slots never earns a token itself.
+  Duration Earliest =
+      isHolder(State) ? timeUntilToken(State) : retryAfter(State);
+  Base = std::clamp(std::max(Base, Earliest), MinRetryAfter, MaxRetryAfter);
   std::uniform_real_distribution<double> Spread(1 - RetryJitter,
                                                 1 + RetryJitter);
   return scaled(Base, Spread(m_Context.random()));
--- /dev/null
+++ b/test/unit-rate-faults.cpp
@@ -0,0 +1,131 @@
+#include "bergamotstage/ratelimit/RatePlan.h"
+#include "bergamotstage/ratelimit/RateShare.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+using namespace bergamotstage;
+using namespace bergamotstage::ratelimit;
+using pooling::TokenGrant;
+using pooling::TokenRequest;
+
+namespace {
+
+const AccountId Ward("ward");
+constexpr unsigned Vms = 84;
+
+std::vector<VmId> vmNames() {
+  std::vector<VmId> Names;
+  for (unsigned Index = 0; Index < Vms; ++Index)
+    Names.emplace_back("vm-" + std::to_string(100 + Index));
+  return Names;
+}
+
+/// @brief One VM of a large fleet, whose messages are recorded.
+struct ShareBench {
+  pooling::Context Ctx;
+  std::shared_ptr<const RatePlan> Plan =
+      std::make_shared<const RatePlan>(RatePlan::uniform(vmNames()));
+  std::vector<VmId> Peers;
+  std::vector<std::pair<VmId, TokenRequest>> Requests;
+  std::vector<std::pair<VmId, TokenGrant>> Grants;
+  std::vector<RateShare::Decision> Decisions;
+  RateShare Rates;
+
+  /// @param IsHolder whether this VM holds slots of the account
+  explicit ShareBench(bool IsHolder, double Rate = 160, double Burst = 80)
+      : Ctx(self(IsHolder), DataCentreId("east"), 5),
+        Rates(
+            Ctx,
+            [this](const VmId &To, pooling::FleetMessage &&Message) {
+              if (const auto *Request = std::get_if<TokenRequest>(&Message))
+                Requests.emplace_back(To, *Request);
+              if (const auto *Grant = std::get_if<TokenGrant>(&Message))
+                Grants.emplace_back(To, *Grant);
+            },
+            [this] { return Peers; }) {
+    for (const VmId &Name : vmNames())
+      if (Name != Ctx.self())
+        Peers.push_back(Name);
+    Ctx.setNow(Instant(seconds(100)));
+    Rates.setSharing(RateSharing::Priority);
+    Rates.configure({{Ward, {Ward, Rate, Burst}}});
+    Rates.setPlan(Plan, Plan->slotsOf(Ctx.self()), Instant::max());
+    advance(seconds(20));
+  }
+
+  static VmId self(bool IsHolder) {
+    RatePlan Plan = RatePlan::uniform(vmNames());
+    std::vector<VmId> Holders = Plan.holders(Ward);
+    for (const VmId &Name : vmNames())
+      if (std::binary_search(Holders.begin(), Holders.end(), Name) == IsHolder)
+        return Name;
+    return {};
+  }
+
+  void advance(Duration Span) {
+    Instant End = Ctx.now() + Span;
+    while (Ctx.timers().next() && *Ctx.timers().next() <= End) {
+      Ctx.setNow(*Ctx.timers().next());
+      Ctx.timers().runDue(Ctx.now());
+    }
+    Ctx.setNow(End);
+  }
+
+  void admit(unsigned Priority, Duration LatencyTarget = milliseconds(600)) {
+    Rates.admit(
+        Ward, {Priority, LatencyTarget, false},
+        [this](const RateShare::Decision &Made) { Decisions.push_back(Made); });
+  }
+
+  /// @brief Answers the latest request of this VM.
+  void answer(std::uint64_t MilliTokens,
+              std::vector<PriorityShare> Shares = {}) {
+    const auto &[From, Request] = Requests.back();
+    Rates.onTokenMessage(From, grantFor(Request, MilliTokens, Shares));
+  }
+
+  static TokenGrant grantFor(const TokenRequest &Request,
+                             std::uint64_t MilliTokens,
+                             std::vector<PriorityShare> Shares = {}) {
+    TokenGrant Grant;
+    Grant.Account = Request.Account;
+    Grant.MilliTokens = MilliTokens;
+    Grant.Shares = std::move(Shares);
+    return Grant;
+  }
+
+  /// @brief Requests tokens of this VM for operations at another one.
+  void requestFrom(const VmId &From, unsigned Priority, std::uint64_t Count,
+                   Duration Wait) {
+    TokenRequest Request;
+    Request.Account = Ward;
+    Request.MilliTokens = Count * 1000;
+    Request.Demand = {{Priority, 10'000}};
+    Request.Waiting = {{Priority, Count, Wait}};
+    Rates.onTokenMessage(From, Request);
+  }
+};
+
+} // namespace
+
+TEST_GROUP(RateFaults){};
+
+// Guards against a VM without slots that tells every refused caller to return
+// after 5 s, because its own bucket never earns a token.
+TEST(RateFaults, TheRetryDelayOfAVmWithoutSlotsFollowsTheFleetsRate) {
+  ShareBench Bench(false);
+  Bench.admit(1);
+  Bench.answer(0, {{1, 667}});
+  while (Bench.Decisions.size() < 3 || Bench.Decisions.back().Admitted)
+    Bench.admit(1);
+  // The rate covers two thirds: what is left of a second takes half a second.
+  CHECK_FALSE(Bench.Decisions.back().Admitted);
+  CHECK_TRUE(Bench.Decisions.back().RetryAfter >= milliseconds(370));
+  CHECK_TRUE(Bench.Decisions.back().RetryAfter <= milliseconds(630));
+}
