Serve accounts whose holders have buckets of few tokens

With policy rate priority, holders lent whole tokens only, and kept one token for more urgent operations. In a large fleet the burst of an account is divided among four slots, so that a small account got nothing: at a rate and burst of 2 and a demand of 1.25 operations per second none was admitted. A bucket of less than four tokens now lends parts of a token, which count as refusals only if empty; the reserve leaves room for one token in a full bucket, and its whole token is kept only while the account is over its rate.

--- a/include/bergamotstage/ratelimit/RateShare.h
+++ b/include/bergamotstage/ratelimit/RateShare.h
@@ -158,6 +158,7 @@
   void onGrantByPriority(const VmId &From, AccountState &State,
                          const pooling::TokenGrant &Grant);
   TokenCount reservedAbove(AccountState &State, unsigned Priority);
+  static TokenCount tokenUnit(const AccountState &State);
   std::vector<PriorityShare> currentShares(const AccountId &Id,
                                            AccountState &State);
   double spendableRate(AccountState &State);
--- a/src/ratelimit/RatePriority.cpp
+++ b/src/ratelimit/RatePriority.cpp
@@ -40,6 +40,9 @@
 constexpr double ReservedSeconds = 0.1;
 constexpr double MinReserved = 1;
 constexpr double MaxReservedPart = 0.5;
+/// A bucket for fewer tokens than this lends parts of a token: borrowers add
+/// up what several holders of a small account give.
+constexpr std::int64_t SmallBucketParts = 4;
 /// Tokens that have been saved up are spent over this time.
 constexpr double BurstSeconds = 1;
 /// Below this demand, in operations per second, tokens are not prefetched, and
@@ -72,12 +75,21 @@
       Above += Rate;
   if (Above <= 0)
     return {};
-  TokenCount Wanted =
-      tokens(MinReserved + Above * State.OwnShare * ReservedSeconds);
-  TokenCount Most{static_cast<std::int64_t>(
-      static_cast<double>(State.Bucket.contract().Burst.Pico) *
-      MaxReservedPart)};
-  return std::min(Wanted, Most);
+  TokenCount Wanted = tokens((State.OverRate ? MinReserved : 0) +
+                             Above * State.OwnShare * ReservedSeconds);
+  TokenCount Burst = State.Bucket.contract().Burst;
+  TokenCount Most{static_cast<std::int64_t>(static_cast<double>(Burst.Pico) *
+                                            MaxReservedPart)};
+  // A full bucket serves any operation.
+  return std::max(TokenCount{},
+                  std::min({Wanted, Most, Burst - std::min(Burst, OneToken)}));
+}
+
+/// @brief Least amount that this VM lends: one token, or a part of it if the
+/// account is so small that its bucket holds only a few.
+TokenCount RateShare::tokenUnit(const AccountState &State) {
+  return std::min(OneToken, TokenCount{State.Bucket.contract().Burst.Pico /
+                                       SmallBucketParts});
 }
 
 /// @brief Tokens per second of the account that holders within reach can give,
@@ -225,11 +237,12 @@
     LoanQueue::Entry Next = State.Loans.front();
     TokenCount Reserve = reservedAbove(State, Next.Priority);
     TokenCount Own = ownTokens(State);
-    if (Own < OneToken + Reserve)
+    if (Own < tokenUnit(State) + Reserve || Own == TokenCount{})
       return;
     std::uint64_t Whole = toMilli(Own - Reserve) / toMilli(OneToken);
     grantLoan(Id, State, Next.From,
-              std::min(Whole, Next.Count) * toMilli(OneToken));
+              Whole == 0 ? toMilli(Own - Reserve)
+                         : std::min(Whole, Next.Count) * toMilli(OneToken));
   }
 }
 
@@ -257,9 +270,9 @@
   std::vector<VmId> Refused =
       State.Loans.eraseIf([&](const LoanQueue::Entry &Next) {
         TokenCount Needed =
-            Ahead + OneToken + reservedAbove(State, Next.Priority);
+            Ahead + tokenUnit(State) + reservedAbove(State, Next.Priority);
         bool Hopeless =
-            Next.Deadline <= Now || Now >= m_LeaseEnd ||
+            Next.Deadline <= Now || Now >= m_LeaseEnd || !isHolder(State) ||
             Next.Deadline < Now + State.Bucket.timeUntil(Needed, Now);
         if (!Hopeless)
           Ahead = Ahead + fromMilli(Next.Count * toMilli(OneToken));
@@ -309,9 +322,10 @@
   if (!State.Loans.empty())
     Priority = std::min(Priority, State.Loans.front().Priority);
   if (isHolder(State) && Now < m_LeaseEnd)
-    Next = std::min(Next,
-                    Now + State.Bucket.timeUntil(
-                              OneToken + reservedAbove(State, Priority), Now));
+    Next = std::min(
+        Next,
+        Now + State.Bucket.timeUntil(
+                  tokenUnit(State) + reservedAbove(State, Priority), Now));
   if (State.PendingLender)
     Next = std::min(Next, State.RequestedAt + MaxTokenWait + AnswerTimeout);
   Next = std::max(Next, Now + milliseconds(1));
@@ -409,6 +423,9 @@
   if (Grant.MilliTokens >= toMilli(OneToken))
     return;
   State.Lenders[From].NotBefore = Now + RefusedLenderBackoff;
+  // Holders of a small account give what they have; parts add up to a token.
+  if (Grant.MilliTokens > 0)
+    return;
   for (PendingAdmission &Waiting : State.Pending)
     if (Waiting.Since <= State.RequestedAt)
       ++Waiting.RefusedRequests;
--- a/test/unit-rate-priority.cpp
+++ b/test/unit-rate-priority.cpp
@@ -7,6 +7,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <deque>
 #include <map>
 #include <memory>
@@ -309,3 +310,26 @@
   CHECK_TRUE(Totals[0].share() > 0.9);
   CHECK_TRUE(Totals[1].share() >= Totals[2].share());
 }
+
+// Guards against an account whose holders have buckets of less than a whole
+// token, or than a token and the reserve: it stays within its rate and must be
+// served as with `policy rate loans`.
+TEST(RatePriority, SmallAccountsAreServedWithinTheirRate) {
+  for (double Rate : {2.0, 4.0, 8.0, 16.0}) {
+    std::map<RateSharing, double> Served;
+    for (RateSharing Sharing : {RateSharing::Loans, RateSharing::Priority}) {
+      RateFleet Fleet(84, Rate, Rate, Sharing);
+      Fleet.load(Rate / 1.6, seconds(60));
+      RateFleet::Total Sum;
+      for (auto &[Priority, Total] : Fleet.takeTotals()) {
+        Sum.Asked += Total.Asked;
+        Sum.Admitted += Total.Admitted;
+      }
+      Served[Sharing] = Sum.share();
+    }
+    std::printf("rate %.0f: loans %.3f, priority %.3f\n", Rate,
+                Served[RateSharing::Loans], Served[RateSharing::Priority]);
+    CHECK_TRUE(Served[RateSharing::Priority] >=
+               Served[RateSharing::Loans] - 0.05);
+  }
+}
