Ask another holder 120 ms after an answer was due

With policy rate priority a request counted as lost after 370 ms, whatever its operations may wait. A silent holder thus blocked the account at this VM: urgent operations wait 40 ms, and all of them were refused for 330 ms more. A request is now lost 120 ms after the longest wait that it states. The time is also ignored while nothing of this VM waits; a holder with a lost request woke up every millisecond as long as loans waited.

AnotherHolderIsAskedOnceAnAnswerIsOverdue and ALostRequestCausesNoTimerWhileOnlyLoansWait failed before and pass.

--- a/include/bergamotstage/ratelimit/RateShare.h
+++ b/include/bergamotstage/ratelimit/RateShare.h
@@ -108,6 +108,7 @@
     std::map<VmId, Lender> Lenders;
     std::optional<VmId> PendingLender;
     Instant RequestedAt{};
+    Instant LostAt{}; ///< Without an answer, the request is lost from then on.
     unsigned RequestedPriority = 0; ///< Most urgent one of the last request.
     DemandMeter Demand;
     std::optional<TimerId> WakeTimer;
--- a/src/ratelimit/RatePriority.cpp
+++ b/src/ratelimit/RatePriority.cpp
@@ -326,8 +326,8 @@
         Next,
         Now + State.Bucket.timeUntil(
                   tokenUnit(State) + reservedAbove(State, Priority), Now));
-  if (State.PendingLender)
-    Next = std::min(Next, State.RequestedAt + MaxTokenWait + AnswerTimeout);
+  if (State.PendingLender && !State.Pending.empty())
+    Next = std::min(Next, State.LostAt);
   Next = std::max(Next, Now + milliseconds(1));
   State.WakeTimer = m_Context.timers().schedule(Next, [this, Id] {
     m_Accounts.at(Id).WakeTimer.reset();
@@ -355,8 +355,7 @@
 /// operation updates it.
 void RateShare::requestByPriority(const AccountId &Id, AccountState &State) {
   Instant Now = m_Context.now();
-  bool Lost = State.PendingLender &&
-              State.RequestedAt + MaxTokenWait + AnswerTimeout <= Now;
+  bool Lost = State.PendingLender && State.LostAt <= Now;
   if (Lost) {
     State.Lenders[*State.PendingLender] = {Now + AnswerTimeout, 0};
     State.PendingLender.reset();
@@ -383,6 +382,9 @@
                   (Prefetches ? Demand * PrefetchSeconds : 0);
   State.PendingLender = Lender;
   State.RequestedAt = Now;
+  State.LostAt = Now + AnswerTimeout;
+  for (const WaitingOperations &Group : Waiting)
+    State.LostAt = std::max(State.LostAt, Now + Group.MaxWait + AnswerTimeout);
   State.RequestedPriority = Waiting.empty() ? ~0U : Waiting.front().Priority;
   m_Send(*Lender,
          TokenRequest{Id, static_cast<std::uint64_t>(Needed * MilliPerToken),
--- a/src/ratelimit/RateShare.cpp
+++ b/src/ratelimit/RateShare.cpp
@@ -235,9 +235,7 @@
 }
 
 void RateShare::requestLoan(const AccountId &Id, AccountState &State) {
-  bool RequestPending =
-      State.PendingLender &&
-      State.RequestedAt + LoanRequestTimeout > m_Context.now();
+  bool RequestPending = State.PendingLender && State.LostAt > m_Context.now();
   if (RequestPending)
     return;
   if (State.PendingLender)
@@ -253,6 +251,7 @@
   double Needed = static_cast<double>(State.Pending.size()) + Prefetch;
   State.PendingLender = Lender;
   State.RequestedAt = m_Context.now();
+  State.LostAt = State.RequestedAt + LoanRequestTimeout;
   m_Send(*Lender,
          TokenRequest{
              Id, static_cast<std::uint64_t>(Needed * MilliPerToken), {}, {}});
--- a/test/unit-rate-faults.cpp
+++ b/test/unit-rate-faults.cpp
@@ -129,3 +129,38 @@
   CHECK_TRUE(Bench.Decisions.back().RetryAfter >= milliseconds(370));
   CHECK_TRUE(Bench.Decisions.back().RetryAfter <= milliseconds(630));
 }
+
+// Guards against a silent holder that blocks all operations of an account at
+// this VM: the next holder is asked 120 ms after the last answer was due.
+TEST(RateFaults, AnotherHolderIsAskedOnceAnAnswerIsOverdue) {
+  ShareBench Bench(false);
+  Bench.admit(0, milliseconds(100));
+  VmId Silent = Bench.Requests.back().first;
+  Bench.advance(milliseconds(40 + 121));
+  Bench.admit(0, milliseconds(100));
+  LONGS_EQUAL(2, Bench.Requests.size());
+  CHECK_FALSE(Bench.Requests.back().first == Silent);
+}
+
+// Guards against a holder that wakes up every millisecond, because another one
+// never answered it.
+TEST(RateFaults, ALostRequestCausesNoTimerWhileOnlyLoansWait) {
+  ShareBench Bench(true);
+  for (int Count = 0; Count < 300; ++Count)
+    Bench.admit(0);
+  Bench.advance(milliseconds(400));
+  unsigned Wakes = 0;
+  for (int Round = 0; Round < 4; ++Round) {
+    for (int Vm = 0; Vm < 4; ++Vm)
+      Bench.requestFrom(VmId("vm-x" + std::to_string(Vm)), 2, 1000,
+                        milliseconds(250));
+    Instant End = Bench.Ctx.now() + milliseconds(100);
+    while (Bench.Ctx.timers().next() && *Bench.Ctx.timers().next() <= End) {
+      ++Wakes;
+      Bench.Ctx.setNow(*Bench.Ctx.timers().next());
+      Bench.Ctx.timers().runDue(Bench.Ctx.now());
+    }
+    Bench.Ctx.setNow(End);
+  }
+  CHECK_TRUE(Wakes < 100);
+}
