Ask a holder for urgent operations after it refused others

A holder without a token for low priorities was passed over for 50 ms for all operations. When all holders were, a VM without slots refused urgent operations at once, although the holders keep a reserve for them. The back-off now binds only operations that are no more urgent than those that were refused.

AHolderThatRefusedLessUrgentOperationsIsAskedForUrgentOnes failed before and passes.

--- a/include/bergamotstage/ratelimit/RateShare.h
+++ b/include/bergamotstage/ratelimit/RateShare.h
@@ -96,6 +96,8 @@
   };
   struct Lender {
     Instant NotBefore{}; ///< Backoff after it had no tokens.
+    /// Most urgent priority that it had no tokens for; others may be asked for.
+    unsigned RefusedPriority = 0;
     std::uint64_t LeftMilliTokens = 0;
   };
   struct AccountState {
@@ -129,7 +131,8 @@
   TokenCount available(AccountState &State);
   bool consumeToken(AccountState &State, unsigned Priority);
   void requestLoan(const AccountId &Id, AccountState &State);
-  std::optional<VmId> chooseLender(const AccountState &State) const;
+  std::optional<VmId> chooseLender(const AccountState &State,
+                                   unsigned Priority) const;
   void admitPending(const AccountId &Id);
   Duration retryAfter(AccountState &State);
   void lend(const VmId &To, AccountState &State,
--- a/src/ratelimit/RatePriority.cpp
+++ b/src/ratelimit/RatePriority.cpp
@@ -357,7 +357,7 @@
   Instant Now = m_Context.now();
   bool Lost = State.PendingLender && State.LostAt <= Now;
   if (Lost) {
-    State.Lenders[*State.PendingLender] = {Now + AnswerTimeout, 0};
+    State.Lenders[*State.PendingLender] = {Now + AnswerTimeout, 0, 0};
     State.PendingLender.reset();
   }
   std::vector<WaitingOperations> Waiting = waitingOperations(State);
@@ -374,8 +374,9 @@
                     available(State) < tokens(Demand * PrefetchSeconds / 2);
   if (Waiting.empty() && !Prefetches)
     return;
+  unsigned Priority = Waiting.empty() ? ~0U : Waiting.front().Priority;
   std::optional<VmId> Lender =
-      State.PendingLender ? State.PendingLender : chooseLender(State);
+      State.PendingLender ? State.PendingLender : chooseLender(State, Priority);
   if (!Lender)
     return;
   double Needed = static_cast<double>(State.Pending.size()) +
@@ -385,7 +386,7 @@
   State.LostAt = Now + AnswerTimeout;
   for (const WaitingOperations &Group : Waiting)
     State.LostAt = std::max(State.LostAt, Now + Group.MaxWait + AnswerTimeout);
-  State.RequestedPriority = Waiting.empty() ? ~0U : Waiting.front().Priority;
+  State.RequestedPriority = Priority;
   m_Send(*Lender,
          TokenRequest{Id, static_cast<std::uint64_t>(Needed * MilliPerToken),
                       State.Demand.rates(Now), std::move(Waiting)});
@@ -424,7 +425,9 @@
   State.Filter.update(Grant.Shares, Now);
   if (Grant.MilliTokens >= toMilli(OneToken))
     return;
-  State.Lenders[From].NotBefore = Now + RefusedLenderBackoff;
+  Lender &Entry = State.Lenders[From];
+  Entry.NotBefore = Now + RefusedLenderBackoff;
+  Entry.RefusedPriority = State.RequestedPriority;
   // Holders of a small account give what they have; parts add up to a token.
   if (Grant.MilliTokens > 0)
     return;
--- a/src/ratelimit/RateShare.cpp
+++ b/src/ratelimit/RateShare.cpp
@@ -203,7 +203,9 @@
   return std::max(MinRetryAfter, Soonest);
 }
 
-std::optional<VmId> RateShare::chooseLender(const AccountState &State) const {
+/// @param Priority most urgent one that the tokens are for
+std::optional<VmId> RateShare::chooseLender(const AccountState &State,
+                                            unsigned Priority) const {
   std::vector<VmId> Candidates;
   std::optional<VmId> Richest;
   std::uint64_t Most = 0;
@@ -218,7 +220,9 @@
       Candidates.push_back(Peer);
       continue;
     }
-    if (Entry->second.NotBefore > m_Context.now())
+    bool InBackoff = Entry->second.NotBefore > m_Context.now() &&
+                     Priority >= Entry->second.RefusedPriority;
+    if (InBackoff)
       continue;
     Candidates.push_back(Peer);
     if (Entry->second.LeftMilliTokens > Most) {
@@ -240,9 +244,9 @@
     return;
   if (State.PendingLender)
     State.Lenders[*State.PendingLender] = {m_Context.now() + EmptyLenderBackoff,
-                                           0};
+                                           0, 0};
   State.PendingLender.reset();
-  auto Lender = chooseLender(State);
+  auto Lender = chooseLender(State, 0);
   if (!Lender)
     return;
   double Demand = State.Demand.total(m_Context.now());
@@ -342,6 +346,7 @@
       onGrantByPriority(From, State, Grant);
   } else {
     bool Empty = Grant.LeftMilliTokens < toMilli(OneToken);
+    Entry.RefusedPriority = 0;
     Entry.NotBefore =
         m_Context.now() + (Empty ? EmptyLenderBackoff : Duration(0));
   }
--- a/test/unit-rate-faults.cpp
+++ b/test/unit-rate-faults.cpp
@@ -164,3 +164,20 @@
   }
   CHECK_TRUE(Wakes < 100);
 }
+
+// Guards against an urgent operation that is refused because the holders had no
+// token for less urgent ones a moment before.
+TEST(RateFaults, AHolderThatRefusedLessUrgentOperationsIsAskedForUrgentOnes) {
+  ShareBench Bench(false);
+  for (std::size_t Count = 0; Count < Bench.Plan->holders(Ward).size();
+       ++Count) {
+    Bench.admit(2);
+    Bench.answer(0);
+    Bench.advance(milliseconds(1));
+  }
+  Bench.Decisions.clear();
+  std::size_t Before = Bench.Requests.size();
+  Bench.admit(0);
+  CHECK_TRUE(Bench.Decisions.empty());
+  CHECK_TRUE(Bench.Requests.size() > Before);
+}
