Answer waiting loans when a holder does not share by priority

Loans were queued whatever the policy of the holder. With loans or split, its own admissions cancel the timer that serves them, so that a borrower got no answer and lost its operations; the same happened when the policy changed while loans waited. Only a holder that shares by priority queues loans now; others answer at once as before. A change of the policy refuses the waiting loans and decides waiting operations in the order of the new policy.

AWaitingLoanIsAnsweredWhenThePolicyOfTheHolderChanges and AHolderWithAnotherPolicyAnswersABorrowerThatSharesByPriority failed before and pass. EachOperationIsDecidedOnceWhenThePolicyChanges passed before, too.

--- a/include/bergamotstage/ratelimit/RateShare.h
+++ b/include/bergamotstage/ratelimit/RateShare.h
@@ -53,8 +53,9 @@
   /// if this VM was frozen and runs again later
   void setPlan(std::shared_ptr<const RatePlan> Plan,
                const std::set<RatePlan::Slot> &Usable, Instant LeaseEnd);
-  /// @brief Sets how this VM obtains tokens; it always lends.
-  void setSharing(RateSharing Sharing) { m_Sharing = Sharing; }
+  /// @brief Sets how this VM obtains tokens; it always lends. What waits is
+  /// decided under the new rule.
+  void setSharing(RateSharing Sharing);
   /// @brief Number of slots that this VM may spend.
   std::size_t slotCount() const { return m_Usable.size(); }
 
--- a/src/ratelimit/RateShare.cpp
+++ b/src/ratelimit/RateShare.cpp
@@ -80,6 +80,27 @@
     creditStartup(State);
 }
 
+void RateShare::setSharing(RateSharing Sharing) {
+  if (m_Sharing == Sharing)
+    return;
+  m_Sharing = Sharing;
+  for (auto &[Id, State] : m_Accounts) {
+    std::stable_sort(
+        State.Pending.begin(), State.Pending.end(),
+        [Sharing](const PendingAdmission &Left, const PendingAdmission &Right) {
+          return Sharing == RateSharing::Priority
+                     ? Left.Need.Priority < Right.Need.Priority
+                     : Left.Deadline < Right.Deadline;
+        });
+    std::vector<VmId> Refused =
+        State.Loans.eraseIf([](const LoanQueue::Entry &) { return true; });
+    for (const VmId &Vm : Refused)
+      grantLoan(Id, State, Vm, 0);
+    if (!State.Pending.empty() || State.WakeTimer)
+      admitPending(Id);
+  }
+}
+
 /// @brief Credits the tokens earned while the process was down.
 void RateShare::creditStartup(AccountState &State) {
   double Share = m_Plan->share(State.Contract.Id, m_Usable);
@@ -321,8 +342,8 @@
   auto Found = m_Accounts.find(Request.Account);
   if (Found == m_Accounts.end())
     return m_Send(From, TokenGrant{Request.Account, 0, 0, {}});
-  // Only a VM with RateSharing::Priority reports its demand.
-  if (Request.Demand.empty())
+  // Only VMs with RateSharing::Priority report their demand and queue loans.
+  if (Request.Demand.empty() || m_Sharing != RateSharing::Priority)
     return lend(From, Found->second, Request);
   queueLoan(From, Found->second, Request);
   distribute(Request.Account);
--- a/test/unit-rate-faults.cpp
+++ b/test/unit-rate-faults.cpp
@@ -181,3 +181,53 @@
   CHECK_TRUE(Bench.Decisions.empty());
   CHECK_TRUE(Bench.Requests.size() > Before);
 }
+
+// Guards against a loan that waits for ever at a holder which stops sharing by
+// priority while the request waits.
+TEST(RateFaults, AWaitingLoanIsAnsweredWhenThePolicyOfTheHolderChanges) {
+  ShareBench Bench(true);
+  for (int Count = 0; Count < 300; ++Count)
+    Bench.admit(0);
+  Bench.advance(milliseconds(241));
+  Bench.Grants.clear();
+  Bench.requestFrom(VmId("vm-x"), 2, 50, milliseconds(250));
+  Bench.Rates.setSharing(RateSharing::Loans);
+  Bench.admit(0);
+  Bench.advance(milliseconds(600));
+  CHECK_FALSE(Bench.Grants.empty());
+}
+
+// Guards against a holder without `policy rate priority` that never answers a
+// borrower with it: its own admissions cancelled the timer of the loans.
+TEST(RateFaults, AHolderWithAnotherPolicyAnswersABorrowerThatSharesByPriority) {
+  ShareBench Bench(true);
+  Bench.Rates.setSharing(RateSharing::Loans);
+  for (int Count = 0; Count < 300; ++Count)
+    Bench.admit(0);
+  Bench.advance(milliseconds(41));
+  Bench.Grants.clear();
+  Bench.requestFrom(VmId("vm-x"), 2, 50, milliseconds(250));
+  Bench.admit(0);
+  Bench.advance(milliseconds(600));
+  LONGS_EQUAL(1, Bench.Grants.size());
+}
+
+// Guards against operations that keep waiting under the rules of another
+// policy.
+TEST(RateFaults, EachOperationIsDecidedOnceWhenThePolicyChanges) {
+  for (auto [From, To] :
+       {std::pair(RateSharing::Priority, RateSharing::Loans),
+        std::pair(RateSharing::Priority, RateSharing::Split),
+        std::pair(RateSharing::Loans, RateSharing::Priority),
+        std::pair(RateSharing::Split, RateSharing::Priority)}) {
+    ShareBench Bench(false);
+    Bench.Rates.setSharing(From);
+    for (unsigned Count = 0; Count < 9; ++Count)
+      Bench.admit(2 - Count % 3);
+    Bench.Rates.setSharing(To);
+    for (unsigned Count = 0; Count < 9; ++Count)
+      Bench.admit(2 - Count % 3);
+    Bench.advance(milliseconds(400));
+    LONGS_EQUAL(18, Bench.Decisions.size());
+  }
+}
