Count each grant of tokens once, and within a second

A borrower credited every grant that arrived. One that is delivered twice was spent twice, and one that was delayed for seconds, for instance while the VM was frozen, was spent after the lender's bucket had earned the tokens again. Requests now carry a number that the grant repeats; a borrower accepts the first answer within a second, and logs token_grant_dropped otherwise. Timestamps instead of numbers were ruled out: two requests may be sent in one instant.

ARepeatedGrantCountsOnce and AGrantThatWasDelayedForSecondsIsNotSpent failed before and pass.

--- a/include/bergamotstage/pooling/FleetMessage.h
+++ b/include/bergamotstage/pooling/FleetMessage.h
@@ -84,6 +84,7 @@
   /// first; empty unless tokens are shared by priority.
   std::vector<ratelimit::PriorityDemand> Demand{};
   std::vector<ratelimit::WaitingOperations> Waiting{};
+  std::uint64_t Number = 0; ///< The sender never reuses it.
 };
 /// @brief Transfers tokens to the receiver.
 struct TokenGrant {
@@ -91,6 +92,7 @@
   std::uint64_t MilliTokens = 0;
   std::uint64_t LeftMilliTokens = 0; ///< Tokens that the sender can still lend.
   std::vector<ratelimit::PriorityShare> Shares{}; ///< Empty as for Demand.
+  std::uint64_t Number = 0;                       ///< Of the request.
 };
 
 /// @brief Reports that the sender cannot reach the primary of a group.
--- a/include/bergamotstage/ratelimit/LoanQueue.h
+++ b/include/bergamotstage/ratelimit/LoanQueue.h
@@ -6,6 +6,7 @@
 #include "bergamotstage/ratelimit/TokenDemand.h"
 
 #include <cstdint>
+#include <map>
 #include <vector>
 
 namespace bergamotstage::ratelimit {
@@ -19,17 +20,23 @@
     unsigned Priority = 0;
     std::uint64_t Count = 0;
     Instant Deadline{};
+    std::uint64_t Request = 0; ///< Its number, for the answer.
+  };
+  /// @brief A request that gets an answer.
+  struct Finished {
+    VmId From;
+    std::uint64_t Request = 0;
   };
 
   /// @brief Replaces the entries of a VM by those of its latest request.
   void replace(const VmId &From, const std::vector<WaitingOperations> &Waiting,
-               Instant Now);
+               Instant Now, std::uint64_t Request = 0);
   /// @brief Removes all entries of a VM, which gets an answer.
   void erase(const VmId &From);
   /// @brief Removes the entries for which a predicate holds.
   /// @return VMs that have no entry left, which get an answer
   template <class Predicate>
-  std::vector<VmId> eraseIf(const Predicate &IsHopeless);
+  std::vector<Finished> eraseIf(const Predicate &IsHopeless);
 
   bool empty() const { return m_Entries.empty(); }
   const Entry &front() const { return m_Entries.front(); }
@@ -42,21 +49,22 @@
 };
 
 template <class Predicate>
-std::vector<VmId> LoanQueue::eraseIf(const Predicate &IsHopeless) {
+std::vector<LoanQueue::Finished>
+LoanQueue::eraseIf(const Predicate &IsHopeless) {
   std::vector<Entry> Kept;
-  std::vector<VmId> Affected;
+  std::map<VmId, std::uint64_t> Affected;
   for (const Entry &Next : m_Entries) {
     if (IsHopeless(Next))
-      Affected.push_back(Next.From);
+      Affected[Next.From] = Next.Request;
     else
       Kept.push_back(Next);
   }
   m_Entries = std::move(Kept);
-  std::vector<VmId> Finished;
-  for (const VmId &Vm : Affected)
+  std::vector<Finished> Result;
+  for (const auto &[Vm, Request] : Affected)
     if (!contains(Vm))
-      Finished.push_back(Vm);
-  return Finished;
+      Result.push_back({Vm, Request});
+  return Result;
 }
 
 } // namespace bergamotstage::ratelimit
--- a/include/bergamotstage/ratelimit/RateShare.h
+++ b/include/bergamotstage/ratelimit/RateShare.h
@@ -113,6 +113,8 @@
     Instant RequestedAt{};
     Instant LostAt{}; ///< Without an answer, the request is lost from then on.
     unsigned RequestedPriority = 0; ///< Most urgent one of the last request.
+    /// Requests that may still be answered, by number, and when they were sent.
+    std::map<std::uint64_t, Instant> OpenRequests;
     DemandMeter Demand;
     std::optional<TimerId> WakeTimer;
 
@@ -138,6 +140,9 @@
   Duration retryAfter(AccountState &State);
   void lend(const VmId &To, AccountState &State,
             const pooling::TokenRequest &Request);
+  bool closeRequest(AccountState &State, std::uint64_t Number);
+  void sendRequest(AccountState &State, const VmId &To,
+                   pooling::TokenRequest Request);
   void finish(PendingAdmission Ended, const AccountId &Id,
               const Decision &Result);
 
@@ -158,8 +163,8 @@
   waitingOperations(const AccountState &State) const;
   void queueLoan(const VmId &From, AccountState &State,
                  const pooling::TokenRequest &Request);
-  void grantLoan(const AccountId &Id, AccountState &State, const VmId &To,
-                 std::uint64_t MilliTokens);
+  void grantLoan(const AccountId &Id, AccountState &State,
+                 const LoanQueue::Finished &To, std::uint64_t MilliTokens);
   void onGrantByPriority(const VmId &From, AccountState &State,
                          const pooling::TokenGrant &Grant);
   TokenCount reservedAbove(AccountState &State, unsigned Priority);
@@ -178,6 +183,7 @@
   Instant m_LeaseEnd{};
   RateSharing m_Sharing = RateSharing::Loans;
   bool m_Started = false; ///< Slots were assigned before.
+  std::uint64_t m_LastRequest = 0;
   std::map<AccountId, AccountState> m_Accounts;
   std::map<std::pair<AccountId, unsigned>, Counts> m_Counts;
 };
--- a/src/pooling/FleetMessage.cpp
+++ b/src/pooling/FleetMessage.cpp
@@ -66,6 +66,7 @@
       Out.varint(Group.Count);
       write(Out, Group.MaxWait);
     }
+    Out.varint(Body.Number);
   }
   void operator()(const TokenGrant &Body) {
     Out.text(Body.Account.value());
@@ -76,6 +77,7 @@
       Out.varint(Share.Priority);
       Out.varint(Share.Permille);
     }
+    Out.varint(Body.Number);
   }
   void operator()(const PrimarySuspected &Body) {
     Out.text(Body.Group.value());
@@ -195,6 +197,7 @@
     Group.MaxWait = readDuration(In);
     Body.Waiting.push_back(Group);
   }
+  Body.Number = In.varint();
   return Body;
 }
 
@@ -209,6 +212,7 @@
     Share.Permille = static_cast<unsigned>(In.varint());
     Body.Shares.push_back(Share);
   }
+  Body.Number = In.varint();
   return Body;
 }
 
--- a/src/ratelimit/LoanQueue.cpp
+++ b/src/ratelimit/LoanQueue.cpp
@@ -7,10 +7,11 @@
 
 void LoanQueue::replace(const VmId &From,
                         const std::vector<WaitingOperations> &Waiting,
-                        Instant Now) {
+                        Instant Now, std::uint64_t Request) {
   erase(From);
   for (const WaitingOperations &Group : Waiting) {
-    Entry Added{From, Group.Priority, Group.Count, Now + Group.MaxWait};
+    Entry Added{From, Group.Priority, Group.Count, Now + Group.MaxWait,
+                Request};
     auto Place =
         std::upper_bound(m_Entries.begin(), m_Entries.end(), Added,
                          [](const Entry &Left, const Entry &Right) {
--- a/src/ratelimit/RatePriority.cpp
+++ b/src/ratelimit/RatePriority.cpp
@@ -240,7 +240,7 @@
     if (Own < tokenUnit(State) + Reserve || Own == TokenCount{})
       return;
     std::uint64_t Whole = toMilli(Own - Reserve) / toMilli(OneToken);
-    grantLoan(Id, State, Next.From,
+    grantLoan(Id, State, {Next.From, Next.Request},
               Whole == 0 ? toMilli(Own - Reserve)
                          : std::min(Whole, Next.Count) * toMilli(OneToken));
   }
@@ -248,17 +248,19 @@
 
 /// @brief Answers the request of a VM; its other operations ask again.
 void RateShare::grantLoan(const AccountId &Id, AccountState &State,
-                          const VmId &To, std::uint64_t MilliTokens) {
-  State.Loans.erase(To);
+                          const LoanQueue::Finished &To,
+                          std::uint64_t MilliTokens) {
+  State.Loans.erase(To.From);
   State.Bucket.tryTake(fromMilli(MilliTokens), m_Context.now());
   TokenGrant Grant;
   Grant.Account = Id;
+  Grant.Number = To.Request;
   Grant.MilliTokens = MilliTokens;
   Grant.LeftMilliTokens = State.Loans.empty() && State.Pending.empty()
                               ? toMilli(ownTokens(State))
                               : 0;
   Grant.Shares = currentShares(Id, State);
-  m_Send(To, std::move(Grant));
+  m_Send(To.From, std::move(Grant));
 }
 
 /// @brief Refuses requests whose turn cannot come in time.
@@ -267,7 +269,7 @@
     return;
   Instant Now = m_Context.now();
   TokenCount Ahead{};
-  std::vector<VmId> Refused =
+  std::vector<LoanQueue::Finished> Refused =
       State.Loans.eraseIf([&](const LoanQueue::Entry &Next) {
         TokenCount Needed =
             Ahead + tokenUnit(State) + reservedAbove(State, Next.Priority);
@@ -278,8 +280,8 @@
           Ahead = Ahead + fromMilli(Next.Count * toMilli(OneToken));
         return Hopeless;
       });
-  for (const VmId &Vm : Refused)
-    grantLoan(Id, State, Vm, 0);
+  for (const LoanQueue::Finished &Each : Refused)
+    grantLoan(Id, State, Each, 0);
 }
 
 void RateShare::refuseExpired(const AccountId &Id, AccountState &State) {
@@ -387,9 +389,10 @@
   for (const WaitingOperations &Group : Waiting)
     State.LostAt = std::max(State.LostAt, Now + Group.MaxWait + AnswerTimeout);
   State.RequestedPriority = Priority;
-  m_Send(*Lender,
-         TokenRequest{Id, static_cast<std::uint64_t>(Needed * MilliPerToken),
-                      State.Demand.rates(Now), std::move(Waiting)});
+  sendRequest(State, *Lender,
+              TokenRequest{Id,
+                           static_cast<std::uint64_t>(Needed * MilliPerToken),
+                           State.Demand.rates(Now), std::move(Waiting)});
 }
 
 /// @brief Queues the request of another VM, or answers one for tokens in
@@ -397,7 +400,7 @@
 void RateShare::queueLoan(const VmId &From, AccountState &State,
                           const TokenRequest &Request) {
   State.Fleet.report(From, Request.Demand, m_Context.now());
-  State.Loans.replace(From, Request.Waiting, m_Context.now());
+  State.Loans.replace(From, Request.Waiting, m_Context.now(), Request.Number);
   std::uint64_t Waiting = 0;
   for (const WaitingOperations &Group : Request.Waiting)
     Waiting += Group.Count * toMilli(OneToken);
@@ -416,7 +419,7 @@
   std::uint64_t Granted = std::min(Request.MilliTokens, Spare);
   bool CoversWaiting = Granted >= Waiting;
   if (OnlyInAdvance || CoversWaiting)
-    grantLoan(Request.Account, State, From, Granted);
+    grantLoan(Request.Account, State, {From, Request.Number}, Granted);
 }
 
 void RateShare::onGrantByPriority(const VmId &From, AccountState &State,
--- a/src/ratelimit/RateShare.cpp
+++ b/src/ratelimit/RateShare.cpp
@@ -29,6 +29,9 @@
 /// Borrowed tokens serve current demand. Kept longer, they would increase the
 /// burst of the whole fleet.
 constexpr Duration BorrowedLifetime = seconds(1);
+/// Later grants are dropped: the lender's bucket has earned the tokens again,
+/// so that they would add to its burst.
+constexpr Duration MaxGrantDelay = seconds(1);
 /// Seconds of demand that a lender reserves and that a borrower requests.
 constexpr double ReservedDemandSeconds = 0.15;
 constexpr double BorrowedDemandSeconds = 0.3;
@@ -92,10 +95,9 @@
                      ? Left.Need.Priority < Right.Need.Priority
                      : Left.Deadline < Right.Deadline;
         });
-    std::vector<VmId> Refused =
-        State.Loans.eraseIf([](const LoanQueue::Entry &) { return true; });
-    for (const VmId &Vm : Refused)
-      grantLoan(Id, State, Vm, 0);
+    for (const LoanQueue::Finished &Refused :
+         State.Loans.eraseIf([](const LoanQueue::Entry &) { return true; }))
+      grantLoan(Id, State, Refused, 0);
     if (!State.Pending.empty() || State.WakeTimer)
       admitPending(Id);
   }
@@ -277,9 +279,31 @@
   State.PendingLender = Lender;
   State.RequestedAt = m_Context.now();
   State.LostAt = State.RequestedAt + LoanRequestTimeout;
-  m_Send(*Lender,
-         TokenRequest{
-             Id, static_cast<std::uint64_t>(Needed * MilliPerToken), {}, {}});
+  sendRequest(
+      State, *Lender,
+      TokenRequest{
+          Id, static_cast<std::uint64_t>(Needed * MilliPerToken), {}, {}});
+}
+
+void RateShare::sendRequest(AccountState &State, const VmId &To,
+                            TokenRequest Request) {
+  Instant Now = m_Context.now();
+  auto &Open = State.OpenRequests;
+  while (!Open.empty() && Open.begin()->second + MaxGrantDelay < Now)
+    Open.erase(Open.begin());
+  Request.Number = ++m_LastRequest;
+  Open[Request.Number] = Now;
+  m_Send(To, std::move(Request));
+}
+
+/// @brief Whether a request gets its first answer, in time.
+bool RateShare::closeRequest(AccountState &State, std::uint64_t Number) {
+  auto Found = State.OpenRequests.find(Number);
+  if (Found == State.OpenRequests.end())
+    return false;
+  Instant SentAt = Found->second;
+  State.OpenRequests.erase(Found);
+  return m_Context.now() - SentAt <= MaxGrantDelay;
 }
 
 void RateShare::admitPending(const AccountId &Id) {
@@ -326,6 +350,7 @@
                      const TokenRequest &Request) {
   TokenGrant Grant;
   Grant.Account = Request.Account;
+  Grant.Number = Request.Number;
   TokenCount Available = ownTokens(State);
   TokenCount Reserved =
       tokens(State.Demand.total(m_Context.now()) * ReservedDemandSeconds);
@@ -341,7 +366,7 @@
 void RateShare::onTokenMessage(const VmId &From, const TokenRequest &Request) {
   auto Found = m_Accounts.find(Request.Account);
   if (Found == m_Accounts.end())
-    return m_Send(From, TokenGrant{Request.Account, 0, 0, {}});
+    return m_Send(From, TokenGrant{Request.Account, 0, 0, {}, Request.Number});
   // Only VMs with RateSharing::Priority report their demand and queue loans.
   if (Request.Demand.empty() || m_Sharing != RateSharing::Priority)
     return lend(From, Found->second, Request);
@@ -354,6 +379,11 @@
   if (Found == m_Accounts.end())
     return;
   AccountState &State = Found->second;
+  if (!closeRequest(State, Grant.Number)) {
+    m_Context.log(WriteLog::Level::Debug, "token_grant_dropped",
+                  {{"account", Grant.Account.value()}, {"vm", From.value()}});
+    return;
+  }
   bool Expected = State.PendingLender == From;
   if (Expected)
     State.PendingLender.reset();
--- a/test/unit-rate-faults.cpp
+++ b/test/unit-rate-faults.cpp
@@ -95,6 +95,7 @@
                              std::vector<PriorityShare> Shares = {}) {
     TokenGrant Grant;
     Grant.Account = Request.Account;
+    Grant.Number = Request.Number;
     Grant.MilliTokens = MilliTokens;
     Grant.Shares = std::move(Shares);
     return Grant;
@@ -231,3 +232,29 @@
     LONGS_EQUAL(18, Bench.Decisions.size());
   }
 }
+
+// Guards against a grant that is delivered twice and spent twice.
+TEST(RateFaults, ARepeatedGrantCountsOnce) {
+  ShareBench Bench(false);
+  for (unsigned Count = 0; Count < 4; ++Count)
+    Bench.admit(1);
+  auto [From, Request] = Bench.Requests.back();
+  Bench.answer(1000);
+  Bench.Rates.onTokenMessage(From, ShareBench::grantFor(Request, 1000));
+  LONGS_EQUAL(1, std::count_if(Bench.Decisions.begin(), Bench.Decisions.end(),
+                               [](const auto &Made) { return Made.Admitted; }));
+}
+
+// Guards against tokens that are spent seconds after the lender's bucket has
+// earned them again: they would add up to twice the burst in one window.
+TEST(RateFaults, AGrantThatWasDelayedForSecondsIsNotSpent) {
+  ShareBench Bench(false);
+  Bench.admit(1);
+  auto [From, Request] = Bench.Requests.back();
+  Bench.advance(seconds(4));
+  Bench.Decisions.clear();
+  Bench.Rates.onTokenMessage(From, ShareBench::grantFor(Request, 5000));
+  for (unsigned Count = 0; Count < 3; ++Count)
+    Bench.admit(1);
+  CHECK_TRUE(Bench.Decisions.empty());
+}
