Run random faults on the virtual fleet with policies for hard load

unit-pool-random covered the default policies only. PoolFleet passes policies to its VMs; new tests run queue urgency, rate priority and reads least-wait, also with changes of the policies, and check all guarantees. POOL_FIRST_SEED and POOL_SEEDS select other seeds. The earlier tests run as before.

--- a/src/standin/site/PoolFleet.cpp
+++ b/src/standin/site/PoolFleet.cpp
@@ -168,6 +168,8 @@
   if (m_OnLog)
     Process.Node->setLogHook(
         [this, Name](WriteLog &&Entry) { m_OnLog(m_Now, Name, Entry); });
+  if (!m_Policies.rules().Policies.empty())
+    Process.Node->onPoliciesRead(m_Now, m_Policies);
   readTables(Name, Process.Generation);
   Process.Node->start(m_Now);
   scheduleWake(Name);
@@ -323,6 +325,16 @@
   return Hooks;
 }
 
+void PoolFleet::setPolicies(const pooling::SitePolicies &Policies) {
+  m_Policies = Policies;
+  for (auto &[Name, Process] : m_Vms)
+    if (Process.Up)
+      deliverAfter(Name, Process.Generation, Duration(0),
+                   [this, Policies](PoolNode &Node) {
+                     Node.onPoliciesRead(m_Now, Policies);
+                   });
+}
+
 // Callers.
 
 CallerId PoolFleet::connect(const VmId &Name, const std::string &Database,
--- a/src/standin/site/PoolFleet.h
+++ b/src/standin/site/PoolFleet.h
@@ -63,6 +63,8 @@
 
   /// @brief Publishes a configuration to all subscribed VMs.
   void configure(pooling::SiteConfig Config);
+  /// @brief Sets the policies of all VMs, also of those that start later.
+  void setPolicies(const pooling::SitePolicies &Policies);
   /// @brief Starts all VMs.
   void start();
   /// @brief Runs all events of a time span.
@@ -217,6 +219,7 @@
   std::uint64_t m_Version = 0;
   std::set<DataCentreId> m_Evacuated;
   std::map<DatabaseId, std::uint64_t> m_FencingTokens;
+  pooling::SitePolicies m_Policies;
   pooling::SharedConfig m_Config;
   std::map<std::uint64_t, PublishedConfig> m_Configs; ///< By version.
   std::set<std::pair<VmId, VmId>> m_CutPeers;
--- a/test/unit-pool-random.cpp
+++ b/test/unit-pool-random.cpp
@@ -17,9 +17,11 @@
 /// @brief A fleet under random faults, with callers that check its guarantees.
 class FaultRun {
 public:
-  explicit FaultRun(std::uint64_t Seed, double Rate)
-      : m_Config(poolConfig(Groups, Accounts, Rate)), m_Fleet(settings(Seed)),
+  /// @param Policies lines of a rules text
+  FaultRun(std::uint64_t Seed, double Rate, const char *Policies = "")
+      : m_Config(config(Rate, *Policies != '\0')), m_Fleet(settings(Seed)),
         m_Callers(m_Fleet, m_Config) {
+    setPolicies(Policies);
     // Prints the log of a failing test: POOL_LOG=1 unit-pool-random -n ...
     if (std::getenv("POOL_LOG") != nullptr)
       m_Fleet.onLog(printLine);
@@ -60,6 +62,12 @@
         m_Fleet.cutPeers(Left, Right, false);
   }
 
+  void setPolicies(const char *Lines) {
+    auto Policies = pooling::SitePolicies::parse(Lines);
+    CHECK_TRUE(Policies.has_value());
+    m_Fleet.setPolicies(*Policies);
+  }
+
   PoolFleet &fleet() { return m_Fleet; }
   const PoolCallers<PoolFleet> &callers() const { return m_Callers; }
 
@@ -72,6 +80,14 @@
     std::printf("\n");
   }
 
+  static pooling::SiteConfig config(double Rate, bool HasPriorities) {
+    pooling::SiteConfig Config = poolConfig(Groups, Accounts, Rate);
+    unsigned Number = 0;
+    for (auto &[Name, Route] : Config.Routes)
+      Route.Priority = HasPriorities ? Number++ / Groups : 0;
+    return Config;
+  }
+
   static PoolFleet::Settings settings(std::uint64_t Seed) {
     PoolFleet::Settings Options;
     Options.Seed = Seed;
@@ -168,7 +184,24 @@
   PoolCallers<PoolFleet> m_Callers;
 };
 
+/// @brief Reads a number from the environment, for longer runs by hand.
+unsigned fromEnvironment(const char *Name, unsigned Default) {
+  const char *Text = std::getenv(Name);
+  return Text == nullptr
+             ? Default
+             : static_cast<unsigned>(std::strtoul(Text, nullptr, 10));
+}
+
+constexpr const char *HardLoadPolicies =
+    "policy queue urgency # Ward 1 office\n"
+    "policy rate priority # Ward 1 office\n"
+    "policy reads least-wait # Ward 1 office\n";
+
 void check(const FaultRun &Run, std::uint64_t Seed) {
+  if (!Run.callers().violations().empty() || Run.callers().maxRateExcess() > 0)
+    std::printf("seed %llu: rate excess %f\n",
+                static_cast<unsigned long long>(Seed),
+                Run.callers().maxRateExcess());
   for (const std::string &Violation : Run.callers().violations())
     std::printf("seed %llu: %s\n", static_cast<unsigned long long>(Seed),
                 Violation.c_str());
@@ -219,3 +252,59 @@
     CHECK_TRUE(Served * 10 >= Operations * 9);
   }
 }
+
+// Guards against operations that run twice, are reported as not run although
+// they did, or exceed an account's contract, with the policies for hard load.
+// POOL_FIRST_SEED and POOL_SEEDS select other seeds.
+TEST(PoolRandom, KeepsItsGuaranteesWithPoliciesForHardLoad) {
+  unsigned First = fromEnvironment("POOL_FIRST_SEED", 1001);
+  unsigned Seeds = fromEnvironment("POOL_SEEDS", 4);
+  for (std::uint64_t Seed = First; Seed < First + Seeds; ++Seed) {
+    FaultRun Run(Seed, Seed % 2 == 0 ? 60 : 15, HardLoadPolicies);
+    Run.run(seconds(40), true);
+    Run.heal();
+    Run.run(seconds(15), false);
+    check(Run, Seed);
+  }
+}
+
+// Guards against operations and loans that are lost when the policies change
+// while they wait.
+TEST(PoolRandom, KeepsItsGuaranteesWhilePoliciesChange) {
+  unsigned First = fromEnvironment("POOL_FIRST_SEED", 2001);
+  unsigned Seeds = fromEnvironment("POOL_SEEDS", 4);
+  for (std::uint64_t Seed = First; Seed < First + Seeds; ++Seed) {
+    FaultRun Run(Seed, 15, HardLoadPolicies);
+    for (int Round = 0; Round < 8; ++Round) {
+      Run.setPolicies(Round % 2 == 0 ? "" : HardLoadPolicies);
+      Run.run(seconds(4), true);
+    }
+    Run.heal();
+    Run.run(seconds(15), false);
+    check(Run, Seed);
+  }
+}
+
+// Guards against a fleet that stays overloaded after faults: estimates, ejected
+// targets and shares of an account must recover.
+TEST(PoolRandom, RecoversWithPoliciesForHardLoad) {
+  unsigned First = fromEnvironment("POOL_FIRST_SEED", 3001);
+  unsigned Seeds = fromEnvironment("POOL_SEEDS", 3);
+  for (std::uint64_t Seed = First; Seed < First + Seeds; ++Seed) {
+    FaultRun Run(Seed, 400, HardLoadPolicies);
+    Run.run(seconds(25), true);
+    Run.heal();
+    Run.run(seconds(15), false);
+    unsigned Before = Run.callers().counts().Served;
+    unsigned OperationsBefore = Run.callers().counts().Operations;
+    Run.run(seconds(5), false);
+    unsigned Served = Run.callers().counts().Served - Before;
+    unsigned Operations = Run.callers().counts().Operations - OperationsBefore;
+    check(Run, Seed);
+    if (Served * 10 < Operations * 9)
+      std::printf("seed %llu: %u of %u served\n",
+                  static_cast<unsigned long long>(Seed), Served, Operations);
+    CHECK_TRUE(Operations > 200);
+    CHECK_TRUE(Served * 10 >= Operations * 9);
+  }
+}
