Refuse expired statements before idle transactions end

A tick collected the waiting statements and the idle transactions whose time was over, and ended them in the order of their ids. The end of a transaction sends waiting statements; one of these could be in the list, too, and was then reported as not run although the target had received it. Refusals now come first, so that nothing in the list can be sent.

AStatementThatWasJustSentIsNotRefused failed before and passes.

--- a/src/pooling/TargetPoolLinks.cpp
+++ b/src/pooling/TargetPoolLinks.cpp
@@ -278,6 +278,7 @@
 void TargetPool::enforceDeadlines() {
   Instant Now = m_Context.now();
   std::vector<OperationId> Expired;
+  std::vector<OperationId> Resting;
   std::vector<LinkId> Overdue;
   for (auto &[Id, Operation] : m_Operations) {
     bool Waits = Operation.State == Phase::Waiting;
@@ -295,7 +296,7 @@
                     {{"target", m_Id.value()},
                      {"origin", Id.Origin.value()},
                      {"work", std::to_string(Id.Number)}});
-      Expired.push_back(Id);
+      Resting.push_back(Id);
     }
   }
   for (const auto &[Id, Link] : m_Links) {
@@ -306,12 +307,12 @@
     if (CleanupOverdue || (!Link.Open && Link.OpenedAt + OpenTimeout <= Now))
       Overdue.push_back(Id);
   }
-  for (const OperationId &Id : Expired) {
-    if (m_Operations.at(Id).State == Phase::Idle)
-      abortOperation(Id);
-    else
-      rejectOperation(Id, NotRunReason::Overloaded);
-  }
+  // The end of a transaction sends other statements, so that refusals come
+  // first.
+  for (const OperationId &Id : Expired)
+    rejectOperation(Id, NotRunReason::Overloaded);
+  for (const OperationId &Id : Resting)
+    abortOperation(Id);
   for (LinkId Id : Overdue) {
     m_Context.log(WriteLog::Level::Warning, "link_overdue",
                   {{"target", m_Id.value()},
