Leave busy answers out of the slot times by kind

A target answers BUSY at once. These answers were taken for slot times, so that the estimate of a kind fell from 20 to 0.3 ms while a target was overloaded, and queue urgency admitted more than ever. The mean of all statements, which the other orders use, stays as it is.

BusyAnswersDoNotCountAsSlotTimes failed before and passes.

--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -162,7 +162,7 @@
   admissionFault(const OperationRequest &Request) const;
   void refuseHopeless();
   void chargeSlotTime(QueueEntry &Next);
-  void recordSlotTime(const QueueEntry &Ended, Duration Held);
+  void recordSlotTime(const QueueEntry &Ended, Duration Held, bool WasBusy);
   Duration timeUntilSlot() const;
   bool usesUrgency() const {
     return m_Limits.Order == admission::QueueOrder::Urgency;
--- a/src/pooling/TargetPool.cpp
+++ b/src/pooling/TargetPool.cpp
@@ -409,7 +409,7 @@
   bool Commits = Operation.Request.First.Kind == Verb::Commit;
   bool Single = !isTransaction(Operation.Request.Mode);
   Duration ServiceTime = m_Context.now() - Operation.SentAt;
-  recordSlotTime(Operation, ServiceTime);
+  recordSlotTime(Operation, ServiceTime, Reply.Error == ErrorCode::Busy);
   recordOutcome(Reply.Error == ErrorCode::Failed ||
                 Reply.Error == ErrorCode::Timeout ||
                 Reply.Error == ErrorCode::Busy);
--- a/src/pooling/TargetPoolQueue.cpp
+++ b/src/pooling/TargetPoolQueue.cpp
@@ -144,10 +144,14 @@
   m_Queue.shares().charge(Account, Next.ChargedSeconds, Backlog);
 }
 
-void TargetPool::recordSlotTime(const QueueEntry &Ended, Duration Held) {
+/// @param WasBusy the target did not run the statement, which says nothing
+/// about the time that one takes
+void TargetPool::recordSlotTime(const QueueEntry &Ended, Duration Held,
+                                bool WasBusy) {
   double Seconds = toSeconds(Held);
   m_ServiceSeconds += ServiceTimeWeight * (Seconds - m_ServiceSeconds);
-  m_Queue.slotTimes().record(workKind(Ended.Request), Held);
+  if (!WasBusy)
+    m_Queue.slotTimes().record(workKind(Ended.Request), Held);
   if (usesUrgency())
     m_Queue.shares().correct(Ended.Request.Account, Ended.ChargedSeconds,
                              Seconds);
--- a/test/unit-pool-urgency.cpp
+++ b/test/unit-pool-urgency.cpp
@@ -150,6 +150,25 @@
   }
 }
 
+// Guards against a target that looks fast because it answers busy at once: the
+// queue would admit more than ever while it is overloaded.
+TEST(PoolUrgency, BusyAnswersDoNotCountAsSlotTimes) {
+  UrgencyBench Bench(1, 4);
+  Bench.start(1, Access::Replica, statement(Verb::Read), seconds(9));
+  Bench.open();
+  LinkId Link = Bench.Links.begin()->first;
+  Bench.advance(milliseconds(20));
+  Bench.answer(Link, SessionState::Idle);
+  Bench.start(2, Access::Replica, statement(Verb::Read), seconds(9));
+  for (int Round = 0; Round < 40; ++Round) {
+    Bench.answer(Link, SessionState::Idle, ErrorCode::Busy);
+    while (Bench.inFlight() == 0)
+      Bench.advance(milliseconds(5));
+  }
+  const auto &Estimates = Bench.Pool.slotTimes().estimates();
+  DOUBLES_EQUAL(0.02, Estimates.begin()->second.Seconds, 0.002);
+}
+
 // Guards against an operation without a reply or with two, slots that are not
 // returned, and refusals of statements that were sent, with random replies,
 // aborts, lost links and transactions.
