Predict the starts of waiting statements in n log n time

Each arrival at a busy target sorted all waiting statements with four look-ups of shares for each comparison, and searched all kept statements for the least important one at every late statement, also if none gave way. The same number of statements gives way in each case, and the recorded loads of unit-admission give their results as before.

--- a/include/bergamotstage/admission/TargetQueue.h
+++ b/include/bergamotstage/admission/TargetQueue.h
@@ -7,6 +7,7 @@
 #include "bergamotstage/core/Ids.h"
 #include "bergamotstage/core/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -56,19 +57,29 @@
   /// @param Sorted result of sort()
   /// @param Slots statements that the target runs at once; at least 1
   /// @param BusyFor expected time until a slot is free
-  /// Complexity: linear, times the number of statements found.
+  /// Complexity: O(n log n).
   std::vector<HopelessWork> findHopeless(const std::vector<WaitingWork> &Sorted,
                                          Instant Now, unsigned Slots,
                                          Duration BusyFor) const;
 
 private:
+  /// @brief A statement with what its place in the order depends on.
+  struct Ranked {
+    WaitingWork Work;
+    Instant Start{}; ///< Time at which it should start.
+    double Tag = 0;  ///< Start tag of its account.
+  };
   struct Planned {
     const WaitingWork *Work;
-    double Seconds; ///< Expected slot time.
+    double Excess;     ///< Of its account.
+    double Seconds;    ///< Expected slot time.
+    std::size_t Place; ///< In the order.
+  };
+  struct IsLessImportant {
+    bool operator()(const Planned &Left, const Planned &Right) const;
   };
 
-  bool isLessImportant(const Planned &Left, const Planned &Right) const;
-  bool precedes(const WaitingWork &Left, const WaitingWork &Right) const;
+  bool precedes(const Ranked &Left, const Ranked &Right) const;
   Instant virtualDeadline(const WaitingWork &Work) const;
 
   QueueOrder m_Order = QueueOrder::Fair;
--- a/src/admission/TargetQueue.cpp
+++ b/src/admission/TargetQueue.cpp
@@ -1,7 +1,9 @@
 #include "bergamotstage/admission/TargetQueue.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
+#include <utility>
 
 namespace bergamotstage::admission {
 namespace {
@@ -26,64 +28,74 @@
          Excess;
 }
 
-bool TargetQueue::precedes(const WaitingWork &Left,
-                           const WaitingWork &Right) const {
+bool TargetQueue::precedes(const Ranked &Left, const Ranked &Right) const {
+  const WaitingWork &LeftWork = Left.Work;
+  const WaitingWork &RightWork = Right.Work;
   // Open transactions hold a link and locks.
-  if (Left.HoldsLink != Right.HoldsLink)
-    return Left.HoldsLink;
-  if (m_Order == QueueOrder::Urgency) {
-    Instant LeftStart = virtualDeadline(Left);
-    Instant RightStart = virtualDeadline(Right);
-    return std::tie(LeftStart, Left.ArrivalNumber) <
-           std::tie(RightStart, Right.ArrivalNumber);
-  }
-  if (Left.Priority != Right.Priority)
-    return Left.Priority < Right.Priority;
-  bool Fair = m_Order == QueueOrder::Fair;
-  double LeftTag = Fair ? m_Shares.startTag(Left.Account) : 0;
-  double RightTag = Fair ? m_Shares.startTag(Right.Account) : 0;
-  return std::tie(LeftTag, Left.ArrivalNumber) <
-         std::tie(RightTag, Right.ArrivalNumber);
+  if (LeftWork.HoldsLink != RightWork.HoldsLink)
+    return LeftWork.HoldsLink;
+  if (m_Order == QueueOrder::Urgency)
+    return std::tie(Left.Start, LeftWork.ArrivalNumber) <
+           std::tie(Right.Start, RightWork.ArrivalNumber);
+  if (LeftWork.Priority != RightWork.Priority)
+    return LeftWork.Priority < RightWork.Priority;
+  return std::tie(Left.Tag, LeftWork.ArrivalNumber) <
+         std::tie(Right.Tag, RightWork.ArrivalNumber);
 }
 
 void TargetQueue::sort(std::vector<WaitingWork> &Waiting) const {
-  std::sort(Waiting.begin(), Waiting.end(),
-            [this](const WaitingWork &Left, const WaitingWork &Right) {
+  // The shares are looked up once for each statement, not for each comparison.
+  std::vector<Ranked> Sorted;
+  Sorted.reserve(Waiting.size());
+  for (WaitingWork &Work : Waiting) {
+    Ranked Next;
+    if (m_Order == QueueOrder::Urgency)
+      Next.Start = virtualDeadline(Work);
+    if (m_Order == QueueOrder::Fair)
+      Next.Tag = m_Shares.startTag(Work.Account);
+    Next.Work = std::move(Work);
+    Sorted.push_back(std::move(Next));
+  }
+  std::sort(Sorted.begin(), Sorted.end(),
+            [this](const Ranked &Left, const Ranked &Right) {
               return precedes(Left, Right);
             });
+  std::transform(Sorted.begin(), Sorted.end(), Waiting.begin(),
+                 [](Ranked &Next) { return std::move(Next.Work); });
 }
 
 /// @brief Whether a statement gives way to another one: it has a lower
 /// priority, its account is further beyond its fair share, or it takes longer.
-bool TargetQueue::isLessImportant(const Planned &Left,
-                                  const Planned &Right) const {
+bool TargetQueue::IsLessImportant::operator()(const Planned &Left,
+                                              const Planned &Right) const {
   if (Left.Work->HoldsLink != Right.Work->HoldsLink)
     return Right.Work->HoldsLink;
   if (Left.Work->Priority != Right.Work->Priority)
     return Left.Work->Priority > Right.Work->Priority;
-  double LeftExcess = m_Shares.excess(Left.Work->Account);
-  double RightExcess = m_Shares.excess(Right.Work->Account);
-  return std::tie(LeftExcess, Left.Seconds) >
-         std::tie(RightExcess, Right.Seconds);
+  if (Left.Excess != Right.Excess)
+    return Left.Excess > Right.Excess;
+  if (Left.Seconds != Right.Seconds)
+    return Left.Seconds > Right.Seconds;
+  return Left.Place < Right.Place;
 }
 
 std::vector<HopelessWork>
 TargetQueue::findHopeless(const std::vector<WaitingWork> &Sorted, Instant Now,
                           unsigned Slots, Duration BusyFor) const {
   std::vector<HopelessWork> Hopeless;
-  std::vector<Planned> Kept;
+  std::set<Planned, IsLessImportant> Kept;
   double Ahead = toSeconds(BusyFor) * Slots; // Slot time before the next one.
   auto StartAfter = [Slots, Now](double SlotSeconds) {
     return Now + scaled(seconds(1), SlotSeconds / Slots);
   };
-  auto LessImportant = [this](const Planned &Left, const Planned &Right) {
-    return isLessImportant(Left, Right);
-  };
-  for (const WaitingWork &Work : Sorted) {
-    Planned Newest{&Work, m_SlotTimes.expected(Work.Kind)};
-    Kept.push_back(Newest);
-    while (StartAfter(Ahead) > punctualStart(Work)) {
-      auto Least = std::min_element(Kept.begin(), Kept.end(), LessImportant);
+  for (std::size_t Place = 0; Place < Sorted.size(); ++Place) {
+    const WaitingWork &Work = Sorted[Place];
+    Planned Newest{&Work, m_Shares.excess(Work.Account),
+                   m_SlotTimes.expected(Work.Kind), Place};
+    Kept.insert(Newest);
+    bool Remains = true;
+    while (Remains && StartAfter(Ahead) > punctualStart(Work)) {
+      auto Least = Kept.begin();
       bool Itself = Least->Work == &Work;
       bool GivesWay = !Least->Work->HoldsLink &&
                       (Itself ? StartAfter(Ahead) > Work.Deadline
@@ -95,10 +107,9 @@
       if (!Itself)
         Ahead -= Least->Seconds;
       Kept.erase(Least);
-      if (Itself)
-        break;
+      Remains = !Itself;
     }
-    if (!Kept.empty() && Kept.back().Work == &Work)
+    if (Remains)
       Ahead += Newest.Seconds;
   }
   return Hopeless;
