Bound trials and unanswered statements of a target estimate

With reads least-wait a target whose owner ended kept the count of statements without a reply: only a report resets it, and no read went there to get one. The count now ends a second after the last statement. After an ejection a target got all reads of a VM until the first of them had failed; the first statement is now the trial, and others avoid the target until its outcome is known, or for a second. Counting replies per statement was ruled out: it needs an entry for each.

StatementsWithoutReplyAreForgottenAfterASecond and AnEjectedTargetGetsOneTrialAtATime failed before and pass; AnotherTrialFollowsOneWithoutReply guards the new rule.

--- a/include/bergamotstage/balancing/TargetEstimate.h
+++ b/include/bergamotstage/balancing/TargetEstimate.h
@@ -20,8 +20,9 @@
   /// @brief Replaces the report of the target's owner.
   void recordReport(const pooling::TargetLoad &Load, Instant Now);
 
-  /// @brief Counts a statement that this VM sends to the target.
-  void recordSent() { ++m_SentSinceReport; }
+  /// @brief Counts a statement that this VM sends to the target. The first one
+  /// after an ejection is the trial.
+  void recordSent(Instant Now);
 
   /// @brief Counts the outcome of a statement of this VM.
   /// @param Failed the target ran it and failed, or did not answer
@@ -41,9 +42,11 @@
   pooling::TargetLoad m_Report;
   Instant m_ReportedAt{};
   unsigned m_SentSinceReport = 0;
+  Instant m_LastSentAt{};
   double m_FailureRate = 0; ///< Moving average of this VM, from 0 to 1.
   Duration m_Backoff{};     ///< Of the last ejection.
   Instant m_EjectedUntil{};
+  bool m_OnTrial = false; ///< The outcome of a trial is not known yet.
 };
 
 } // namespace bergamotstage::balancing
--- a/include/bergamotstage/balancing/TargetSelector.h
+++ b/include/bergamotstage/balancing/TargetSelector.h
@@ -67,7 +67,7 @@
   void recordLoad(const TargetId &Target, const pooling::TargetLoad &Load);
   /// @brief Counts a statement that this VM sends to a target.
   void recordSent(const TargetId &Target) {
-    m_States[Target].Estimate.recordSent();
+    m_States[Target].Estimate.recordSent(m_Context.now());
   }
   /// @brief Records whether a target failed a statement of this VM.
   void recordOutcome(const TargetId &Target, bool Failed);
--- a/src/balancing/TargetEstimate.cpp
+++ b/src/balancing/TargetEstimate.cpp
@@ -1,6 +1,7 @@
 #include "bergamotstage/balancing/TargetEstimate.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bergamotstage::balancing {
 namespace {
@@ -11,6 +12,9 @@
 constexpr Duration DefaultService = milliseconds(15);
 /// A queue of a target is served, or has grown, within this time.
 constexpr Duration WaitLifetime = seconds(1);
+/// Statements without a reply are lost or answered by then; without replies no
+/// report resets their count.
+constexpr Duration SentLifetime = seconds(1);
 /// Afterwards a read tries a slow target again.
 constexpr Duration ServiceLifetime = seconds(3);
 /// Range of the factor by which VMs read the same report differently.
@@ -38,15 +42,31 @@
   m_SentSinceReport = 0;
 }
 
+void TargetEstimate::recordSent(Instant Now) {
+  if (Now - m_LastSentAt >= SentLifetime)
+    m_SentSinceReport = 0;
+  ++m_SentSinceReport;
+  m_LastSentAt = Now;
+  bool StartsTrial = m_Backoff > Duration(0) && !isEjected(Now);
+  if (!StartsTrial)
+    return;
+  m_OnTrial = true;
+  m_EjectedUntil = Now + MinEjection;
+}
+
 void TargetEstimate::recordOutcome(bool Failed, Instant Now) {
   m_FailureRate += FailureWeight * ((Failed ? 1 : 0) - m_FailureRate);
+  bool WasTrial = std::exchange(m_OnTrial, false);
   if (!Failed) {
     // The average still remembers the failures that caused the ejection.
     if (m_FailureRate < EjectionFailureRate)
       m_Backoff = Duration(0);
+    if (WasTrial)
+      m_EjectedUntil = Instant();
     return;
   }
-  if (m_FailureRate < EjectionFailureRate || isEjected(Now))
+  bool Continues = isEjected(Now) && !WasTrial;
+  if (m_FailureRate < EjectionFailureRate || Continues)
     return;
   m_Backoff = std::clamp(m_Backoff * 2, MinEjection, MaxEjection);
   m_EjectedUntil = Now + m_Backoff;
@@ -61,8 +81,8 @@
     Service = m_Report.Service;
   Duration Wait = Reported ? scaled(m_Report.Wait, freshness(Age, WaitLifetime))
                            : Duration(0);
-  Wait += scaled(Service,
-                 static_cast<double>(m_SentSinceReport) / std::max(1U, Slots));
+  unsigned Sent = Now - m_LastSentAt < SentLifetime ? m_SentSinceReport : 0;
+  Wait += scaled(Service, static_cast<double>(Sent) / std::max(1U, Slots));
   std::uniform_real_distribution<double> Spread(MinSpread, MaxSpread);
   std::uniform_real_distribution<double> Tie(0, 1);
   return Service + scaled(Wait, Spread(Random)) + scaled(TieBreak, Tie(Random));
--- a/test/unit-balancing.cpp
+++ b/test/unit-balancing.cpp
@@ -105,7 +105,7 @@
         Best = Index;
       }
     }
-    m_Known[Vm][Best].Estimate.recordSent();
+    m_Known[Vm][Best].Estimate.recordSent(at(m_NowMs));
     m_Targets[Best].Queue.emplace_back(Vm, ServiceMs);
   }
 
@@ -145,7 +145,7 @@
   TargetEstimate Target;
   Target.recordReport(load(0, 10), at(0));
   for (int Count = 0; Count < 40; ++Count)
-    Target.recordSent();
+    Target.recordSent(at(0));
   CHECK_TRUE(Target.expectedTime(4, at(1), Random) > milliseconds(50));
 }
 
@@ -177,3 +177,43 @@
   CHECK_TRUE(Herd(false).run(960) > LongestInTime);
   CHECK_TRUE(Herd(true).run(960) <= LongestInTime);
 }
+
+// Guards against a target that gets no reads any more, because what was sent to
+// it got no reply: its owner ended and no report resets the count.
+TEST(TargetEstimate, StatementsWithoutReplyAreForgottenAfterASecond) {
+  std::mt19937_64 Random{1};
+  TargetEstimate Target;
+  for (int Count = 0; Count < 40; ++Count)
+    Target.recordSent(at(0));
+  CHECK_TRUE(Target.expectedTime(4, at(10), Random) > milliseconds(60));
+  CHECK_TRUE(Target.expectedTime(4, at(1100), Random) < milliseconds(20));
+  Target.recordSent(at(1100));
+  CHECK_TRUE(Target.expectedTime(4, at(1100), Random) < milliseconds(30));
+}
+
+// Guards against a failing target that gets all reads of a VM after its
+// ejection, until the first of them has failed.
+TEST(TargetEstimate, AnEjectedTargetGetsOneTrialAtATime) {
+  TargetEstimate Target;
+  for (int Count = 0; Count < 3; ++Count)
+    Target.recordOutcome(true, at(0));
+  CHECK_TRUE(Target.isEjected(at(900)));
+  CHECK_FALSE(Target.isEjected(at(1100)));
+  Target.recordSent(at(1100));
+  CHECK_TRUE(Target.isEjected(at(1101)));
+  Target.recordOutcome(true, at(1200));
+  CHECK_TRUE(Target.isEjected(at(3100)));
+  CHECK_FALSE(Target.isEjected(at(3300)));
+  Target.recordSent(at(3300));
+  Target.recordOutcome(false, at(3310));
+  CHECK_FALSE(Target.isEjected(at(3311)));
+}
+
+// Guards against a target that stays ejected because its trial got no reply.
+TEST(TargetEstimate, AnotherTrialFollowsOneWithoutReply) {
+  TargetEstimate Target;
+  for (int Count = 0; Count < 3; ++Count)
+    Target.recordOutcome(true, at(0));
+  Target.recordSent(at(1100));
+  CHECK_FALSE(Target.isEjected(at(2200)));
+}
