Predict starts without statements that wait for a link

An account whose idle transactions hold all links that it may have gets no other link. Its waiting statements still counted as work before the others, so that a target with free slots refused less urgent statements of other accounts as too late: 50 reads of one account, with two idle transactions and four links, caused it. They are now left out of the prediction, and refused at their deadline as before. Refusing them at once was ruled out: a transaction may end in time.

StatementsThatWaitForALinkDelayNoOtherAccount failed before and passes.

--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -160,6 +160,7 @@
   sortedWaiting(std::vector<QueueEntry *> &Entries);
   std::optional<NotRunReason>
   admissionFault(const OperationRequest &Request) const;
+  void removeBlocked(std::vector<admission::WaitingWork> &Waiting);
   void refuseHopeless();
   void chargeSlotTime(QueueEntry &Next);
   void recordSlotTime(const QueueEntry &Ended, Duration Held, bool WasBusy);
--- a/src/pooling/TargetPoolQueue.cpp
+++ b/src/pooling/TargetPoolQueue.cpp
@@ -102,12 +102,29 @@
   return Soonest.value_or(MinRemainingTime);
 }
 
+/// @brief Removes statements that wait for a link, because transactions of
+/// their account hold all that it may have: they delay no others.
+void TargetPool::removeBlocked(std::vector<admission::WaitingWork> &Waiting) {
+  std::map<AccountId, unsigned> Transactions;
+  for (const auto &[Id, Operation] : m_Operations)
+    if (Operation.AssignedLink && isTransaction(Operation.Request.Mode))
+      ++Transactions[Operation.Request.Account];
+  Waiting.erase(std::remove_if(Waiting.begin(), Waiting.end(),
+                               [&](const admission::WaitingWork &Work) {
+                                 return !Work.HoldsLink &&
+                                        Transactions[Work.Account] >=
+                                            accountLinkLimit();
+                               }),
+                Waiting.end());
+}
+
 /// @brief Refuses the waiting operations that cannot start in time.
 void TargetPool::refuseHopeless() {
   if (!usesUrgency())
     return;
   std::vector<QueueEntry *> Entries;
   std::vector<admission::WaitingWork> Sorted = sortedWaiting(Entries);
+  removeBlocked(Sorted);
   if (Sorted.empty())
     return;
   std::vector<std::pair<OperationId, Duration>> Refused;
--- a/test/unit-pool-urgency.cpp
+++ b/test/unit-pool-urgency.cpp
@@ -169,6 +169,30 @@
   DOUBLES_EQUAL(0.02, Estimates.begin()->second.Seconds, 0.002);
 }
 
+// Guards against an idle target that refuses the statements of one account,
+// because more urgent ones wait for a link of another account, whose idle
+// transactions hold all that it may have.
+TEST(PoolUrgency, StatementsThatWaitForALinkDelayNoOtherAccount) {
+  UrgencyBench Bench(2, 4);
+  for (std::uint64_t Number = 1; Number <= 2; ++Number) {
+    Bench.start(Number, Access::PrimaryTransaction, statement(Verb::Read));
+    Bench.advance(milliseconds(50));
+    Bench.open();
+    LinkId Link = Bench.Links.rbegin()->first;
+    Bench.answer(Link, SessionState::InTransaction);
+    Bench.advance(milliseconds(20));
+    Bench.answer(Link, SessionState::InTransaction);
+  }
+  for (std::uint64_t Number = 10; Number < 60; ++Number)
+    Bench.start(Number, Access::Replica, statement(Verb::Read));
+  Bench.start(100, Access::Replica, statement(Verb::Read), milliseconds(300), 1,
+              "desk");
+  Bench.advance(milliseconds(12));
+  CHECK_TRUE(Bench.Replies[100].empty());
+  Bench.open();
+  LONGS_EQUAL(1, Bench.inFlight());
+}
+
 // Guards against an operation without a reply or with two, slots that are not
 // returned, and refusals of statements that were sent, with random replies,
 // aborts, lost links and transactions.
