--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -160,9 +160,10 @@
   sortedWaiting(std::vector<QueueEntry *> &Entries);
   std::optional<NotRunReason>
   admissionFault(const OperationRequest &Request) const;
+  void removeBlocked(std::vector<admission::WaitingWork> &Waiting);
   void refuseHopeless();
   void chargeSlotTime(QueueEntry &Next);
-  void recordSlotTime(const QueueEntry &Ended, Duration Held);
+  void recordSlotTime(const QueueEntry &Ended, Duration Held, bool WasBusy);
   Duration timeUntilSlot() const;
   bool usesUrgency() const {
     return m_Limits.Order == admission::QueueOrder::Urgency;
--- a/include/bergamotstage/ratelimit/RateShare.h
+++ b/include/bergamotstage/ratelimit/RateShare.h
@@ -53,8 +53,9 @@
   /// if this VM was frozen and runs again later
   void setPlan(std::shared_ptr<const RatePlan> Plan,
                const std::set<RatePlan::Slot> &Usable, Instant LeaseEnd);
-  /// @brief Sets how this VM obtains tokens; it always lends.
-  void setSharing(RateSharing Sharing) { m_Sharing = Sharing; }
+  /// @brief Sets how this VM obtains tokens; it always lends. What waits is
+  /// decided under the new rule.
+  void setSharing(RateSharing Sharing);
   /// @brief Number of slots that this VM may spend.
   std::size_t slotCount() const { return m_Usable.size(); }
 
@@ -96,6 +97,8 @@
   };
   struct Lender {
     Instant NotBefore{}; ///< Backoff after it had no tokens.
+    /// Most urgent priority that it had no tokens for; others may be asked for.
+    unsigned RefusedPriority = 0;
     std::uint64_t LeftMilliTokens = 0;
   };
   struct AccountState {
@@ -108,7 +111,10 @@
     std::map<VmId, Lender> Lenders;
     std::optional<VmId> PendingLender;
     Instant RequestedAt{};
+    Instant LostAt{}; ///< Without an answer, the request is lost from then on.
     unsigned RequestedPriority = 0; ///< Most urgent one of the last request.
+    /// Requests that may still be answered, by number, and when they were sent.
+    std::map<std::uint64_t, Instant> OpenRequests;
     DemandMeter Demand;
     std::optional<TimerId> WakeTimer;
 
@@ -128,11 +134,15 @@
   TokenCount available(AccountState &State);
   bool consumeToken(AccountState &State, unsigned Priority);
   void requestLoan(const AccountId &Id, AccountState &State);
-  std::optional<VmId> chooseLender(const AccountState &State) const;
+  std::optional<VmId> chooseLender(const AccountState &State,
+                                   unsigned Priority) const;
   void admitPending(const AccountId &Id);
   Duration retryAfter(AccountState &State);
   void lend(const VmId &To, AccountState &State,
             const pooling::TokenRequest &Request);
+  bool closeRequest(AccountState &State, std::uint64_t Number);
+  void sendRequest(AccountState &State, const VmId &To,
+                   pooling::TokenRequest Request);
   void finish(PendingAdmission Ended, const AccountId &Id,
               const Decision &Result);
 
@@ -153,11 +163,12 @@
   waitingOperations(const AccountState &State) const;
   void queueLoan(const VmId &From, AccountState &State,
                  const pooling::TokenRequest &Request);
-  void grantLoan(const AccountId &Id, AccountState &State, const VmId &To,
-                 std::uint64_t MilliTokens);
+  void grantLoan(const AccountId &Id, AccountState &State,
+                 const LoanQueue::Finished &To, std::uint64_t MilliTokens);
   void onGrantByPriority(const VmId &From, AccountState &State,
                          const pooling::TokenGrant &Grant);
   TokenCount reservedAbove(AccountState &State, unsigned Priority);
+  static TokenCount tokenUnit(const AccountState &State);
   std::vector<PriorityShare> currentShares(const AccountId &Id,
                                            AccountState &State);
   double spendableRate(AccountState &State);
@@ -172,6 +183,7 @@
   Instant m_LeaseEnd{};
   RateSharing m_Sharing = RateSharing::Loans;
   bool m_Started = false; ///< Slots were assigned before.
+  std::uint64_t m_LastRequest = 0;
   std::map<AccountId, AccountState> m_Accounts;
   std::map<std::pair<AccountId, unsigned>, Counts> m_Counts;
 };
--- a/src/ratelimit/RatePriority.cpp
+++ b/src/ratelimit/RatePriority.cpp
@@ -43,6 +43,9 @@
 constexpr double ReservedSeconds = 0.1;
 constexpr double MinReserved = 1;
 constexpr double MaxReservedPart = 0.5;
+/// A bucket for fewer tokens than this lends parts of a token: borrowers add
+/// up what several holders of a small account give.
+constexpr std::int64_t SmallBucketParts = 4;
 /// Tokens that have been saved up are spent over this time.
 constexpr double BurstSeconds = 1;
 /// Below this demand, in operations per second, tokens are not prefetched, and
@@ -76,12 +79,21 @@
       Above += Rate;
   if (Above <= 0)
     return {};
-  TokenCount Wanted =
-      tokens(MinReserved + Above * State.OwnShare * ReservedSeconds);
-  TokenCount Most{static_cast<std::int64_t>(
-      static_cast<double>(State.Bucket.contract().Burst.Pico) *
-      MaxReservedPart)};
-  return std::min(Wanted, Most);
+  TokenCount Wanted = tokens((State.OverRate ? MinReserved : 0) +
+                             Above * State.OwnShare * ReservedSeconds);
+  TokenCount Burst = State.Bucket.contract().Burst;
+  TokenCount Most{static_cast<std::int64_t>(static_cast<double>(Burst.Pico) *
+                                            MaxReservedPart)};
+  // A full bucket serves any operation.
+  return std::max(TokenCount{},
+                  std::min({Wanted, Most, Burst - std::min(Burst, OneToken)}));
+}
+
+/// @brief Least amount that this VM lends: one token, or a part of it if the
+/// account is so small that its bucket holds only a few.
+TokenCount RateShare::tokenUnit(const AccountState &State) {
+  return std::min(OneToken, TokenCount{State.Bucket.contract().Burst.Pico /
+                                       SmallBucketParts});
 }
 
 /// @brief Tokens per second of the account that holders within reach can give,
@@ -129,8 +141,10 @@
       PriorityShare::All;
   Duration Base = Part > 0 ? scaled(seconds(1), std::min(10.0, 1 / Part - 1))
                            : MaxRetryAfter;
-  Base = std::clamp(std::max(Base, timeUntilToken(State)), MinRetryAfter,
-                    MaxRetryAfter);
+  // A VM without slots never earns a token itself.
+  Duration Earliest =
+      isHolder(State) ? timeUntilToken(State) : retryAfter(State);
+  Base = std::clamp(std::max(Base, Earliest), MinRetryAfter, MaxRetryAfter);
   std::uniform_real_distribution<double> Spread(1 - RetryJitter,
                                                 1 + RetryJitter);
   return scaled(Base, Spread(m_Context.random()));
@@ -228,27 +242,30 @@
     LoanQueue::Entry Next = State.Loans.front();
     TokenCount Reserve = reservedAbove(State, Next.Priority);
     TokenCount Own = ownTokens(State);
-    if (Own < OneToken + Reserve)
+    if (Own < tokenUnit(State) + Reserve || Own == TokenCount{})
       return;
     std::uint64_t Whole = toMilli(Own - Reserve) / toMilli(OneToken);
-    grantLoan(Id, State, Next.From,
-              std::min(Whole, Next.Count) * toMilli(OneToken));
+    grantLoan(Id, State, {Next.From, Next.Request},
+              Whole == 0 ? toMilli(Own - Reserve)
+                         : std::min(Whole, Next.Count) * toMilli(OneToken));
   }
 }
 
 /// @brief Answers the request of a VM; its other operations ask again.
 void RateShare::grantLoan(const AccountId &Id, AccountState &State,
-                          const VmId &To, std::uint64_t MilliTokens) {
-  State.Loans.erase(To);
+                          const LoanQueue::Finished &To,
+                          std::uint64_t MilliTokens) {
+  State.Loans.erase(To.From);
   State.Bucket.tryTake(fromMilli(MilliTokens), m_Context.now());
   TokenGrant Grant;
   Grant.Account = Id;
+  Grant.Number = To.Request;
   Grant.MilliTokens = MilliTokens;
   Grant.LeftMilliTokens = State.Loans.empty() && State.Pending.empty()
                               ? toMilli(ownTokens(State))
                               : 0;
   Grant.Shares = currentShares(Id, State);
-  m_Send(To, std::move(Grant));
+  m_Send(To.From, std::move(Grant));
 }
 
 /// @brief Refuses requests whose turn cannot come in time.
@@ -257,19 +274,19 @@
     return;
   Instant Now = m_Context.now();
   TokenCount Ahead{};
-  std::vector<VmId> Refused =
+  std::vector<LoanQueue::Finished> Refused =
       State.Loans.eraseIf([&](const LoanQueue::Entry &Next) {
         TokenCount Needed =
-            Ahead + OneToken + reservedAbove(State, Next.Priority);
+            Ahead + tokenUnit(State) + reservedAbove(State, Next.Priority);
         bool Hopeless =
-            Next.Deadline <= Now || Now >= m_LeaseEnd ||
+            Next.Deadline <= Now || Now >= m_LeaseEnd || !isHolder(State) ||
             Next.Deadline < Now + State.Bucket.timeUntil(Needed, Now);
         if (!Hopeless)
           Ahead = Ahead + fromMilli(Next.Count * toMilli(OneToken));
         return Hopeless;
       });
-  for (const VmId &Vm : Refused)
-    grantLoan(Id, State, Vm, 0);
+  for (const LoanQueue::Finished &Each : Refused)
+    grantLoan(Id, State, Each, 0);
 }
 
 void RateShare::refuseExpired(const AccountId &Id, AccountState &State) {
@@ -312,11 +329,12 @@
   if (!State.Loans.empty())
     Priority = std::min(Priority, State.Loans.front().Priority);
   if (isHolder(State) && Now < m_LeaseEnd)
-    Next = std::min(Next,
-                    Now + State.Bucket.timeUntil(
-                              OneToken + reservedAbove(State, Priority), Now));
-  if (State.PendingLender)
-    Next = std::min(Next, State.RequestedAt + MaxTokenWait + AnswerTimeout);
+    Next = std::min(
+        Next,
+        Now + State.Bucket.timeUntil(
+                  tokenUnit(State) + reservedAbove(State, Priority), Now));
+  if (State.PendingLender && !State.Pending.empty())
+    Next = std::min(Next, State.LostAt);
   Next = std::max(Next, Now + milliseconds(1));
   State.WakeTimer = m_Context.timers().schedule(Next, [this, Id] {
     m_Accounts.at(Id).WakeTimer.reset();
@@ -344,10 +362,9 @@
 /// operation updates it.
 void RateShare::requestByPriority(const AccountId &Id, AccountState &State) {
   Instant Now = m_Context.now();
-  bool Lost = State.PendingLender &&
-              State.RequestedAt + MaxTokenWait + AnswerTimeout <= Now;
+  bool Lost = State.PendingLender && State.LostAt <= Now;
   if (Lost) {
-    State.Lenders[*State.PendingLender] = {Now + AnswerTimeout, 0};
+    State.Lenders[*State.PendingLender] = {Now + AnswerTimeout, 0, 0};
     State.PendingLender.reset();
   }
   std::vector<WaitingOperations> Waiting = waitingOperations(State);
@@ -364,18 +381,23 @@
                     available(State) < tokens(Demand * PrefetchSeconds / 2);
   if (Waiting.empty() && !Prefetches)
     return;
+  unsigned Priority = Waiting.empty() ? ~0U : Waiting.front().Priority;
   std::optional<VmId> Lender =
-      State.PendingLender ? State.PendingLender : chooseLender(State);
+      State.PendingLender ? State.PendingLender : chooseLender(State, Priority);
   if (!Lender)
     return;
   double Needed = static_cast<double>(State.Pending.size()) +
                   (Prefetches ? Demand * PrefetchSeconds : 0);
   State.PendingLender = Lender;
   State.RequestedAt = Now;
-  State.RequestedPriority = Waiting.empty() ? ~0U : Waiting.front().Priority;
-  m_Send(*Lender,
-         TokenRequest{Id, static_cast<std::uint64_t>(Needed * MilliPerToken),
-                      State.Demand.rates(Now), std::move(Waiting)});
+  State.LostAt = Now + AnswerTimeout;
+  for (const WaitingOperations &Group : Waiting)
+    State.LostAt = std::max(State.LostAt, Now + Group.MaxWait + AnswerTimeout);
+  State.RequestedPriority = Priority;
+  sendRequest(State, *Lender,
+              TokenRequest{Id,
+                           static_cast<std::uint64_t>(Needed * MilliPerToken),
+                           State.Demand.rates(Now), std::move(Waiting)});
 }
 
 /// @brief Queues the request of another VM, or answers one for tokens in
@@ -383,7 +405,7 @@
 void RateShare::queueLoan(const VmId &From, AccountState &State,
                           const TokenRequest &Request) {
   State.Fleet.report(From, Request.Demand, m_Context.now());
-  State.Loans.replace(From, Request.Waiting, m_Context.now());
+  State.Loans.replace(From, Request.Waiting, m_Context.now(), Request.Number);
   std::uint64_t Waiting = 0;
   for (const WaitingOperations &Group : Request.Waiting)
     Waiting += Group.Count * toMilli(OneToken);
@@ -402,7 +424,7 @@
   std::uint64_t Granted = std::min(Request.MilliTokens, Spare);
   bool CoversWaiting = Granted >= Waiting;
   if (OnlyInAdvance || CoversWaiting)
-    grantLoan(Request.Account, State, From, Granted);
+    grantLoan(Request.Account, State, {From, Request.Number}, Granted);
 }
 
 void RateShare::onGrantByPriority(const VmId &From, AccountState &State,
@@ -411,7 +433,12 @@
   State.Filter.update(Grant.Shares, Now);
   if (Grant.MilliTokens >= toMilli(OneToken))
     return;
-  State.Lenders[From].NotBefore = Now + RefusedLenderBackoff;
+  Lender &Entry = State.Lenders[From];
+  Entry.NotBefore = Now + RefusedLenderBackoff;
+  Entry.RefusedPriority = State.RequestedPriority;
+  // Holders of a small account give what they have; parts add up to a token.
+  if (Grant.MilliTokens > 0)
+    return;
   for (PendingAdmission &Waiting : State.Pending)
     if (Waiting.Since <= State.RequestedAt)
       ++Waiting.RefusedRequests;
--- a/src/ratelimit/RateShare.cpp
+++ b/src/ratelimit/RateShare.cpp
@@ -29,6 +29,9 @@
 /// Borrowed tokens serve current demand. Kept longer, they would increase the
 /// burst of the whole fleet.
 constexpr Duration BorrowedLifetime = seconds(1);
+/// Later grants are dropped: the lender's bucket has earned the tokens again,
+/// so that they would add to its burst.
+constexpr Duration MaxGrantDelay = seconds(1);
 /// Seconds of demand that a lender reserves and that a borrower requests.
 constexpr double ReservedDemandSeconds = 0.15;
 constexpr double BorrowedDemandSeconds = 0.3;
@@ -80,6 +83,26 @@
     creditStartup(State);
 }
 
+void RateShare::setSharing(RateSharing Sharing) {
+  if (m_Sharing == Sharing)
+    return;
+  m_Sharing = Sharing;
+  for (auto &[Id, State] : m_Accounts) {
+    std::stable_sort(
+        State.Pending.begin(), State.Pending.end(),
+        [Sharing](const PendingAdmission &Left, const PendingAdmission &Right) {
+          return Sharing == RateSharing::Priority
+                     ? Left.Need.Priority < Right.Need.Priority
+                     : Left.Deadline < Right.Deadline;
+        });
+    for (const LoanQueue::Finished &Refused :
+         State.Loans.eraseIf([](const LoanQueue::Entry &) { return true; }))
+      grantLoan(Id, State, Refused, 0);
+    if (!State.Pending.empty() || State.WakeTimer)
+      admitPending(Id);
+  }
+}
+
 /// @brief Credits the tokens earned while the process was down.
 void RateShare::creditStartup(AccountState &State) {
   double Share = m_Plan->share(State.Contract.Id, m_Usable);
@@ -203,7 +226,9 @@
   return std::max(MinRetryAfter, Soonest);
 }
 
-std::optional<VmId> RateShare::chooseLender(const AccountState &State) const {
+/// @param Priority most urgent one that the tokens are for
+std::optional<VmId> RateShare::chooseLender(const AccountState &State,
+                                            unsigned Priority) const {
   std::vector<VmId> Candidates;
   std::optional<VmId> Richest;
   std::uint64_t Most = 0;
@@ -218,7 +243,9 @@
       Candidates.push_back(Peer);
       continue;
     }
-    if (Entry->second.NotBefore > m_Context.now())
+    bool InBackoff = Entry->second.NotBefore > m_Context.now() &&
+                     Priority >= Entry->second.RefusedPriority;
+    if (InBackoff)
       continue;
     Candidates.push_back(Peer);
     if (Entry->second.LeftMilliTokens > Most) {
@@ -235,16 +262,14 @@
 }
 
 void RateShare::requestLoan(const AccountId &Id, AccountState &State) {
-  bool RequestPending =
-      State.PendingLender &&
-      State.RequestedAt + LoanRequestTimeout > m_Context.now();
+  bool RequestPending = State.PendingLender && State.LostAt > m_Context.now();
   if (RequestPending)
     return;
   if (State.PendingLender)
     State.Lenders[*State.PendingLender] = {m_Context.now() + EmptyLenderBackoff,
-                                           0};
+                                           0, 0};
   State.PendingLender.reset();
-  auto Lender = chooseLender(State);
+  auto Lender = chooseLender(State, 0);
   if (!Lender)
     return;
   double Demand = State.Demand.total(m_Context.now());
@@ -253,9 +278,32 @@
   double Needed = static_cast<double>(State.Pending.size()) + Prefetch;
   State.PendingLender = Lender;
   State.RequestedAt = m_Context.now();
-  m_Send(*Lender,
-         TokenRequest{
-             Id, static_cast<std::uint64_t>(Needed * MilliPerToken), {}, {}});
+  State.LostAt = State.RequestedAt + LoanRequestTimeout;
+  sendRequest(
+      State, *Lender,
+      TokenRequest{
+          Id, static_cast<std::uint64_t>(Needed * MilliPerToken), {}, {}});
+}
+
+void RateShare::sendRequest(AccountState &State, const VmId &To,
+                            TokenRequest Request) {
+  Instant Now = m_Context.now();
+  auto &Open = State.OpenRequests;
+  while (!Open.empty() && Open.begin()->second + MaxGrantDelay < Now)
+    Open.erase(Open.begin());
+  Request.Number = ++m_LastRequest;
+  Open[Request.Number] = Now;
+  m_Send(To, std::move(Request));
+}
+
+/// @brief Whether a request gets its first answer, in time.
+bool RateShare::closeRequest(AccountState &State, std::uint64_t Number) {
+  auto Found = State.OpenRequests.find(Number);
+  if (Found == State.OpenRequests.end())
+    return false;
+  Instant SentAt = Found->second;
+  State.OpenRequests.erase(Found);
+  return m_Context.now() - SentAt <= MaxGrantDelay;
 }
 
 void RateShare::admitPending(const AccountId &Id) {
@@ -302,6 +350,7 @@
                      const TokenRequest &Request) {
   TokenGrant Grant;
   Grant.Account = Request.Account;
+  Grant.Number = Request.Number;
   TokenCount Available = ownTokens(State);
   TokenCount Reserved =
       tokens(State.Demand.total(m_Context.now()) * ReservedDemandSeconds);
@@ -317,9 +366,9 @@
 void RateShare::onTokenMessage(const VmId &From, const TokenRequest &Request) {
   auto Found = m_Accounts.find(Request.Account);
   if (Found == m_Accounts.end())
-    return m_Send(From, TokenGrant{Request.Account, 0, 0, {}});
-  // Only a VM with RateSharing::Priority reports its demand.
-  if (Request.Demand.empty())
+    return m_Send(From, TokenGrant{Request.Account, 0, 0, {}, Request.Number});
+  // Only VMs with RateSharing::Priority report their demand and queue loans.
+  if (Request.Demand.empty() || m_Sharing != RateSharing::Priority)
     return lend(From, Found->second, Request);
   queueLoan(From, Found->second, Request);
   distribute(Request.Account);
@@ -330,6 +379,11 @@
   if (Found == m_Accounts.end())
     return;
   AccountState &State = Found->second;
+  if (!closeRequest(State, Grant.Number)) {
+    m_Context.log(WriteLog::Level::Debug, "token_grant_dropped",
+                  {{"account", Grant.Account.value()}, {"vm", From.value()}});
+    return;
+  }
   bool Expected = State.PendingLender == From;
   if (Expected)
     State.PendingLender.reset();
@@ -343,6 +397,7 @@
       onGrantByPriority(From, State, Grant);
   } else {
     bool Empty = Grant.LeftMilliTokens < toMilli(OneToken);
+    Entry.RefusedPriority = 0;
     Entry.NotBefore =
         m_Context.now() + (Empty ? EmptyLenderBackoff : Duration(0));
   }
