Soak evacuations, the new policies and an account over its rate

Cause: the soak with real processes covered neither evacuated data centres nor the policies urgency, priority and least-wait. Targets have one address per VM, so that EvacuationCheck knows who sent a statement; it reports what arrives later than evacuate_ms after the acknowledgement, or after the VM regained contact. Ruled out: comparing the usual routes by priority, because faults of a primary harm the urgent one most; leaving out killed VMs, because they send nothing while they are down and read the rows before they are ready.

--- a/soak/ProcessFleet.cpp
+++ b/soak/ProcessFleet.cpp
@@ -1,5 +1,7 @@
 #include "ProcessFleet.h"
 
+#include "PlatformText.h"
+
 #include "runtime/site/BootClock.h"
 
 #include <nlohmann/json.hpp>
@@ -7,6 +9,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <iterator>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
@@ -16,7 +19,6 @@
 
 using Json = nlohmann::json;
 using pooling::Statement;
-using pooling::Verb;
 
 constexpr Duration IdleTimeout = seconds(600);
 constexpr Duration ReapInterval = milliseconds(50);
@@ -27,6 +29,7 @@
 /// The configured grace period of 6 s and one second of scheduling delay.
 constexpr Duration StopTimeout = seconds(7);
 constexpr unsigned Slots = 3;
+constexpr Duration EvacuationBound = seconds(5);
 const char *const Zones[] = {"east", "west", "south"};
 
 /// Below the ephemeral range: an outgoing connection must not take the port of
@@ -54,77 +57,13 @@
   return "127.0.0.1:" + std::to_string(Port);
 }
 
-std::string encode(const Statement &Stmt) {
-  std::string Line = "QUERY " + Stmt.RequestId + " ";
-  switch (Stmt.Kind) {
-  case Verb::SetValue:
-    return Line + "SET " + Stmt.Name + " " + Stmt.Value + "\r\n";
-  case Verb::Prepare:
-    return Line + "PREPARE " + Stmt.Name +
-           (Stmt.Prepared.Writes ? " WRITE " : " READ ") + Stmt.Prepared.Text +
-           "\r\n";
-  case Verb::Execute:
-    return Line + "EXECUTE " + Stmt.Name + " " + Stmt.Arguments + "\r\n";
-  default:
-    return Line + Stmt.Text + "\r\n";
-  }
-}
-
-const char *routeTypeName(pooling::Consistency Reads) {
-  switch (Reads) {
-  case pooling::Consistency::Primary:
-    return "primary";
-  case pooling::Consistency::Bounded:
-    return "bounded";
-  case pooling::Consistency::ReadYourWrites:
-    break;
-  }
-  return "read_your_writes";
-}
-
-double inMilliseconds(Duration Span) { return toMilliseconds(Span); }
-
-Json configDocument(const pooling::SiteConfig &Config) {
-  Json Root = {{"version", Config.Version},
-               {"routes", Json::array()},
-               {"services", Json::array()},
-               {"tenants", Json::array()},
-               {"limits", {{"tx_idle_ms", 3000}}}};
-  for (const auto &[Database, Route] : Config.Routes)
-    Root["routes"].push_back(
-        {{"name", Route.Name.value()},
-         {"database", Database},
-         {"type", routeTypeName(Route.Reads)},
-         {"timeout_ms", inMilliseconds(Route.StatementTimeout)},
-         {"target_latency_ms", inMilliseconds(Route.LatencyTarget)},
-         {"priority", Route.Priority},
-         {"service", Route.Group.value()},
-         {"max_staleness_ms", inMilliseconds(Route.MaxStaleness)},
-         {"public", false}});
-  for (const auto &[Id, Group] : Config.Groups)
-    Root["services"].push_back({{"name", Id.value()},
-                                {"max_connections", Group.MaxLinks},
-                                {"sync_replicas", 0}});
-  for (const auto &[Id, Account] : Config.Accounts) {
-    Json Keys = Json::array();
-    for (const auto &[Key, Holder] : Config.Keys)
-      if (Holder == Id)
-        Keys.push_back(Key);
-    Root["tenants"].push_back({{"name", Id.value()},
-                               {"api_keys", Keys},
-                               {"rate_per_s", Account.Rate},
-                               {"burst", Account.Burst}});
-  }
-  return Root;
-}
-
 } // namespace
 
 ProcessFleet::ProcessFleet(const Settings &Options,
                            const pooling::SiteConfig &Config)
     : m_Settings(Options), m_Config(Config), m_Random(Options.Seed),
       m_Store(std::make_unique<StoreStandIn>(m_Io, Options.Vms, Options.Seed)),
-      m_Processes(Options.Vms) {
+      m_Processes(Options.Vms), m_Evacuations(EvacuationBound, Options.Vms) {
   for (unsigned Index = 0; Index < Options.Groups; ++Index) {
     DatabaseId Id("group-" + std::to_string(Index));
     std::vector<TargetId> Targets;
@@ -135,10 +74,15 @@
       Target &State = m_Targets[Name];
       State.Group = Index;
       State.StandIn = std::make_unique<TargetStandIn>(
-          m_Io, *m_Groups.back(), Name, m_LastLink, m_Random);
+          m_Io, *m_Groups.back(), Name, m_LastLink, m_Random, Options.Vms);
+      State.StandIn->onStatement(
+          [this, Name = Name](unsigned Vm, const Statement &Stmt) {
+            m_Evacuations.onStatement(Vm, Name, dataCentreOf(Name),
+                                      Stmt.RequestId, now());
+          });
       for (unsigned Vm = 0; Vm < Options.Vms; ++Vm)
         State.Proxies.push_back(
-            std::make_unique<FaultProxy>(m_Io, State.StandIn->address()));
+            std::make_unique<FaultProxy>(m_Io, State.StandIn->address(Vm)));
     }
   }
   m_Store->onView([this](unsigned Vm, const std::string &Key,
@@ -180,7 +124,7 @@
 }
 
 void ProcessFleet::start() {
-  m_Store->put("op", "config", configDocument(m_Config).dump());
+  m_Store->put("op", "config", configDocument(m_Config));
   for (const auto &[Name, State] : m_Targets)
     publish(Name);
   for (unsigned Vm = 0; Vm < m_Processes.size(); ++Vm) {
@@ -188,24 +132,39 @@
     State.CallerPort = freePort(m_Io);
     State.ProbePort = freePort(m_Io);
     State.PeerPort = freePort(m_Io);
-    std::string Name = "vm-" + std::to_string(Vm);
-    Json Settings = {{"node_name", Name},
-                     {"zone", Zones[Vm % 3]},
-                     {"ip", "127.0.0.1"},
-                     {"listen_addrs",
-                      {{"frontend", loopback(State.CallerPort)},
-                       {"ready", loopback(State.ProbePort)}}},
-                     {"internal_ports", {State.PeerPort, State.PeerPort}},
-                     {"platform", {{"address", m_Store->address(Vm)}}},
-                     {"cloud_api", {{"address", m_Store->address(Vm)}}},
-                     {"bounds", {{"grace_s", 6}}}};
-    std::ofstream(settingsFile(Vm)) << Settings.dump(2);
+    writeSettings(Vm);
     spawn(Vm);
   }
   after(ReapInterval, [this] { reap(); });
   after(ReplicationInterval, [this] { replicate(); });
 }
 
+void ProcessFleet::writeSettings(unsigned Vm) const {
+  const Process &State = m_Processes[Vm];
+  Json Settings = {
+      {"node_name", "vm-" + std::to_string(Vm)},
+      {"zone", Zones[Vm % 3]},
+      {"ip", "127.0.0.1"},
+      {"listen_addrs",
+       {{"frontend", loopback(State.CallerPort)},
+        {"ready", loopback(State.ProbePort)}}},
+      {"internal_ports", {State.PeerPort, State.PeerPort}},
+      {"platform", {{"address", m_Store->address(Vm)}}},
+      {"cloud_api", {{"address", m_Store->address(Vm)}}},
+      {"zones", Json::object()},
+      {"bounds",
+       {{"grace_s", 6}, {"evacuate_ms", toMilliseconds(EvacuationBound)}}}};
+  for (const char *Zone : Zones)
+    Settings["zones"][Zone] = "region";
+  std::ofstream(settingsFile(Vm)) << Settings.dump(2);
+  if (!m_Settings.Rules.empty())
+    std::ofstream(rulesFile(Vm)) << m_Settings.Rules.at(Vm);
+}
+
+std::string ProcessFleet::rulesFile(unsigned Vm) const {
+  return m_Settings.Folder + "/vm-" + std::to_string(Vm) + ".rules";
+}
+
 std::string ProcessFleet::settingsFile(unsigned Vm) const {
   return m_Settings.Folder + "/vm-" + std::to_string(Vm) + ".json";
 }
@@ -224,8 +183,10 @@
   int Out = open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(Out, STDOUT_FILENO);
   dup2(Out, STDERR_FILENO);
+  std::string Rules = rulesFile(Vm);
   execl(m_Settings.Program.c_str(), m_Settings.Program.c_str(), "site",
-        "--settings", File.c_str(), "--metrics-port", "0", nullptr);
+        "--settings", File.c_str(), "--metrics-port", "0",
+        m_Settings.Rules.empty() ? nullptr : "--rules", Rules.c_str(), nullptr);
   _exit(127);
 }
 
@@ -277,6 +238,7 @@
   if (Id == 0)
     return;
   signal(Vm, SIGSTOP);
+  m_Evacuations.loseContact(Vm, now() + Span);
   after(Span, [this, Vm, Id] {
     if (m_Processes[Vm].Id == Id)
       signal(Vm, SIGCONT);
@@ -336,6 +298,9 @@
 void ProcessFleet::setStoreFault(unsigned Vm, StoreStandIn::Mode Mode,
                                  Duration Span) {
   m_Store->setMode(Vm, Mode);
+  // With LoseReplies the rows can still be read.
+  if (Mode != StoreStandIn::Mode::LoseReplies)
+    m_Evacuations.loseContact(Vm, now() + Span);
   after(Span, [this, Vm] { m_Store->setMode(Vm, StoreStandIn::Mode::Up); });
 }
 
@@ -367,13 +332,39 @@
   });
 }
 
+void ProcessFleet::evacuate(const DataCentreId &DataCentre,
+                            const std::string &Body, Duration Span) {
+  if (m_Evacuations.isEvacuated(DataCentre))
+    return;
+  std::string Key = "evacuate/" + DataCentre.value();
+  m_Evacuations.begin(DataCentre, now());
+  m_Store->put("op", Key, Body);
+  after(Span, [this, DataCentre, Key] {
+    m_Evacuations.end(DataCentre);
+    m_Store->remove("op", Key);
+  });
+}
+
+std::vector<DataCentreId> ProcessFleet::dataCentres() {
+  return {std::begin(Zones), std::end(Zones)};
+}
+
+DataCentreId ProcessFleet::dataCentreOf(const TargetId &Name) const {
+  constexpr std::size_t Count = std::size(Zones);
+  std::size_t Index =
+      m_Settings.SpreadTargets
+          ? std::stoul(Name.value().substr(Name.value().find_last_of('-') + 1))
+          : std::hash<std::string>()(Name.value());
+  return DataCentreId(Zones[Index % Count]);
+}
+
 void ProcessFleet::publish(const TargetId &Name) {
   Target &State = m_Targets.at(Name);
   const standin::ModelGroup &Group = *m_Groups[State.Group];
   Json Entry = {
       {"service", Group.id().value()},
       {"address", ""},
-      {"zone", Zones[std::hash<std::string>()(Name.value()) % 3]},
+      {"zone", dataCentreOf(Name).value()},
       {"version", "v1"},
       {"capacity", Slots},
       {"state", State.Draining ? "draining" : "ready"},
@@ -448,7 +439,7 @@
 void ProcessFleet::send(const VmId &, CallerId Id, const Statement &Stmt) {
   auto Found = m_Callers.find(Id);
   if (Found != m_Callers.end())
-    Found->second.Stream->send(encode(Stmt));
+    Found->second.Stream->send(statementLine(Stmt));
 }
 
 void ProcessFleet::disconnect(const VmId &, CallerId Id) {
--- a/soak/ProcessFleet.h
+++ b/soak/ProcessFleet.h
@@ -1,6 +1,7 @@
 #ifndef BERGAMOTSTAGE_SOAK_PROCESSFLEET_H
 #define BERGAMOTSTAGE_SOAK_PROCESSFLEET_H
 
+#include "EvacuationCheck.h"
 #include "FaultProxy.h"
 #include "StoreStandIn.h"
 #include "TargetStandIn.h"
@@ -34,6 +35,9 @@
     std::uint64_t Seed = 1;
     unsigned Vms = 4;
     unsigned Groups = 2;
+    std::vector<std::string> Rules; ///< One file per VM, or empty.
+    /// Whether the targets of each group are in different data centres.
+    bool SpreadTargets = true;
   };
   using AnswerHook =
       std::function<void(const VmId &, CallerId, const pooling::CallerReply &)>;
@@ -75,6 +79,13 @@
   void loseReplies(const TargetId &Target, double Ratio, Duration Span);
   void drainTarget(const TargetId &Target, Duration Span);
   void setLag(Duration Lag) { m_Lag = Lag; }
+  /// @brief Evacuates a data centre, unless it is evacuated already.
+  /// @param Body value of the store's row; it has no meaning
+  void evacuate(const DataCentreId &DataCentre, const std::string &Body,
+                Duration Span);
+  static std::vector<DataCentreId> dataCentres();
+  DataCentreId dataCentreOf(const TargetId &Name) const;
+  const EvacuationCheck &evacuations() const { return m_Evacuations; }
 
   /// @brief Unexpected exits, shutdowns that exceeded the grace period, and
   /// malformed replies.
@@ -113,7 +124,9 @@
   bool promote(const std::string &Service, const std::string &Name);
   void onBytes(const VmId &Vm, CallerId Id, std::string_view Bytes);
   void deliver(const VmId &Vm, CallerId Id, pooling::LinkReply Parsed);
+  void writeSettings(unsigned Vm) const;
   std::string settingsFile(unsigned Vm) const;
+  std::string rulesFile(unsigned Vm) const;
   void signal(unsigned Vm, int Number);
 
   Settings m_Settings;
@@ -126,6 +139,7 @@
   std::vector<Process> m_Processes;
   std::map<CallerId, Caller> m_Callers;
   std::vector<std::string> m_Failures;
+  EvacuationCheck m_Evacuations;
   Duration m_Lag = milliseconds(10);
   std::uint64_t m_LastLink = 0;
   std::uint64_t m_LastCaller = 0;
--- a/soak/StoreStandIn.cpp
+++ b/soak/StoreStandIn.cpp
@@ -277,6 +277,11 @@
   completePolls(Table);
 }
 
+void StoreStandIn::remove(const std::string &Table, const std::string &Key) {
+  m_Tables[Table][Key] = {"", ++m_Version, true};
+  completePolls(Table);
+}
+
 void StoreStandIn::write(const std::shared_ptr<Connection> &Peer,
                          const Request &Call) {
   Json Body = Json::parse(Call.Body);
--- a/soak/StoreStandIn.h
+++ b/soak/StoreStandIn.h
@@ -36,6 +36,8 @@
   /// @brief Writes a row without a precondition.
   void put(const std::string &Table, const std::string &Key,
            const std::string &Value);
+  /// @brief Removes a row without a precondition.
+  void remove(const std::string &Table, const std::string &Key);
 
 private:
   struct Row {
--- a/soak/TargetStandIn.cpp
+++ b/soak/TargetStandIn.cpp
@@ -78,6 +78,14 @@
   return Request;
 }
 
+/// @brief Whether a request is a caller's read, write or commit.
+bool runsStatement(const LinkRequest &Request) {
+  Verb Kind = Request.Stmt.Kind;
+  return Request.Type == LinkRequest::Kind::CallerStatement &&
+         (Kind == Verb::Read || Kind == Verb::Write || Kind == Verb::Execute ||
+          Kind == Verb::Commit);
+}
+
 } // namespace
 
 std::optional<LinkRequest> parseTargetRequest(const std::string &Line) {
@@ -114,25 +122,30 @@
 
 TargetStandIn::TargetStandIn(asio::io_context &Io, standin::ModelGroup &Group,
                              TargetId Name, std::uint64_t &LastLink,
-                             std::mt19937_64 &Random)
+                             std::mt19937_64 &Random, unsigned Vms)
     : m_Io(Io), m_Group(Group), m_Name(std::move(Name)), m_LastLink(LastLink),
-      m_Random(Random),
-      m_Acceptor(Io,
-                 asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
-  accept();
+      m_Random(Random), m_OnStatement([](unsigned, const Statement &) {}) {
+  m_Acceptors.reserve(Vms);
+  for (unsigned Vm = 0; Vm < Vms; ++Vm) {
+    m_Acceptors.emplace_back(
+        Io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    accept(Vm);
+  }
 }
 
-std::string TargetStandIn::address() const {
-  return "127.0.0.1:" + std::to_string(m_Acceptor.local_endpoint().port());
+std::string TargetStandIn::address(unsigned Vm) const {
+  return "127.0.0.1:" +
+         std::to_string(m_Acceptors.at(Vm).local_endpoint().port());
 }
 
-void TargetStandIn::accept() {
-  m_Acceptor.async_accept(
-      [this](std::error_code Error, asio::ip::tcp::socket Socket) {
+void TargetStandIn::accept(unsigned Vm) {
+  m_Acceptors[Vm].async_accept(
+      [this, Vm](std::error_code Error, asio::ip::tcp::socket Socket) {
         if (Error == asio::error::operation_aborted)
           return;
         if (!Error) {
           auto Accepted = std::make_shared<Link>();
+          Accepted->Vm = Vm;
           runtime::ByteStream::Hooks Hooks;
           Hooks.Received = [this, Accepted](std::string_view Bytes) {
             Accepted->Lines.append(Bytes);
@@ -146,19 +159,21 @@
           Accepted->Stream = runtime::ByteStream::adopt(
               std::move(Socket), IdleTimeout, std::move(Hooks));
         }
-        accept();
+        accept(Vm);
       });
 }
 
 void TargetStandIn::onLine(const std::shared_ptr<Link> &Peer,
                            const std::string &Line) {
+  auto Request = parseTargetRequest(Line);
+  if (Request && runsStatement(*Request))
+    m_OnStatement(Peer->Vm, Request->Stmt);
   if (m_Unresponsive || Peer->Silent) {
     Peer->Silent = true;
     return;
   }
   if (Peer->Key == 0)
     return start(Peer, Line);
-  auto Request = parseTargetRequest(Line);
   if (!Request) {
     if (auto Stream = Peer->Stream.lock())
       Stream->close();
--- a/soak/TargetStandIn.h
+++ b/soak/TargetStandIn.h
@@ -6,10 +6,12 @@
 #include "standin/site/ModelGroup.h"
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace bergamotstage::soak {
 
@@ -19,11 +21,18 @@
 /// @brief A loopback target that speaks the line protocol.
 class TargetStandIn {
 public:
+  /// @brief Receives each read, write and commit that arrives, also while the
+  /// target is unresponsive.
+  using StatementHook =
+      std::function<void(unsigned Vm, const pooling::Statement &)>;
+
   /// @param LastLink the last link key; all targets count it up
+  /// @param Vms number of VMs; each has its own address, to tell who sends
   TargetStandIn(asio::io_context &Io, standin::ModelGroup &Group, TargetId Name,
-                std::uint64_t &LastLink, std::mt19937_64 &Random);
+                std::uint64_t &LastLink, std::mt19937_64 &Random, unsigned Vms);
 
-  std::string address() const;
+  void onStatement(StatementHook Hook) { m_OnStatement = std::move(Hook); }
+  std::string address(unsigned Vm) const;
   /// @brief Sets whether the target ignores everything it receives.
   void setUnresponsive(bool Unresponsive) { m_Unresponsive = Unresponsive; }
   bool isUnresponsive() const { return m_Unresponsive; }
@@ -33,6 +42,7 @@
 private:
   struct Link {
     std::weak_ptr<runtime::ByteStream> Stream; ///< Its hooks own the link.
+    unsigned Vm = 0;
     platform::LineSplitter Lines;
     std::uint64_t Key = 0;                  ///< 0 before START.
     std::deque<pooling::LinkRequest> Queue; ///< Run in sequence.
@@ -40,7 +50,7 @@
     bool Silent = false; ///< If set, requests and replies are dropped.
   };
 
-  void accept();
+  void accept(unsigned Vm);
   void onLine(const std::shared_ptr<Link> &Peer, const std::string &Line);
   void start(const std::shared_ptr<Link> &Peer, const std::string &Line);
   void runNext(const std::shared_ptr<Link> &Peer);
@@ -55,7 +65,8 @@
   TargetId m_Name;
   std::uint64_t &m_LastLink;
   std::mt19937_64 &m_Random;
-  asio::ip::tcp::acceptor m_Acceptor;
+  std::vector<asio::ip::tcp::acceptor> m_Acceptors; ///< One per VM.
+  StatementHook m_OnStatement;
   bool m_Unresponsive = false;
   double m_LostReplyRatio = 0;
 };
--- a/src/standin/site/PoolCallers.h
+++ b/src/standin/site/PoolCallers.h
@@ -2,10 +2,12 @@
 #define BERGAMOTSTAGE_STANDIN_SITE_POOLCALLERS_H
 
 #include "bergamotstage/pooling/Session.h"
-#include "bergamotstage/pooling/SiteConfig.h"
 #include "standin/site/ModelGroup.h"
+#include "standin/site/PoolConfig.h"
+#include "standin/site/RateContract.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -17,39 +19,6 @@
 using pooling::Statement;
 using pooling::Verb;
 
-/// @brief Returns a configuration with the routes "primary-N", "bounded-N" and
-/// "own-N" for each group N, and the key "key-M" for each account M.
-inline pooling::SiteConfig poolConfig(unsigned Groups, unsigned Accounts,
-                                      double Rate) {
-  pooling::SiteConfig Config;
-  Config.Version = 1;
-  for (unsigned Index = 0; Index < Groups; ++Index) {
-    std::string Number = std::to_string(Index);
-    DatabaseId Group("group-" + Number);
-    Config.Groups[Group] = {Group, 23, 0};
-    const std::pair<const char *, pooling::Consistency> Kinds[] = {
-        {"primary-", pooling::Consistency::Primary},
-        {"bounded-", pooling::Consistency::Bounded},
-        {"own-", pooling::Consistency::ReadYourWrites}};
-    for (const auto &[Name, Kind] : Kinds) {
-      pooling::RouteConfig Route;
-      Route.Name = RouteId(Name + Number);
-      Route.Group = Group;
-      Route.Reads = Kind;
-      Route.MaxStaleness = milliseconds(1500);
-      Route.StatementTimeout = milliseconds(800);
-      Route.LatencyTarget = milliseconds(250);
-      Config.Routes[Name + Number] = Route;
-    }
-  }
-  for (unsigned Index = 0; Index < Accounts; ++Index) {
-    AccountId Id("account-" + std::to_string(Index));
-    Config.Accounts[Id] = {Id, Rate, Rate};
-    Config.Keys["key-" + std::to_string(Index)] = Id;
-  }
-  return Config;
-}
-
 /// @brief Runs random operations of callers and checks the guarantees of the
 /// proxy against replies and executions at the targets.
 /// @tparam Fleet PoolFleet on virtual time, or a fleet of real processes
@@ -66,6 +35,8 @@
     unsigned Transactions = 0;
   };
 
+  using OperationHook = std::function<void(const std::string &, bool Served)>;
+
   PoolCallers(Fleet &Site, pooling::SiteConfig Config)
       : m_Fleet(Site), m_Config(std::move(Config)) {
     for (unsigned Index = 0; Index < Site.groups(); ++Index)
@@ -93,6 +64,16 @@
     connect(m_Callers.size() - 1);
   }
 
+  /// @brief Receives the route of each operation that begins or was served.
+  void onOperation(OperationHook Hook) { m_OnOperation = std::move(Hook); }
+
+  /// @brief Changes the pause between the operations of an account's callers.
+  void setPause(unsigned Account, Duration Pause) {
+    for (CallerState &Caller : m_Callers)
+      if (Caller.Account == Account)
+        Caller.Pause = Pause;
+  }
+
   /// @brief Starts no further operations.
   void stop() { m_Stopped = true; }
 
@@ -109,20 +90,7 @@
 
   /// @brief Returns the largest excess of an account over its rate limit in any
   /// 5 s, after a tolerance of 10 % and 20 operations.
-  double maxRateExcess() const {
-    double Max = 0;
-    for (const auto &[Account, Times] : m_OperationStarts) {
-      const auto &Contract = m_Config.Accounts.at(Account);
-      double Limit = (Contract.Rate * 5 + Contract.Burst) * 1.1 + 20;
-      std::size_t First = 0;
-      for (std::size_t Last = 0; Last < Times.size(); ++Last) {
-        while (Times[Last] - Times[First] > seconds(5))
-          ++First;
-        Max = std::max(Max, static_cast<double>(Last - First + 1) - Limit);
-      }
-    }
-    return Max;
-  }
+  double maxRateExcess() const { return m_Rates.maxExcess(m_Config); }
 
 private:
   struct CallerState {
@@ -215,6 +183,7 @@
 
   void planOperation(CallerState &Caller) {
     ++m_Counts.Operations;
+    m_OnOperation(Caller.Route, false);
     Caller.Writes.clear();
     unsigned Kind = draw(10);
     if (Kind == 0) {
@@ -325,6 +294,7 @@
     onSuccess(Caller, Reply);
     if (Caller.Plan.empty()) {
       ++m_Counts.Served;
+      m_OnOperation(Caller.Route, true);
       Caller.Transaction = 0;
     }
     if (Caller.Plan.empty() && Reply.State != pooling::SessionState::Idle)
@@ -428,7 +398,7 @@
     checkTransaction(Group, Executed, Expectation);
     if (Expectation.StartsOperation && !Expectation.CountedAgainstRate) {
       Expectation.CountedAgainstRate = true;
-      m_OperationStarts[Executed.Session->Account].push_back(m_Fleet.now());
+      m_Rates.add(Executed.Session->Account, m_Fleet.now());
     }
     for (const std::string &Write : Executed.CommittedWrites)
       onCommitted(Group, Executed, Write);
@@ -516,9 +486,10 @@
   std::map<std::string, std::pair<unsigned, std::size_t>> m_CommittedAt;
   std::set<std::string> m_NotCommitted;
   std::map<unsigned, std::vector<Acknowledged>> m_Acknowledged;
-  std::map<AccountId, std::vector<Instant>> m_OperationStarts;
+  RateContract m_Rates;
   std::vector<std::string> m_Violations;
   Counts m_Counts;
+  OperationHook m_OnOperation = [](const std::string &, bool) {};
   std::uint64_t m_LastRequest = 0;
   std::uint64_t m_LastTransaction = 0;
   bool m_Stopped = false;
