Mend lost rows of evacuations and statements sent after the bound

Cause, found while reviewing the code against load-control.md: - The feed may list rows by key. A row with a lower version than one before it in the same answer was taken for an older change and lost. - A refresh of the table reported its rows as changes. Ruled out: a version for each data centre, with which a set that lacks the earlier row would still reach the other VMs for a moment.

--- a/src/placement/Evacuations.cpp
+++ b/src/placement/Evacuations.cpp
@@ -21,6 +21,9 @@
 bool Evacuations::apply(const EvacuationList &List, Instant Now) {
   if (List.Version < m_Version)
     return false;
+  // A VM that starts does not know when the rows were written: the bound may
+  // have passed.
+  Instant Since = m_Version == 0 ? Now - m_Grace : Now;
   m_Version = List.Version;
   bool Changed = false;
   for (auto Known = m_Since.begin(); Known != m_Since.end();) {
@@ -29,7 +32,7 @@
     Known = Listed ? std::next(Known) : m_Since.erase(Known);
   }
   for (const DataCentreId &DataCentre : List.DataCentres)
-    Changed = m_Since.emplace(DataCentre, Now).second || Changed;
+    Changed = m_Since.emplace(DataCentre, Since).second || Changed;
   return Changed;
 }
 
--- a/src/pooling/TargetPool.cpp
+++ b/src/pooling/TargetPool.cpp
@@ -369,7 +369,7 @@
     return dropLink(Link.Id, true);
   QueueEntry &Operation = Found->second;
   bool Opened = !Reply.Error && Reply.State == SessionState::InTransaction;
-  if (Opened && !Operation.Aborted) {
+  if (Opened && !Operation.Aborted && !m_Evacuated) {
     Operation.TransactionOpen = true;
     return sendStatement(Operation, Link);
   }
@@ -378,6 +378,11 @@
   Link.ActiveOperation.reset();
   QueueEntry Ended = std::move(Operation);
   m_Operations.erase(Found);
+  if (Opened && m_Evacuated) {
+    dropLink(AssignedLink, true);
+    m_Hooks.Refused(NotRunReason::Leaving, Ended.Request.Priority);
+    return reply(Ended, makeNotRunResult(NotRunReason::Leaving));
+  }
   if (Opened)
     rollBack(Link);
   else if (Reply.State != SessionState::Idle)
--- a/src/runtime/site/TableFollower.cpp
+++ b/src/runtime/site/TableFollower.cpp
@@ -116,28 +116,53 @@
                      return onFailed(Parsed.error());
                    onAnswered();
                    m_Version = std::max(m_Version, Parsed->Version);
-                   for (const platform::ListedRow &Row : Parsed->Rows)
-                     m_Hooks.Changed(Row);
+                   reportChanges(std::move(Parsed->Rows));
                    startNextCall();
                  });
 }
 
+void TableFollower::reportChanges(std::vector<platform::ListedRow> Rows) {
+  // The store may list rows by key, but a change with a lower version than the
+  // previous one is taken for an older state.
+  std::stable_sort(Rows.begin(), Rows.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.Version < Right.Version;
+                   });
+  for (const platform::ListedRow &Row : Rows)
+    m_Hooks.Changed(Row);
+}
+
 void TableFollower::refresh() {
   if (m_Refreshing)
     return;
   m_Refreshing = true;
-  m_RefreshClient->call(platform::readTable(m_Table), AnswerTimeout,
-                        [this](unsigned Status, const std::string &Body) {
-                          m_Refreshing = false;
-                          if (Status != HttpOk)
-                            return m_Hooks.RefreshFailed(
-                                failureReason(Status, Body));
-                          auto Parsed = platform::parseRows(Body);
-                          if (!Parsed)
-                            return m_Hooks.RefreshFailed(Parsed.error());
-                          for (const platform::ListedRow &Row : Parsed->Rows)
-                            m_Hooks.Changed(Row);
-                        });
+  m_RefreshedRows = {};
+  refreshPages("");
+}
+
+void TableFollower::refreshPages(const std::string &AfterKey) {
+  auto Fail = [this](const std::string &Reason) {
+    m_Refreshing = false;
+    m_Hooks.RefreshFailed(Reason);
+  };
+  m_RefreshClient->call(
+      platform::readTable(m_Table, AfterKey), AnswerTimeout,
+      [this, AfterKey, Fail](unsigned Status, const std::string &Body) {
+        if (Status != HttpOk)
+          return Fail(failureReason(Status, Body));
+        auto Parsed = platform::parseRows(Body);
+        if (!Parsed)
+          return Fail(Parsed.error());
+        if (AfterKey.empty())
+          m_RefreshedRows.Version = Parsed->Version;
+        std::vector<platform::ListedRow> &All = m_RefreshedRows.Rows;
+        All.insert(All.end(), Parsed->Rows.begin(), Parsed->Rows.end());
+        if (Parsed->HasMore && !Parsed->Rows.empty())
+          return refreshPages(All.back().Key);
+        m_Refreshing = false;
+        // Only a whole list shows what was removed.
+        m_Hooks.Listed(All, m_RefreshedRows.Version);
+      });
 }
 
 } // namespace bergamotstage::runtime
--- a/src/runtime/site/TableFollower.h
+++ b/src/runtime/site/TableFollower.h
@@ -22,7 +22,7 @@
 class TableFollower {
 public:
   struct Hooks {
-    /// The whole table has been read, as of a version.
+    /// The whole table has been read, as of a version, also by refresh().
     std::function<void(const std::vector<platform::ListedRow> &,
                        std::uint64_t Version)>
         Listed;
@@ -44,14 +44,16 @@
   void start() { startNextCall(); }
   /// @brief Resumes following, or stops after the pending call.
   void setFollowing(const pooling::StoreReaders::Following &How);
-  /// @brief Reads the first page of the table at once, independently of
-  /// polling.
+  /// @brief Reads the table at once, independently of polling.
   void refresh();
 
 private:
   void startNextCall();
   void readPages(const std::string &AfterKey);
   void waitForChanges();
+  /// @brief Reports changed rows in the order of their versions.
+  void reportChanges(std::vector<platform::ListedRow> Rows);
+  void refreshPages(const std::string &AfterKey);
   void onFailed(const std::string &Reason);
   void onAnswered();
   void scheduleRetry(Duration Delay);
@@ -75,6 +77,7 @@
   bool m_Refreshing = false;
   unsigned m_Failures = 0;
   std::vector<platform::ListedRow> m_Rows;
+  platform::ListedRows m_RefreshedRows;
 };
 
 } // namespace bergamotstage::runtime
--- a/test/unit-evacuation.cpp
+++ b/test/unit-evacuation.cpp
@@ -132,6 +132,17 @@
   CHECK_FALSE(Known.maySend(East, at(1500)));
 }
 
+// Guards against a VM that starts long after the row was written and takes the
+// time of its start for the time of the request.
+TEST(Evacuations, TheFirstListGrantsNoTime) {
+  Known.apply({9, {East}}, at(0));
+  CHECK_FALSE(Known.maySend(East, at(0)));
+  CHECK_TRUE(Known.maySend(West, at(0)));
+  Known.apply({10, {East, West}}, at(100));
+  CHECK_FALSE(Known.maySend(East, at(100)));
+  CHECK_TRUE(Known.maySend(West, at(100)));
+}
+
 TEST_GROUP(HomeRegions) { HomeRegions Homes{{{East, Coast}, {West, Inland}}}; };
 
 // Guards against running an operation outside of its home regions.
--- a/test/unit-platform-codec.cpp
+++ b/test/unit-platform-codec.cpp
@@ -302,6 +302,24 @@
   CHECK_FALSE(parseRows("").has_value());
 }
 
+// Guards against one row of another writer, such as an evacuation without a
+// body, that hides all rows of its table.
+TEST(StoreCodec, ARowWithMembersOfAnotherTypeHidesNoOther) {
+  auto Read = parseRows(R"({"rows":[
+    {"table":"op","part":"","key":"evacuate/a","ver":4},
+    {"table":"op","part":"","key":"evacuate/b","value":null,"ver":5},
+    {"table":"op","part":"","key":"evacuate/c","value":7,"ver":6,"deleted":0},
+    {"table":"op","part":"","key":"config","value":"bm9kZS0x","ver":7}],
+    "has_more":false,"ver":9,"now_ms":1})");
+  CHECK_TRUE(Read.has_value());
+  LONGS_EQUAL(4, Read->Rows.size());
+  for (std::size_t Index = 0; Index < 3; ++Index) {
+    CHECK_TRUE(evacuatedDataCentre(Read->Rows[Index]).has_value());
+    CHECK_FALSE(Read->Rows[Index].Deleted);
+  }
+  CHECK_EQUAL("node-1", Read->Rows[3].Value);
+}
+
 TEST(StoreCodec, ReportsRequestsThatMayHaveTakenEffect) {
   ConditionalWrite Write;
   auto MayHaveTakenEffect = [&](const PlatformRequest &Request,
--- a/test/unit-pool-target.cpp
+++ b/test/unit-pool-target.cpp
@@ -162,6 +162,24 @@
   CHECK_TRUE(Bench.Replies.front().second.Error == ErrorCode::ReadOnly);
 }
 
+// Guards against a statement that reaches an evacuated data centre after the
+// bound, because its target confirmed the transaction late.
+TEST(TargetPool, NoStatementFollowsATransactionThatOpensAfterTheEvacuation) {
+  for (Access Mode : {Access::PrimaryTransaction, Access::Primary}) {
+    PoolBench Bench;
+    Bench.start(1, Mode, Bench.statement(Verb::Read, "r1"));
+    LinkId Link = Bench.openNext();
+    CHECK_TRUE(Bench.last() == LinkRequest::Kind::Begin);
+    Bench.Pool.evacuate();
+    Bench.reply(SessionState::InTransaction);
+    LONGS_EQUAL(1, Bench.Requests.size());
+    CHECK_TRUE(Bench.Closed == std::vector<LinkId>{Link});
+    LONGS_EQUAL(1, Bench.Replies.size());
+    CHECK_TRUE(Bench.Replies.front().second.Outcome ==
+               StatementResult::Kind::NotRun);
+  }
+}
+
 TEST(TargetPool, SingleReadOfThePrimaryIsRolledBackAndProven) {
   PoolBench Bench;
   Bench.start(1, Access::Primary, Bench.statement(Verb::Read, "r1"));
