Count messages between VMs by kind, and account for a large fleet

Bytes between VMs grew faster than the fleet and nothing showed which messages they were. PeerTraffic counts messages and encoded bytes by kind and direction; daemons show them as bergamotstage_peer_messages_total and bergamotstage_peer_bytes_total.

Ruled out as a cause at this size: pings, renewals, transfers of configurations. Not shown: that targets of the platform write their entries at such an interval.

--- a/src/runtime/site/PeerStreams.cpp
+++ b/src/runtime/site/PeerStreams.cpp
@@ -19,14 +19,22 @@
 /// Time that a connecting VM has for its Hello message.
 constexpr Duration IntroductionTimeout = seconds(3);
 
-std::string encodeFrame(const FleetMessage &Message) {
+} // namespace
+
+std::string PeerStreams::encodeFrame(const FleetMessage &Message) {
   std::string Body = pooling::encodeMessage(Message);
+  m_Traffic.record(Message, fleetcost::Direction::Sent, Body.size());
   detail::ByteWriter Out;
   Out.fixed32(static_cast<std::uint32_t>(Body.size()));
   return Out.release() + Body;
 }
 
-} // namespace
+std::optional<FleetMessage> PeerStreams::decodeBody(std::string_view Body) {
+  auto Decoded = pooling::decodeMessage(Body);
+  if (Decoded)
+    m_Traffic.record(*Decoded, fleetcost::Direction::Received, Body.size());
+  return Decoded;
+}
 
 bool PeerStreams::FrameReader::add(
     std::string_view Bytes,
@@ -74,7 +82,7 @@
   ByteStream::Hooks Hooks;
   Hooks.Received = [this, Vm, Reader](std::string_view Bytes) {
     bool Valid = Reader->add(Bytes, [this, &Vm](std::string_view Body) {
-      auto Decoded = pooling::decodeMessage(Body);
+      auto Decoded = decodeBody(Body);
       if (Decoded)
         m_Hooks.Received(Vm, std::move(*Decoded));
       return Decoded.has_value();
@@ -155,7 +163,7 @@
 void PeerStreams::handleBytes(const std::shared_ptr<Incoming> &Source,
                               std::string_view Bytes) {
   bool Valid = Source->Reader.add(Bytes, [&](std::string_view Body) {
-    auto Decoded = pooling::decodeMessage(Body);
+    auto Decoded = decodeBody(Body);
     if (!Decoded)
       return false;
     if (Source->Vm.value().empty() && !handleIntroduction(Source, *Decoded))
--- a/src/runtime/site/PeerStreams.h
+++ b/src/runtime/site/PeerStreams.h
@@ -2,6 +2,7 @@
 #define BERGAMOTSTAGE_RUNTIME_SITE_PEERSTREAMS_H
 
 #include "bergamotstage/fleet/MemberState.h"
+#include "bergamotstage/fleetcost/PeerTraffic.h"
 #include "bergamotstage/pooling/FleetMessage.h"
 #include "runtime/site/ByteStream.h"
 #include "runtime/site/Listener.h"
@@ -11,7 +12,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace bergamotstage::runtime {
 
@@ -45,6 +48,8 @@
   void reply(const VmId &To, const pooling::FleetMessage &Message);
   /// @brief Closes the stream to a VM without calling Lost.
   void drop(const VmId &Vm);
+  /// @brief Messages since the start. A sent one may still be in a buffer.
+  const fleetcost::PeerTraffic &traffic() const { return m_Traffic; }
 
 private:
   static constexpr std::size_t MaxFrameBytes = std::size_t{4} * 1024 * 1024;
@@ -65,6 +70,9 @@
     VmId Vm; ///< Empty until its Hello arrives.
   };
 
+  std::string encodeFrame(const pooling::FleetMessage &Message);
+  /// @return std::nullopt for malformed bytes
+  std::optional<pooling::FleetMessage> decodeBody(std::string_view Body);
   void onAccepted(asio::ip::tcp::socket Socket);
   void handleBytes(const std::shared_ptr<Incoming> &Source,
                    std::string_view Bytes);
@@ -74,6 +82,7 @@
   asio::io_context &m_Io;
   std::unique_ptr<Listener> m_Listener;
   Hooks m_Hooks;
+  fleetcost::PeerTraffic m_Traffic;
   std::map<VmId, std::shared_ptr<ByteStream>> m_Outgoing;
   std::map<VmId, std::shared_ptr<ByteStream>> m_Incoming;
 };
--- a/src/runtime/site/SiteDaemon.cpp
+++ b/src/runtime/site/SiteDaemon.cpp
@@ -297,7 +297,8 @@
       return {m_Node.ready() ? HttpOk : HttpUnavailable, ""};
     if (Path != "/metrics")
       return {HttpNotFound, "page not found\n"};
-    return {HttpOk, renderSiteMetrics(m_Node, m_LinksOpened)};
+    return {HttpOk,
+            renderSiteMetrics(m_Node, m_LinksOpened, m_Peers->traffic())};
   }
 
   /// @brief Passes an event to the node and rearms the timer.
--- a/src/runtime/site/SiteMetrics.cpp
+++ b/src/runtime/site/SiteMetrics.cpp
@@ -53,7 +53,8 @@
 } // namespace
 
 std::string renderSiteMetrics(const pooling::PoolNode &Node,
-                              std::uint64_t LinksOpened) {
+                              std::uint64_t LinksOpened,
+                              const fleetcost::PeerTraffic &Traffic) {
   const pooling::ConfigCounts &Configs = Node.configCounts();
   const std::pair<const char *, std::uint64_t> Gauges[] = {
       {"bergamotstage_sessions", Node.sessions().size()},
@@ -69,7 +70,8 @@
   std::string Text = metrics::renderPrometheus(Node.metrics());
   for (const auto &[Name, Value] : Gauges)
     Text += metrics::renderGauge(Name, Value);
-  return Text + renderRates(Node.rates()) + renderPools(Node);
+  return Text + renderRates(Node.rates()) + renderPools(Node) +
+         fleetcost::renderTraffic(Traffic);
 }
 
 } // namespace bergamotstage::runtime
--- a/src/standin/site/PoolFleet.cpp
+++ b/src/standin/site/PoolFleet.cpp
@@ -50,6 +50,12 @@
   }
   replicate();
   storeHeartbeat();
+  if (m_Settings.TargetRewriteInterval > Duration(0)) {
+    std::uniform_real_distribution<double> Phase(0, 1);
+    for (const auto &[Name, Model] : m_Targets)
+      after(scaled(m_Settings.TargetRewriteInterval, Phase(m_Random)),
+            [this, Name = Name] { rewriteTarget(Name); });
+  }
 }
 
 std::vector<VmId> PoolFleet::vms() const {
--- a/src/standin/site/PoolFleet.h
+++ b/src/standin/site/PoolFleet.h
@@ -1,6 +1,7 @@
 #ifndef BERGAMOTSTAGE_STANDIN_SITE_POOLFLEET_H
 #define BERGAMOTSTAGE_STANDIN_SITE_POOLFLEET_H
 
+#include "bergamotstage/fleetcost/PeerTraffic.h"
 #include "bergamotstage/pooling/PoolNode.h"
 #include "standin/site/LinkModel.h"
 #include "standin/site/ModelGroup.h"
@@ -40,6 +41,9 @@
     Duration ReplicaLag = milliseconds(10);
     Duration StoreDelay = milliseconds(4);
     Duration PromotionTime = milliseconds(300);
+    /// Interval at which each target writes its entry again unchanged, under a
+    /// new version; 0 means never.
+    Duration TargetRewriteInterval{};
     /// Returns the size of a VM; without it all have the same.
     std::function<VmSize(unsigned Index)> SizeOf;
   };
@@ -113,6 +117,14 @@
   DataCentreId dataCentreOf(const TargetId &Target) const {
     return m_Targets.at(Target).DataCentre;
   }
+  /// @brief Messages of a VM since the start of the fleet.
+  const fleetcost::PeerTraffic &traffic(const VmId &Vm) const {
+    return m_Vms.at(Vm).Traffic;
+  }
+  /// @brief Calls of the store's rows by a VM, and bytes that it read.
+  fleetcost::PeerTraffic::Count rowCalls(const VmId &Vm) const {
+    return m_Vms.at(Vm).RowCalls;
+  }
   std::uint64_t promotions() const { return m_Promotions; }
   std::uint64_t linksOpened() const { return m_LinksOpened; }
   /// @brief Reads of the configuration beside those that follow the store.
@@ -134,6 +146,8 @@
     std::set<VmId> Streams; ///< VMs to which it has opened a stream.
     LinkModel Outgoing;
     LinkModel Incoming;
+    fleetcost::PeerTraffic Traffic;
+    fleetcost::PeerTraffic::Count RowCalls;
   };
   struct PublishedConfig {
     pooling::SharedConfig Config;
@@ -164,6 +178,9 @@
   /// @brief Delivers bytes from another VM, after the links' queues.
   void deliverFromPeer(const VmId &From, const VmId &To, std::size_t Bytes,
                        std::function<void(pooling::PoolNode &)> Handler);
+  /// @brief Sends a message on an open stream and counts it.
+  void deliverMessage(const VmId &From, const VmId &To,
+                      const pooling::FleetMessage &Message);
   /// @brief Delivers the newest configuration from the store, and reports its
   /// arrival.
   void deliverConfig(const VmId &Name, std::uint64_t Generation,
@@ -202,6 +219,8 @@
   pooling::TargetEntry targetEntry(const TargetId &Target) const;
   void replicate();
   void storeHeartbeat();
+  /// @brief Writes a target's entry again, and then at each interval.
+  void rewriteTarget(const TargetId &Target);
 
   Settings m_Settings;
   Instant m_Now{seconds(1000)};
--- a/src/standin/site/PoolFleetEnvironment.cpp
+++ b/src/standin/site/PoolFleetEnvironment.cpp
@@ -192,18 +192,27 @@
                           Node.onPeerLost(m_Now, Other);
                         });
   }
-  std::string Bytes = pooling::encodeMessage(Message);
   bool NewStream = Sender.Streams.insert(To.Vm).second;
-  deliverFromPeer(
-      From, To.Vm, Bytes.size(),
-      [this, From, Bytes, NewStream, Self = Sender.Self](PoolNode &Node) {
-        if (NewStream)
-          Node.onPeerMessage(m_Now, From,
-                             pooling::Hello{Self.Vm, Self.DataCentre,
-                                            Self.PeerAddress, Self.Start, 0,
-                                            false, Self.Cores});
-        Node.onPeerMessage(m_Now, From, *pooling::decodeMessage(Bytes));
-      });
+  const MemberState &Self = Sender.Self;
+  if (NewStream)
+    deliverMessage(From, To.Vm,
+                   pooling::Hello{Self.Vm, Self.DataCentre, Self.PeerAddress,
+                                  Self.Start, 0, false, Self.Cores});
+  deliverMessage(From, To.Vm, Message);
+}
+
+void PoolFleet::deliverMessage(const VmId &From, const VmId &To,
+                               const FleetMessage &Message) {
+  std::string Bytes = pooling::encodeMessage(Message);
+  m_Vms.at(From).Traffic.record(Message, fleetcost::Direction::Sent,
+                                Bytes.size());
+  deliverFromPeer(From, To, Bytes.size(),
+                  [this, From, To, Bytes](PoolNode &Node) {
+                    FleetMessage Received = *pooling::decodeMessage(Bytes);
+                    m_Vms.at(To).Traffic.record(
+                        Received, fleetcost::Direction::Received, Bytes.size());
+                    Node.onPeerMessage(m_Now, From, std::move(Received));
+                  });
 }
 
 void PoolFleet::replyPeer(const VmId &From, const VmId &To,
@@ -211,12 +220,8 @@
   auto Found = m_Vms.find(To);
   bool Reached = Found != m_Vms.end() && canReachPeer(From, To) &&
                  Found->second.Streams.count(From) > 0;
-  if (!Reached)
-    return;
-  std::string Bytes = pooling::encodeMessage(Message);
-  deliverFromPeer(From, To, Bytes.size(), [this, From, Bytes](PoolNode &Node) {
-    Node.onPeerMessage(m_Now, From, *pooling::decodeMessage(Bytes));
-  });
+  if (Reached)
+    deliverMessage(From, To, Message);
 }
 
 void PoolFleet::cutPeers(const VmId &Left, const VmId &Right, bool Cut) {
@@ -325,11 +330,19 @@
   after(StoreHeartbeat, [this] { storeHeartbeat(); });
 }
 
+void PoolFleet::rewriteTarget(const TargetId &Target) {
+  if (!m_Targets.at(Target).Unresponsive)
+    publishTarget(Target);
+  after(m_Settings.TargetRewriteInterval,
+        [this, Target] { rewriteTarget(Target); });
+}
+
 void PoolFleet::callPlatform(const VmId &Name, std::uint64_t Generation,
                              const PlatformRequest &Request,
                              const PoolNode::PlatformCallback &Callback) {
   std::uniform_real_distribution<double> Chance(0, 1);
   bool Writes = !std::holds_alternative<ReadRows>(Request);
+  ++m_Vms.at(Name).RowCalls.Messages;
   auto Answer = [this, Name, Generation,
                  Callback](Duration Delay, const PlatformAnswer &Result) {
     deliverAfter(Name, Generation, Delay,
@@ -341,8 +354,12 @@
     return Answer(PlatformCallTimeout, PlatformFailed{Writes, "down"});
   bool Lost = Writes && Chance(m_Random) < m_LostWriteAnswerRatio;
   if (!Lost)
-    return after(m_Settings.StoreDelay / 2, [this, Request, Answer] {
-      Answer(m_Settings.StoreDelay / 2, executeRequest(Request));
+    return after(m_Settings.StoreDelay / 2, [this, Name, Request, Answer] {
+      PlatformAnswer Result = executeRequest(Request);
+      if (const auto *Read = std::get_if<RowsRead>(&Result))
+        for (const TableRow &Row : Read->Rows)
+          m_Vms.at(Name).RowCalls.Bytes += Row.Key.size() + Row.Value.size();
+      Answer(m_Settings.StoreDelay / 2, Result);
     });
   bool Late = Chance(m_Random) < 0.5;
   after(Late ? LateWriteDelay : m_Settings.StoreDelay,
