--- a/include/bergamotstage/forward/Rendezvous.h
+++ b/include/bergamotstage/forward/Rendezvous.h
@@ -21,6 +21,10 @@
                              const DataCentreId &PreferredCentre,
                              const MemberMap &Members);
 
+/// @brief Score of a VM in weighted rendezvous hashing: the probability that a
+/// VM has the highest score of a subject is proportional to its weight.
+double rendezvousScore(std::string_view Subject, const MemberState &Member);
+
 } // namespace bergamotstage
 
 #endif // BERGAMOTSTAGE_FORWARD_RENDEZVOUS_H
