Send each VM what changed of the targets, from two readers

A reader of the store sent each change to each VM that had polled it, every VM polled all readers, and the number of targets grows with the VMs: the bytes of a reader grew with the square. Entries that targets only wrote again counted as changes. A request for any version but the newest got the full list, and an update that did not match caused a request for each further one.

A VM polls two readers and replaces one that brings nothing. TargetHistory tells a reader what changed since a version, and a digest spares the list to a VM that has read the same one. An entry with a new version only is recorded and not sent; requests name rejected claims, and updates carry the newest row version, as these two depended on it. Changes that another reader reported are recorded and passed on as well, and targets that are missing from the store leave the full list. An entry older than the known one no longer undoes a removal. Counters on /metrics are printed in full instead of with six digits.

ChangesAreSentToSubscribers passes the id that the new interface takes. Ruled out: sending rewritten entries at an interval, as a rejected primary is then found late.

--- a/include/bergamotstage/pooling/FleetMessage.h
+++ b/include/bergamotstage/pooling/FleetMessage.h
@@ -128,15 +128,26 @@
   std::uint64_t ConfigVersion = 0;
   std::uint64_t TargetsVersion = 0;
   std::uint64_t Timestamp = 0; ///< Requester's clock; echoed.
+  /// digestOfList() of the requester's targets; 0 if it has no list.
+  std::uint64_t ListDigest = 0;
+  /// Targets whose claims to be primary the requester rejected while it knows
+  /// no other primary: it needs the newest versions of their entries.
+  std::vector<TargetId> Rejected{};
 };
 /// @brief Changes that a VM which follows the store has read.
 struct StoreUpdate {
   std::uint64_t Timestamp = 0; ///< Of the request; 0 if unsolicited.
   Duration StoreAge{}; ///< Time since the store last answered the sender.
   std::uint64_t ConfigVersion = 0;
-  /// Version that Changed applies to; 0 if Changed is the full list.
+  /// The receiver's list is the sender's; nothing else is told of targets.
+  bool SameList = false;
+  /// Oldest version that Changed and Removed apply to; 0 if Changed is the full
+  /// list.
   std::uint64_t BaseTargetsVersion = 0;
   std::uint64_t TargetsVersion = 0;
+  /// The newest row version that the sender has read. Entries that were only
+  /// written again are not sent, and a promotion outdates all rows known then.
+  std::uint64_t NewestRow = 0;
   std::vector<TargetEntry> Changed;
   std::vector<TargetId> Removed;
   placement::EvacuationList Evacuations;
--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -208,8 +208,9 @@
   std::vector<VmId> peers() const;
   AccountId anyAccount() const;
   bool applyTarget(const TargetEntry &Entry);
-  void applyTargets(const std::vector<TargetEntry> &All);
-  void removeTarget(const TargetId &Id);
+  void applyTargets(const std::vector<TargetEntry> &Changed,
+                    const std::vector<TargetId> &Removed);
+  void applyAllTargets(const std::vector<TargetEntry> &All);
   void onReachabilityChanged(const TargetId &Id, bool Reachable);
   void onPromoted(const DatabaseId &Group, const TargetId &Id, Term NewTerm);
   bool holdsLease(const DatabaseId &Group) const;
--- a/include/bergamotstage/pooling/TargetTable.h
+++ b/include/bergamotstage/pooling/TargetTable.h
@@ -5,6 +5,7 @@
 #include "bergamotstage/core/Time.h"
 #include "bergamotstage/placement/Evacuations.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -29,8 +30,15 @@
 /// @brief Targets and primaries of all groups, as listed by the store.
 class TargetTable {
 public:
-  /// @brief Effect of an entry on the table.
-  enum class Change : std::uint8_t { None, Added, Modified, Restarted };
+  /// @brief Effect of an entry on the table. Rewritten: only the version of the
+  /// row is new.
+  enum class Change : std::uint8_t {
+    None,
+    Rewritten,
+    Added,
+    Modified,
+    Restarted
+  };
 
   /// @brief Inserts or updates an entry. Complexity: logarithmic.
   Change apply(const TargetEntry &Entry, Instant Now);
@@ -39,12 +47,15 @@
   ///
   /// The target is kept until removeExpired(): entries also expire while
   /// targets cannot reach the store.
-  void remove(const TargetId &Id, Instant Now);
+  /// @return whether the entry was listed until now
+  bool remove(const TargetId &Id, Instant Now);
 
   /// @brief Removes targets whose entries have been missing for @p Grace.
   std::vector<TargetId> removeExpired(Instant Now, Duration Grace);
 
   const TargetEntry *find(const TargetId &Id) const;
+  /// @brief Whether the store lists a target.
+  bool isListed(const TargetId &Id) const;
   /// @brief Targets of a group; empty if it is unknown.
   std::vector<TargetId> groupMembers(const DatabaseId &Group) const;
   /// @brief Uses the evacuated data centres, which outlive the table.
@@ -69,12 +80,21 @@
   /// @brief Records a promotion that has taken effect.
   void recordPromotion(const DatabaseId &Group, const TargetId &Id,
                        Term NewTerm);
+  /// @brief Targets that claim to be primary and were rejected, of groups
+  /// without a known primary. Complexity: linear in the targets for each.
+  std::vector<TargetId> unresolvedClaims() const;
+  /// @brief The newest version of a row that the store is known to have.
+  std::uint64_t newestVersion() const { return m_NewestVersion; }
+  void recordVersion(std::uint64_t Version) {
+    m_NewestVersion = std::max(m_NewestVersion, Version);
+  }
   /// @brief Records that a target refused a request as not being primary.
   void rejectPrimaryClaim(const TargetId &Id);
 
   const std::map<TargetId, TargetEntry> &entries() const { return m_Entries; }
 
 private:
+  bool wasPrimary(const TargetEntry &Before);
   struct PromotionRecord {
     TargetId Id;
     Term AtTerm;
--- a/src/metrics/Prometheus.cpp
+++ b/src/metrics/Prometheus.cpp
@@ -1,5 +1,7 @@
 #include "bergamotstage/metrics/Prometheus.h"
 
+#include <cmath>
+#include <cstdint>
 #include <sstream>
 
 namespace bergamotstage::metrics {
@@ -95,7 +97,13 @@
     Out << Separator << Label << "=\"" << escapeLabel(Text) << "\"";
     Separator = ",";
   }
-  Out << "} " << Value << "\n";
+  Out << "} ";
+  // A stream prints six digits of a double, too few for a counter of bytes.
+  constexpr double MaxExact = 1e15;
+  if (Value == std::floor(Value) && std::fabs(Value) < MaxExact)
+    Out << static_cast<std::int64_t>(Value) << "\n";
+  else
+    Out << Value << "\n";
   return Out.str();
 }
 
--- a/src/pooling/FleetMessage.cpp
+++ b/src/pooling/FleetMessage.cpp
@@ -103,13 +103,19 @@
     Out.varint(Body.ConfigVersion);
     Out.varint(Body.TargetsVersion);
     Out.varint(Body.Timestamp);
+    Out.varint(Body.ListDigest);
+    Out.varint(Body.Rejected.size());
+    for (const TargetId &Id : Body.Rejected)
+      Out.text(Id.value());
   }
   void operator()(const StoreUpdate &Body) {
     Out.varint(Body.Timestamp);
     write(Out, Body.StoreAge);
     Out.varint(Body.ConfigVersion);
+    Out.byte(Body.SameList ? 1 : 0);
     Out.varint(Body.BaseTargetsVersion);
     Out.varint(Body.TargetsVersion);
+    Out.varint(Body.NewestRow);
     Out.varint(Body.Changed.size());
     for (const TargetEntry &Entry : Body.Changed)
       write(Out, Entry);
@@ -220,13 +226,26 @@
   return Read;
 }
 
+StoreUpdateRequest readStoreUpdateRequest(ByteReader &In) {
+  StoreUpdateRequest Body;
+  Body.ConfigVersion = In.varint();
+  Body.TargetsVersion = In.varint();
+  Body.Timestamp = In.varint();
+  Body.ListDigest = In.varint();
+  for (std::uint64_t Count = In.varint(); Count > 0 && In.isValid(); --Count)
+    Body.Rejected.emplace_back(In.text());
+  return Body;
+}
+
 StoreUpdate readStoreUpdate(ByteReader &In) {
   StoreUpdate Body;
   Body.Timestamp = In.varint();
   Body.StoreAge = readDuration(In);
   Body.ConfigVersion = In.varint();
+  Body.SameList = In.byte() != 0;
   Body.BaseTargetsVersion = In.varint();
   Body.TargetsVersion = In.varint();
+  Body.NewestRow = In.varint();
   for (std::uint64_t Count = In.varint(); Count > 0 && In.isValid(); --Count)
     Body.Changed.push_back(readEntry(In));
   for (std::uint64_t Count = In.varint(); Count > 0 && In.isValid(); --Count)
@@ -301,13 +320,8 @@
     return readConfigRequest(In);
   case tagOf<ConfigText>():
     return readConfigText(In);
-  case tagOf<StoreUpdateRequest>(): {
-    StoreUpdateRequest Body;
-    Body.ConfigVersion = In.varint();
-    Body.TargetsVersion = In.varint();
-    Body.Timestamp = In.varint();
-    return Body;
-  }
+  case tagOf<StoreUpdateRequest>():
+    return readStoreUpdateRequest(In);
   case tagOf<StoreUpdate>():
     return readStoreUpdate(In);
   case tagOf<RenewalRequest>(): {
--- a/src/pooling/PoolNodeHooks.cpp
+++ b/src/pooling/PoolNodeHooks.cpp
@@ -115,11 +115,12 @@
   Callbacks.RequestRenewal = [this](const RenewalRequest &Request) {
     if (m_Members.all().size() < MinBatchedVms)
       return false;
-    std::vector<VmId> Order =
+    const std::vector<VmId> &Order =
         m_Members.ownerOrder(RenewalSubject, DataCentreId());
     if (Order.empty())
       return false;
-    send(Order.front(), RenewalRequest(Request));
+    VmId Batcher = Order.front();
+    send(Batcher, RenewalRequest(Request));
     return true;
   };
   Callbacks.OnPlanChanged = [this](std::shared_ptr<const RatePlan> Plan,
@@ -164,7 +165,8 @@
   Callbacks.Targets = [this] {
     std::vector<TargetEntry> All;
     for (const auto &[Id, Entry] : m_Targets.entries())
-      All.push_back(Entry);
+      if (m_Targets.isListed(Id))
+        All.push_back(Entry);
     return All;
   };
   Callbacks.SetFollowing = m_Hooks.FollowStore;
@@ -175,13 +177,15 @@
   Callbacks.ApplyEvacuations = [this](const placement::EvacuationList &List) {
     applyEvacuations(List);
   };
+  Callbacks.RejectedClaims = [this] { return m_Targets.unresolvedClaims(); };
+  Callbacks.NewestRow = [this] { return m_Targets.newestVersion(); };
+  Callbacks.OnNewestRow = [this](std::uint64_t Version) {
+    m_Targets.recordVersion(Version);
+  };
   Callbacks.ApplyUpdate = [this](const StoreUpdate &Update) {
     if (Update.BaseTargetsVersion == 0)
-      return applyTargets(Update.Changed);
-    for (const TargetEntry &Entry : Update.Changed)
-      applyTarget(Entry);
-    for (const TargetId &Id : Update.Removed)
-      removeTarget(Id);
+      return applyAllTargets(Update.Changed);
+    applyTargets(Update.Changed, Update.Removed);
   };
   return Callbacks;
 }
--- a/src/pooling/PoolNodeMessages.cpp
+++ b/src/pooling/PoolNodeMessages.cpp
@@ -1,6 +1,6 @@
 #include "bergamotstage/pooling/PoolNode.h"
 
-#include <algorithm>
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -207,7 +207,9 @@
 }
 
 void PoolNode::onMembersListed(const std::vector<MemberState> &Members) {
+  std::set<VmId> Listed;
   for (const MemberState &Member : Members) {
+    Listed.insert(Member.Vm);
     if (Member.Vm == m_Context.self())
       continue;
     const MemberState *Previous = m_Members.find(Member.Vm);
@@ -219,13 +221,9 @@
     m_Members.upsert(Updated);
   }
   std::vector<VmId> Unlisted;
-  for (const auto &[Id, Member] : m_Members.all()) {
-    bool Listed = std::any_of(
-        Members.begin(), Members.end(),
-        [Id = Id](const MemberState &Entry) { return Entry.Vm == Id; });
-    if (!Listed && Id != m_Context.self() && !Member.Reachable)
+  for (const auto &[Id, Member] : m_Members.all())
+    if (Listed.count(Id) == 0 && Id != m_Context.self() && !Member.Reachable)
       Unlisted.push_back(Id);
-  }
   for (const VmId &Id : Unlisted) {
     m_Members.erase(Id);
     m_Health.remove(Id);
--- a/src/pooling/StoreReaders.cpp
+++ b/src/pooling/StoreReaders.cpp
@@ -1,6 +1,11 @@
 #include "bergamotstage/pooling/StoreReaders.h"
 
+#include "bergamotstage/fleetcost/ListDigest.h"
+
+#include <xxhash.h>
+
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace bergamotstage::pooling {
@@ -10,7 +15,8 @@
 /// about fifty VMs per second, which is a negligible load.
 constexpr std::size_t MinReaders = 2;
 constexpr std::size_t VmsPerReader = 50;
-/// Polling interval; VMs poll the readers in turns.
+/// Polling interval; a VM polls two readers in turns. One alone would delay all
+/// changes while it is slow, and each further one sends every change again.
 constexpr Duration RequestInterval = milliseconds(500);
 /// Subscribers that have not polled for this time get no more changes.
 constexpr Duration SubscriptionTimeout = seconds(3);
@@ -36,10 +42,21 @@
 constexpr Duration MaxReaderRetry = milliseconds(1500);
 constexpr Duration RetryIntervalPerVm = milliseconds(50);
 
+/// Exceeds the number of readers; leaves room for later positions.
+constexpr std::size_t MaxFirstPosition = 1U << 20U;
+
 const char *const ReaderSubject = "store reader";
 
 } // namespace
 
+StoreReaders::StoreReaders(Context &Ctx, Hooks Callbacks)
+    : m_Context(Ctx), m_Hooks(std::move(Callbacks)) {
+  // Spreads the VMs over the readers.
+  const std::string &Name = Ctx.self().value();
+  std::size_t First = XXH3_64bits(Name.data(), Name.size()) % MaxFirstPosition;
+  m_Polled = {First, First + 1};
+}
+
 void StoreReaders::start() {
   m_UpdatesValidUntil = m_Context.now() + FirstUpdateTimeout;
   m_MayReadFrom = m_Context.now() + FirstReaderDelay;
@@ -48,11 +65,11 @@
 
 std::vector<VmId> StoreReaders::readers() const {
   const RankedMembers &Members = m_Hooks.Members();
-  std::vector<VmId> Order = Members.ownerOrder(ReaderSubject, DataCentreId());
+  const std::vector<VmId> &Order =
+      Members.ownerOrder(ReaderSubject, DataCentreId());
   std::size_t Count = MinReaders + Members.all().size() / VmsPerReader;
-  if (Order.size() > Count)
-    Order.resize(Count);
-  return Order;
+  return {Order.begin(), Order.begin() + static_cast<std::ptrdiff_t>(
+                                             std::min(Count, Order.size()))};
 }
 
 bool StoreReaders::isReader() const {
@@ -67,17 +84,30 @@
   Readers.erase(std::remove(Readers.begin(), Readers.end(), m_Context.self()),
                 Readers.end());
   bool Reader = isReader();
-  if (!Readers.empty() && !Reader) {
-    const VmId &Next = Readers[m_NextReader++ % Readers.size()];
-    m_Hooks.SendRequest(Next, makeRequest(m_AppliedVersions[Next]));
-  }
+  if (!Readers.empty() && !Reader)
+    sendRequest(nextReader(Readers));
   updateFollowing();
 }
 
-StoreUpdateRequest
-StoreReaders::makeRequest(std::uint64_t TargetsVersion) const {
-  return {m_Hooks.ConfigVersion(), TargetsVersion,
-          toTimestamp(m_Context.now())};
+/// @brief Chooses the reader to poll, in turns. Replaces one whose last poll
+/// brought no valid update.
+const VmId &StoreReaders::nextReader(const std::vector<VmId> &Readers) {
+  if (m_UnansweredReader)
+    m_Polled[m_NextPoll] =
+        *std::max_element(m_Polled.begin(), m_Polled.end()) + 1;
+  m_NextPoll = (m_NextPoll + 1) % m_Polled.size();
+  const VmId &Next = Readers[m_Polled[m_NextPoll] % Readers.size()];
+  m_UnansweredReader = Next;
+  return Next;
+}
+
+void StoreReaders::sendRequest(const VmId &To) {
+  m_PendingRequests[To] = m_Context.now();
+  m_Hooks.SendRequest(
+      To, StoreUpdateRequest{m_Hooks.ConfigVersion(), m_AppliedVersions[To],
+                             toTimestamp(m_Context.now()),
+                             fleetcost::digestOfList(m_Hooks.Targets()),
+                             m_Hooks.RejectedClaims()});
 }
 
 /// @brief Extends the validity of the readers' updates.
@@ -135,13 +165,22 @@
   StoreUpdate Update;
   Update.StoreAge = m_Context.now() - m_LastStoreResponse;
   Update.ConfigVersion = m_Hooks.ConfigVersion();
-  Update.BaseTargetsVersion = m_ListVersion;
-  Update.TargetsVersion = m_ListVersion;
+  Update.BaseTargetsVersion = m_History.version();
+  Update.TargetsVersion = m_History.version();
+  Update.NewestRow = m_Hooks.NewestRow();
   Update.Evacuations = m_Hooks.Evacuations();
   return Update;
 }
 
-void StoreReaders::publish(StoreUpdate Update) {
+void StoreReaders::publish() {
+  if (m_Subscribers.empty()) {
+    m_PublishedVersion = m_History.version();
+    return;
+  }
+  StoreUpdate Update = makeUpdate();
+  if (m_History.isStarted())
+    addChangesSince(m_PublishedVersion, Update);
+  m_PublishedVersion = m_History.version();
   for (auto Subscriber = m_Subscribers.begin();
        Subscriber != m_Subscribers.end();) {
     if (Subscriber->second + SubscriptionTimeout < m_Context.now()) {
@@ -153,27 +192,52 @@
   }
 }
 
-void StoreReaders::onTargetsChanged(const std::vector<TargetEntry> &Changed,
-                                    const std::vector<TargetId> &Removed) {
-  if (m_ListVersion == 0)
+void StoreReaders::addChangesSince(std::uint64_t Version,
+                                   StoreUpdate &Update) const {
+  auto Changed = m_History.changedSince(Version);
+  if (!Changed) {
+    Update.BaseTargetsVersion = 0;
+    Update.Changed = m_Hooks.Targets();
     return;
-  StoreUpdate Update = makeUpdate();
-  Update.TargetsVersion = ++m_ListVersion;
-  Update.Changed = Changed;
-  Update.Removed = Removed;
-  publish(std::move(Update));
+  }
+  Update.BaseTargetsVersion = Version;
+  if (!Changed->empty())
+    addEntries(*Changed, Update);
+}
+
+void StoreReaders::addEntries(const std::vector<TargetId> &Ids,
+                              StoreUpdate &Update) const {
+  std::vector<TargetEntry> Listed = m_Hooks.Targets();
+  for (const TargetId &Id : Ids) {
+    auto Entry = std::find_if(
+        Listed.begin(), Listed.end(),
+        [&Id](const TargetEntry &Candidate) { return Candidate.Id == Id; });
+    if (Entry == Listed.end())
+      Update.Removed.push_back(Id);
+    else
+      Update.Changed.push_back(*Entry);
+  }
+}
+
+void StoreReaders::onTargetsChanged(const std::vector<TargetId> &Changed) {
+  if (!m_History.isStarted() || Changed.empty())
+    return;
+  for (const TargetId &Id : Changed)
+    m_History.record(Id);
+  publish();
 }
 
 void StoreReaders::onTargetsListed() {
   // Other VMs may still know a version of the process before this one.
-  if (m_ListVersion == 0)
-    m_ListVersion = m_Context.random()() >> 1U;
-  ++m_ListVersion;
+  if (m_History.isStarted())
+    return;
+  m_History.start((m_Context.random()() >> 1U) + 1);
+  m_PublishedVersion = m_History.version();
 }
 
-void StoreReaders::onConfigChanged() { publish(makeUpdate()); }
+void StoreReaders::onConfigChanged() { publish(); }
 
-void StoreReaders::onEvacuationsChanged() { publish(makeUpdate()); }
+void StoreReaders::onEvacuationsChanged() { publish(); }
 
 void StoreReaders::onUpdateRequest(const VmId &From,
                                    const StoreUpdateRequest &Request) {
@@ -181,37 +245,56 @@
   StoreUpdate Update = makeUpdate();
   Update.Timestamp = Request.Timestamp;
   // Without following the store, this VM's list may lack targets.
-  bool HasCurrentList = m_Following.Active && Update.StoreAge <= MaxStoreAge;
+  bool HasCurrentList = m_Following.Active && m_History.isStarted() &&
+                        Update.StoreAge <= MaxStoreAge;
+  bool Known = m_History.changedSince(Request.TargetsVersion).has_value();
   if (!HasCurrentList)
     Update.TargetsVersion = Update.BaseTargetsVersion = 0;
-  else if (Request.TargetsVersion != m_ListVersion) {
-    Update.BaseTargetsVersion = 0;
-    Update.Changed = m_Hooks.Targets();
-  }
+  else if (!Known && Request.ListDigest != 0 &&
+           Request.ListDigest == fleetcost::digestOfList(m_Hooks.Targets()))
+    Update.SameList = true;
+  else if (Request.TargetsVersion != m_History.version())
+    addChangesSince(Request.TargetsVersion, Update);
+  if (Update.BaseTargetsVersion > 0 && !Request.Rejected.empty())
+    addEntries(Request.Rejected, Update);
   m_Hooks.SendReply(From, std::move(Update));
 }
 
+/// @brief Applies what an update tells of targets.
+/// @return whether this VM then has the sender's list
+bool StoreReaders::applyTargets(const VmId &From, const StoreUpdate &Update) {
+  std::uint64_t &Applied = m_AppliedVersions[From];
+  if (Update.TargetsVersion == 0)
+    return false;
+  bool Full = Update.BaseTargetsVersion == 0;
+  bool Incremental = Applied > 0 && Update.BaseTargetsVersion <= Applied &&
+                     Applied <= Update.TargetsVersion;
+  if (Update.SameList || Full || Incremental) {
+    bool HasChanges = !Update.Changed.empty() || !Update.Removed.empty();
+    if (Full || HasChanges)
+      m_Hooks.ApplyUpdate(Update);
+    Applied = Update.TargetsVersion;
+    return true;
+  }
+  // A change was missed; what a request under way brings contains it.
+  auto Pending = m_PendingRequests.find(From);
+  if (Pending == m_PendingRequests.end() ||
+      Pending->second + RequestInterval <= m_Context.now())
+    sendRequest(From);
+  return false;
+}
+
 void StoreReaders::onUpdate(const VmId &From, const StoreUpdate &Update) {
+  if (Update.Timestamp != 0)
+    m_PendingRequests.erase(From);
   m_Hooks.OnConfigVersion(From, Update.ConfigVersion);
   m_Hooks.ApplyEvacuations(Update.Evacuations);
-  std::uint64_t &AppliedVersion = m_AppliedVersions[From];
   if (Update.StoreAge > MaxStoreAge)
     return updateFollowing();
-  bool Full = Update.BaseTargetsVersion == 0 && Update.TargetsVersion > 0;
-  bool Incremental =
-      Update.BaseTargetsVersion == AppliedVersion && AppliedVersion > 0;
-  if (Full || Incremental) {
-    if (Update.TargetsVersion != AppliedVersion)
-      m_Hooks.ApplyUpdate(Update);
-    AppliedVersion = Update.TargetsVersion;
-  } else if (Update.TargetsVersion > 0) {
-    // A change was missed; request the full list.
-    AppliedVersion = 0;
-    m_Hooks.SendRequest(From, makeRequest(0));
-  }
-  bool UpToDate = Update.TargetsVersion > 0 &&
-                  AppliedVersion == Update.TargetsVersion &&
-                  Update.StoreAge <= MaxStoreAge;
+  m_Hooks.OnNewestRow(Update.NewestRow);
+  bool UpToDate = applyTargets(From, Update);
+  if (UpToDate && m_UnansweredReader == From && Update.Timestamp != 0)
+    m_UnansweredReader.reset();
   if (UpToDate && hasOrFetchesConfig(Update.ConfigVersion))
     extendValidity(Update);
   updateFollowing();
--- a/src/pooling/TargetTable.cpp
+++ b/src/pooling/TargetTable.cpp
@@ -1,6 +1,7 @@
 #include "bergamotstage/pooling/TargetTable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bergamotstage::pooling {
 namespace {
@@ -9,10 +10,21 @@
 /// takes well under a second unless the platform is down.
 constexpr Duration DrainingPrimaryTimeout = seconds(5);
 
+/// @brief Whether two entries of a target differ at most in their versions.
+bool tellSame(const TargetEntry &Left, const TargetEntry &Right) {
+  return Left.Group == Right.Group && Left.Address == Right.Address &&
+         Left.DataCentre == Right.DataCentre && Left.Slots == Right.Slots &&
+         Left.Draining == Right.Draining &&
+         Left.ReportsPrimary == Right.ReportsPrimary;
+}
+
 } // namespace
 
 TargetTable::Change TargetTable::apply(const TargetEntry &Entry, Instant Now) {
-  m_MissingSince.erase(Entry.Id);
+  const TargetEntry *Known = find(Entry.Id);
+  if (Known != nullptr && Entry.Version < Known->Version)
+    return Change::None;
+  bool Reappeared = m_MissingSince.erase(Entry.Id) > 0;
   if (Entry.Draining)
     m_DrainingSince.emplace(Entry.Id, Now);
   else
@@ -21,19 +33,33 @@
   auto [Found, Added] = m_Entries.try_emplace(Entry.Id, Entry);
   if (Added)
     return Change::Added;
-  if (Entry.Version < Found->second.Version)
-    return Change::None;
-  bool Restarted = Found->second.ProcessStart != Entry.ProcessStart;
-  bool Modified = Found->second.Version != Entry.Version;
-  Found->second = Entry;
-  if (Restarted)
+  TargetEntry Before = std::exchange(Found->second, Entry);
+  if (Before.ProcessStart != Entry.ProcessStart)
     return Change::Restarted;
-  return Modified ? Change::Modified : Change::None;
+  if (Before.Version == Entry.Version)
+    return Reappeared ? Change::Modified : Change::None;
+  // A new version confirms a primary's claim that was rejected or outdated.
+  bool MayConfirm = Entry.ReportsPrimary && primary(Entry.Group) == Entry.Id;
+  if (Reappeared || !tellSame(Before, Entry) ||
+      (MayConfirm && !wasPrimary(Before)))
+    return Change::Modified;
+  return Change::Rewritten;
+}
+
+/// @brief Whether a target was the primary of its group with an earlier entry.
+bool TargetTable::wasPrimary(const TargetEntry &Before) {
+  TargetEntry Now = std::exchange(m_Entries.at(Before.Id), Before);
+  bool Result = primary(Before.Group) == Before.Id;
+  m_Entries.at(Before.Id) = std::move(Now);
+  return Result;
 }
 
-void TargetTable::remove(const TargetId &Id, Instant Now) {
-  if (m_Entries.count(Id) > 0)
-    m_MissingSince.emplace(Id, Now);
+bool TargetTable::remove(const TargetId &Id, Instant Now) {
+  return m_Entries.count(Id) > 0 && m_MissingSince.emplace(Id, Now).second;
+}
+
+bool TargetTable::isListed(const TargetId &Id) const {
+  return m_Entries.count(Id) > 0 && m_MissingSince.count(Id) == 0;
 }
 
 std::vector<TargetId> TargetTable::removeExpired(Instant Now, Duration Grace) {
@@ -131,6 +157,16 @@
   m_RejectedClaims.erase(Id);
 }
 
+std::vector<TargetId> TargetTable::unresolvedClaims() const {
+  std::vector<TargetId> Unresolved;
+  for (const auto &[Id, Version] : m_RejectedClaims) {
+    const TargetEntry *Entry = find(Id);
+    if (Entry != nullptr && Entry->ReportsPrimary && !primary(Entry->Group))
+      Unresolved.push_back(Id);
+  }
+  return Unresolved;
+}
+
 void TargetTable::rejectPrimaryClaim(const TargetId &Id) {
   const TargetEntry *Entry = find(Id);
   if (Entry != nullptr)
--- a/test/unit-pool-message.cpp
+++ b/test/unit-pool-message.cpp
@@ -53,6 +53,8 @@
   Update.StoreAge = milliseconds(900);
   Update.Timestamp = 77;
   Update.ConfigVersion = 9;
+  Update.SameList = true;
+  Update.NewestRow = 99;
   Update.BaseTargetsVersion = 4;
   Update.TargetsVersion = 5;
   TargetEntry Entry;
@@ -89,7 +91,7 @@
       Promoted{DatabaseId("g"), TargetId("t"), Term(4)},
       ConfigRequest{7, TextDigest(8)},
       ConfigText{9, TextDigest(8), "{}"},
-      StoreUpdateRequest{1, 2, 77},
+      StoreUpdateRequest{1, 2, 77, 5, {TargetId("t")}},
       Update,
       RenewalRequest{"east 10.0.0.1:1 5 0.25", 77},
       RenewalReply{77, true}};
--- a/test/unit-pool-store.cpp
+++ b/test/unit-pool-store.cpp
@@ -1,4 +1,5 @@
 #include "ContextTime.h"
+#include "bergamotstage/fleetcost/ListDigest.h"
 #include "bergamotstage/pooling/FleetRows.h"
 #include "bergamotstage/pooling/RenewalBatcher.h"
 #include "bergamotstage/pooling/StoreReaders.h"
@@ -463,6 +464,9 @@
     };
     Callbacks.OnConfigVersion = [](const VmId &, std::uint64_t) {};
     Callbacks.ApplyUpdate = [this](const StoreUpdate &) { ++Applied; };
+    Callbacks.RejectedClaims = [] { return std::vector<TargetId>(); };
+    Callbacks.NewestRow = [] { return 0; };
+    Callbacks.OnNewestRow = [](std::uint64_t) {};
     Callbacks.Evacuations = [] { return placement::EvacuationList(); };
     Callbacks.ApplyEvacuations = [](const placement::EvacuationList &) {};
     return Callbacks;
@@ -724,9 +728,102 @@
     Vm.Applied = 0;
   for (ReaderVm &Vm : All.Vms)
     if (Vm.Following)
-      Vm.Readers.onTargetsChanged({TargetEntry()}, {});
+      Vm.Readers.onTargetsChanged({TargetId()});
   for (ReaderVm &Vm : All.Vms)
     All.deliver(Vm, {});
   for (const ReaderVm &Vm : All.Vms)
     CHECK_TRUE(Vm.Following || Vm.Applied >= 1);
 }
+
+namespace {
+
+/// @brief A reader with a hundred targets, and the updates that it sends.
+struct ListReader {
+  ReaderVm Vm;
+
+  ListReader() : Vm("vm-r", fleet()) {
+    for (unsigned Index = 100; Index < 200; ++Index) {
+      TargetEntry Entry;
+      Entry.Id = TargetId("t-" + std::to_string(Index));
+      Vm.Targets.push_back(Entry);
+    }
+    Vm.Readers.start();
+    Vm.Readers.onTargetsListed();
+    Vm.advance(milliseconds(1500));
+    Vm.Readers.onStoreResponse();
+  }
+
+  static MemberMap fleet() {
+    MemberMap Fleet;
+    for (const char *Name : {"vm-r", "vm-x"})
+      Fleet[VmId(Name)] = {
+          VmId(Name), DataCentreId("east"), "", Incarnation(1), true, false};
+    return Fleet;
+  }
+
+  StoreUpdate ask(std::uint64_t Version, std::uint64_t Digest) {
+    Vm.Readers.onUpdateRequest(VmId("vm-x"), {1, Version, 1, Digest});
+    return std::get<StoreUpdate>(Vm.Sent.back().second);
+  }
+};
+
+} // namespace
+
+TEST(StoreReaders, AReaderSendsWhatChangedSinceTheVersionOfAVm) {
+  // A request that crossed a change on its way used to cost the full list.
+  ListReader Reader;
+  StoreUpdate Full = Reader.ask(0, 0);
+  LONGS_EQUAL(100, Full.Changed.size());
+  Reader.Vm.Readers.onTargetsChanged({TargetId("t-107")});
+  Reader.Vm.Targets.pop_back();
+  Reader.Vm.Readers.onTargetsChanged({TargetId("t-199")});
+  StoreUpdate Difference = Reader.ask(Full.TargetsVersion, 0);
+  LONGS_EQUAL(Full.TargetsVersion, Difference.BaseTargetsVersion);
+  LONGS_EQUAL(1, Difference.Changed.size());
+  CHECK_TRUE(Difference.Changed.front().Id == TargetId("t-107"));
+  LONGS_EQUAL(1, Difference.Removed.size());
+  CHECK_TRUE(Difference.Removed.front() == TargetId("t-199"));
+}
+
+TEST(StoreReaders, AVmWithTheSameListIsNotSentIt) {
+  // All VMs of a fleet that starts have just read the list from the store.
+  ListReader Reader;
+  ListReader Other;
+  std::uint64_t Digest = fleetcost::digestOfList(Other.Vm.Targets);
+  StoreUpdate Same = Reader.ask(0, Digest);
+  CHECK_TRUE(Same.SameList);
+  CHECK_TRUE(Same.Changed.empty());
+  Other.Vm.Targets.front().Draining = true;
+  StoreUpdate Full = Reader.ask(0, fleetcost::digestOfList(Other.Vm.Targets));
+  CHECK_FALSE(Full.SameList);
+  LONGS_EQUAL(100, Full.Changed.size());
+}
+
+TEST(StoreReaders, AReaderSendsTheEntriesOfRejectedClaims) {
+  // Entries that are only written again are not sent, but a VM that rejected
+  // the claim of an earlier one needs the new version to find the primary.
+  ListReader Reader;
+  StoreUpdate Full = Reader.ask(0, 0);
+  Reader.Vm.Targets[7].Version = 99;
+  Reader.Vm.Readers.onUpdateRequest(
+      VmId("vm-x"), {1, Full.TargetsVersion, 1, 0, {TargetId("t-107")}});
+  auto Update = std::get<StoreUpdate>(Reader.Vm.Sent.back().second);
+  LONGS_EQUAL(1, Update.Changed.size());
+  LONGS_EQUAL(99, Update.Changed.front().Version);
+}
+
+TEST(StoreReaders, AVmDoesNotFollowWhileOneOfItsReadersIsSilent) {
+  // A VM polls two of several readers; the loss of one must not cost a read of
+  // the store by every VM that polls it.
+  ReaderFleet All(120);
+  All.advance(seconds(6), true);
+  unsigned Before = All.followerCount();
+  std::set<VmId> Silent;
+  for (const ReaderVm &Vm : All.Vms)
+    if (Vm.Following && Silent.empty())
+      Silent.insert(Vm.Ctx.self());
+  for (unsigned Step = 0; Step < 100; ++Step) {
+    All.advance(milliseconds(50), true, Silent);
+    LONGS_EQUAL(Before, All.followerCount());
+  }
+}
