--- a/test/unit-fleet-cost.cpp
+++ b/test/unit-fleet-cost.cpp
@@ -13,7 +13,7 @@
 /// What one VM may send in a second, whatever it does: a part that does not
 /// depend on the fleet, and for each VM one short message.
 constexpr std::uint64_t BaseMessages = 100;
-constexpr std::uint64_t BaseBytes = 16 * 1024;
+constexpr std::uint64_t BaseBytes = 16384;
 constexpr std::uint64_t BytesForEachVm = 128;
 
 /// @brief Checks what every VM sent since the mark.
