--- a/src/runtime/TextFile.cpp
+++ b/src/runtime/TextFile.cpp
@@ -1,6 +1,7 @@
 #include "runtime/TextFile.h"
 
 #include <fstream>
+#include <ios>
 #include <iterator>
 
 namespace bergamotstage::runtime {
@@ -9,7 +10,12 @@
   std::ifstream In(Name, std::ios::binary);
   if (!In)
     return tl::make_unexpected("cannot read " + Name);
-  return std::string(std::istreambuf_iterator<char>(In), {});
+  try {
+    return std::string(std::istreambuf_iterator<char>(In), {});
+  } catch (const std::ios_base::failure &) {
+    // The first read of a directory fails, while it can be opened.
+    return tl::make_unexpected("cannot read " + Name);
+  }
 }
 
 } // namespace bergamotstage::runtime
