Send targets as many statements at once as they answer well

Cause: a target that returns, is promoted, refuses or turns slow got as many statements at once as it publishes slots. Change: module pacing. PaceController finds the statements in flight from the answers, ColdStartLimiter bounds what a cold target gets over all VMs; TargetPool asks both before it takes a slot. 'policy pace adaptive' enables the first, the fields of cold targets the second; 'fixed' is the default. The tests on the virtual fleet are not complete yet.

--- a/include/bergamotstage/balancing/TargetSelector.h
+++ b/include/bergamotstage/balancing/TargetSelector.h
@@ -65,6 +65,9 @@
 
   /// @brief Records queue length and failure rate of a target.
   void recordLoad(const TargetId &Target, const pooling::TargetLoad &Load);
+  /// @brief Pace of a target that its owner reported recently; 0 if none is
+  /// known.
+  unsigned reportedPace(const TargetId &Target) const;
   /// @brief Counts a statement that this VM sends to a target.
   void recordSent(const TargetId &Target) {
     m_States[Target].Estimate.recordSent();
--- a/include/bergamotstage/pooling/FleetRows.h
+++ b/include/bergamotstage/pooling/FleetRows.h
@@ -79,6 +79,12 @@
   void acquireLease(const DatabaseId &Group,
                     std::function<void(std::optional<std::uint64_t>)> Callback);
 
+  /// @brief Whether this VM's row was renewed so recently that no other VM can
+  /// have removed it.
+  bool isListed() const {
+    return m_RenewedAt && m_Context.now() < *m_RenewedAt + ShareLeaseDuration;
+  }
+
   /// @brief Whether all rows have been read at least once.
   bool isLoaded() const { return m_Loaded; }
 
--- a/include/bergamotstage/pooling/OperationRequest.h
+++ b/include/bergamotstage/pooling/OperationRequest.h
@@ -84,6 +84,8 @@
   unsigned FailedPermille = 0;
   Duration Wait{};    ///< Expected wait of a new statement for a slot.
   Duration Service{}; ///< Mean slot time; zero before any was measured.
+  /// Statements that the target gets at once; 0 if the pace is fixed.
+  unsigned Pace = 0;
 };
 
 /// @brief Result of one statement of an operation.
--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -78,6 +78,10 @@
     Duration EvacuationBound = seconds(5);
     /// Region of each data centre, for routes and accounts with home regions.
     std::map<DataCentreId, RegionId> Regions;
+    /// A cold target gets the configured statements a second times ColdOverage,
+    /// and ColdSlack on top, in any second.
+    double ColdOverage = 1.5;
+    double ColdSlack = 5;
   };
 
   PoolNode(Settings Initial, std::uint64_t Seed, Hooks Callbacks);
@@ -201,6 +205,10 @@
   TargetPool *pool(const TargetId &Id);
   TargetPool *poolOfLink(LinkId Link);
   void limitPools();
+  // In PoolNodePacing.cpp.
+  void setPaceLimits(const TargetEntry &Target,
+                     TargetPool::Limits &Limits) const;
+  std::optional<unsigned> coldRank(const TargetEntry &Target) const;
   void dropPool(const TargetId &Id, const std::string &Reason);
   const std::vector<VmId> &owners(const TargetId &Id) const;
   /// @brief VMs in the order in which they should hold a group's lease.
@@ -234,6 +242,8 @@
   Context m_Context;
   SharedConfig m_Config;
   admission::QueueOrder m_QueueOrder = admission::QueueOrder::Fair;
+  bool m_AdaptsPace = false;
+  Instant m_StartedAt{};
   RefusalCounts m_Refusals;
   metrics::Registry m_Metrics;
   placement::Evacuations m_Evacuations;
--- a/include/bergamotstage/pooling/SiteConfig.h
+++ b/include/bergamotstage/pooling/SiteConfig.h
@@ -47,6 +47,8 @@
   DatabaseId Id;
   unsigned MaxLinks = 0;     ///< Connections to one target from all VMs.
   unsigned SyncReplicas = 0; ///< Replicas that must confirm a commit.
+  Duration ColdStart{};      ///< Length of a cold start; 0 means none.
+  double ColdPerSecond = 0;  ///< Statements to a cold target; 0: no bound.
 };
 
 /// @brief One version of the configuration.
--- a/include/bergamotstage/pooling/SitePolicies.h
+++ b/include/bergamotstage/pooling/SitePolicies.h
@@ -61,6 +61,9 @@
   ratelimit::RateSharing rateSharing() const;
   /// @brief Order of the operations that wait for a target.
   admission::QueueOrder queueOrder() const;
+  /// @brief Whether targets get as many statements at once as they answer in
+  /// their usual time, instead of as many as they have slots.
+  bool adaptsPace() const;
 
   const RuleSet &rules() const { return m_Rules; }
 
--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -2,6 +2,8 @@
 #define BERGAMOTSTAGE_POOLING_TARGETPOOL_H
 
 #include "bergamotstage/admission/TargetQueue.h"
+#include "bergamotstage/pacing/ColdStartLimiter.h"
+#include "bergamotstage/pacing/PaceController.h"
 #include "bergamotstage/pooling/Context.h"
 #include "bergamotstage/pooling/LinkMessage.h"
 #include "bergamotstage/pooling/OperationRequest.h"
@@ -48,6 +50,12 @@
     Duration IdleLinkTimeout = seconds(3);
     Duration TransactionIdleTimeout = seconds(3);
     admission::QueueOrder Order = admission::QueueOrder::Fair;
+    bool AdaptivePace = false; ///< Otherwise all slots are used.
+    bool IsOwner = false;      ///< This VM is the first to own the links.
+    bool IsPrimary = false;
+    unsigned ReportedPace = 0; ///< Of the previous owner; 0 if unknown.
+    pacing::ColdBound Cold{};
+    std::optional<unsigned> ColdRank{}; ///< For ColdStartLimiter.
   };
 
   using ProofCallback =
@@ -60,10 +68,7 @@
   TargetPool(const TargetPool &) = delete;
   TargetPool &operator=(const TargetPool &) = delete;
 
-  void setLimits(const Limits &NewLimits) {
-    m_Limits = NewLimits;
-    m_Queue.setOrder(NewLimits.Order);
-  }
+  void setLimits(const Limits &NewLimits);
   /// @brief Rejects new operations; open transactions continue.
   void stopAdmission() { m_AcceptsOperations = false; }
   void resumeAdmission() {
@@ -125,6 +130,9 @@
   unsigned waitingCount() const;
   const TargetId &id() const { return m_Id; }
   const admission::SlotTimes &slotTimes() const { return m_Queue.slotTimes(); }
+  const pacing::PaceController &pace() const { return m_Pace; }
+  /// @brief Statements that may be in flight; the slots if the pace is fixed.
+  unsigned usableSlots() const;
 
 private:
   enum class Phase : std::uint8_t {
@@ -167,6 +175,16 @@
   bool usesUrgency() const {
     return m_Limits.Order == admission::QueueOrder::Urgency;
   }
+  // The pace, in TargetPoolPace.cpp.
+  unsigned workingSlots() const;
+  bool mayStart(const QueueEntry &Next) const;
+  void chargeColdBound(LinkRequest::Kind Type);
+  void recordPace(const QueueEntry &Ended,
+                  const std::optional<ErrorCode> &Error);
+  void logPace(unsigned Before);
+  static bool opensTransaction(const QueueEntry &Next);
+  static bool needsSlot(Verb Kind) { return Kind != Verb::Rollback; }
+  static admission::WorkKind workKind(const OperationRequest &Request);
   unsigned accountLinkLimit() const;
   unsigned openTransactions(const AccountId &Account) const;
   bool acquireLink(QueueEntry &Operation);
@@ -217,6 +235,9 @@
   std::map<LinkId, PoolLink> m_Links;
   std::map<std::uint64_t, ControlRequest> m_ControlRequests;
   admission::TargetQueue m_Queue;
+  pacing::PaceController m_Pace;
+  pacing::ColdStartLimiter m_Cold;
+  bool m_LimitsSet = false;
   unsigned m_SlotsUsed = 0;
   std::uint64_t m_LastArrivalNumber = 0;
   std::uint64_t m_LastControlRequestId = 0;
--- a/include/bergamotstage/pooling/TargetTable.h
+++ b/include/bergamotstage/pooling/TargetTable.h
@@ -23,7 +23,8 @@
   bool Draining = false;          ///< Accepts no new operations; will leave.
   bool ReportsPrimary = false;    ///< Reports itself as primary.
   std::uint64_t ProcessStart = 0; ///< Changes when a restart loses state.
-  std::uint64_t Version = 0;      ///< Row version; rises with each change.
+  Duration ColdFor{};        ///< Remaining time of its cold start; 0 if warm.
+  std::uint64_t Version = 0; ///< Row version; rises with each change.
 };
 
 /// @brief Targets and primaries of all groups, as listed by the store.
@@ -59,6 +60,8 @@
   bool mayServeAsPrimary(const TargetId &Id, Instant Now) const;
   /// @brief Whether a target is in an evacuated data centre.
   bool isEvacuated(const TargetId &Id) const;
+  /// @brief End of a target's cold start; the epoch if it is warm.
+  Instant coldUntil(const TargetId &Id) const;
   /// @brief Whether statements of open transactions may be sent to a target.
   bool maySend(const TargetId &Id, Instant Now) const;
   /// @brief Whether all targets of a group are in evacuated data centres.
@@ -84,6 +87,7 @@
   std::map<TargetId, TargetEntry> m_Entries;
   std::map<TargetId, Instant> m_MissingSince;
   std::map<TargetId, Instant> m_DrainingSince;
+  std::map<TargetId, Instant> m_ColdUntil;
   std::map<TargetId, std::uint64_t> m_RejectedClaims; ///< Version of the row.
   std::map<DatabaseId, PromotionRecord> m_Promoted;
   std::uint64_t m_NewestVersion = 0;
--- a/src/balancing/TargetSelector.cpp
+++ b/src/balancing/TargetSelector.cpp
@@ -16,6 +16,9 @@
 constexpr Duration QueueInfoLifetime = milliseconds(300);
 /// Validity of a failure rate; then a read tries the target again.
 constexpr Duration FailureInfoLifetime = seconds(3);
+/// Validity of a reported pace. Losing an owner takes under two seconds to
+/// notice; a target that was well so recently needs no careful start.
+constexpr Duration PaceInfoLifetime = seconds(3);
 /// Slot time of one statement.
 constexpr double StatementCostMs = 15;
 /// Another data centre adds a round trip and paid traffic.
@@ -41,6 +44,13 @@
   State.Estimate.recordReport(Load, m_Context.now());
 }
 
+unsigned TargetSelector::reportedPace(const TargetId &Target) const {
+  auto Found = m_States.find(Target);
+  bool Valid = Found != m_States.end() &&
+               m_Context.now() - Found->second.LoadAt < PaceInfoLifetime;
+  return Valid ? Found->second.Load.Pace : 0;
+}
+
 void TargetSelector::recordOutcome(const TargetId &Target, bool Failed) {
   m_States[Target].Estimate.recordOutcome(Failed, m_Context.now());
 }
--- a/src/pooling/FieldCodec.cpp
+++ b/src/pooling/FieldCodec.cpp
@@ -146,6 +146,7 @@
   Out.varint(Result.Load.FailedPermille);
   writeMicroseconds(Out, Result.Load.Wait);
   writeMicroseconds(Out, Result.Load.Service);
+  Out.varint(Result.Load.Pace);
   write(Out, Result.RetryAfter);
 }
 StatementResult readResult(ByteReader &In) {
@@ -167,6 +168,7 @@
   Result.Load.FailedPermille = static_cast<unsigned>(In.varint());
   Result.Load.Wait = readMicroseconds(In);
   Result.Load.Service = readMicroseconds(In);
+  Result.Load.Pace = static_cast<unsigned>(In.varint());
   Result.RetryAfter = readDuration(In);
   return Result;
 }
@@ -180,6 +182,7 @@
   Out.byte(Entry.Draining ? 1 : 0);
   Out.byte(Entry.ReportsPrimary ? 1 : 0);
   Out.varint(Entry.ProcessStart);
+  writeMicroseconds(Out, Entry.ColdFor);
   Out.varint(Entry.Version);
 }
 TargetEntry readEntry(ByteReader &In) {
@@ -192,6 +195,7 @@
   Entry.Draining = In.byte() != 0;
   Entry.ReportsPrimary = In.byte() != 0;
   Entry.ProcessStart = In.varint();
+  Entry.ColdFor = readMicroseconds(In);
   Entry.Version = In.varint();
   return Entry;
 }
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -81,6 +81,7 @@
 
 void PoolNode::start(Instant Now) {
   setTime(Now);
+  m_StartedAt = Now;
   m_Rows.start();
   m_Readers.start();
   checkPeers();
@@ -220,6 +221,8 @@
         IsOwner ? OwnerIdleLinkTimeout : OtherIdleLinkTimeout;
     Limits.TransactionIdleTimeout = m_Config->TransactionIdle;
     Limits.Order = m_QueueOrder;
+    Limits.IsOwner = IsOwner;
+    setPaceLimits(*Target, Limits);
     Pool->setLimits(Limits);
     bool IsPrimary = m_Targets.primary(Target->Group) == Id &&
                      m_Targets.mayServeAsPrimary(Id, m_Context.now());
@@ -354,6 +357,8 @@
 void PoolNode::onPromoted(const DatabaseId &Group, const TargetId &Id,
                           Term NewTerm) {
   m_Targets.recordPromotion(Group, Id, NewTerm);
+  if (m_AdaptsPace)
+    limitPools();
   m_Sessions.retryDeferred();
 }
 
@@ -393,6 +398,7 @@
                    {"author", Rule.Source.Author}});
   m_Rates.setSharing(Policies.rateSharing());
   m_QueueOrder = Policies.queueOrder();
+  m_AdaptsPace = Policies.adaptsPace();
   m_Sessions.setPolicies(Policies);
   limitPools();
   dispatchLocalMessages();
--- a/src/pooling/SitePolicies.cpp
+++ b/src/pooling/SitePolicies.cpp
@@ -17,6 +17,7 @@
 constexpr const char *ReadsKind = "reads";
 constexpr const char *QueueKind = "queue";
 constexpr const char *RateKind = "rate";
+constexpr const char *PaceKind = "pace";
 constexpr const char *PrimaryCostName = "primary-cost";
 constexpr const char *DefaultReads = "earliest-finish";
 
@@ -50,7 +51,7 @@
 void reportIneffective(const std::string &Kind, const Parameters &Settings,
                        const RuleRef &Source, Faults &Found) {
   static const std::set<std::string> Supported = {ReadsKind, QueueKind,
-                                                  RateKind};
+                                                  RateKind, PaceKind};
   if (Supported.count(Kind) == 0)
     Found.push_back({Source.Line, "policy '" + Kind +
                                       "' has no effect here; the platform "
@@ -112,6 +113,10 @@
                           : admission::QueueOrder::Fair;
 }
 
+bool SitePolicies::adaptsPace() const {
+  return choosePolicy(m_Rules, PaceKind, "fixed", 0).Choice == "adaptive";
+}
+
 ratelimit::RateSharing SitePolicies::rateSharing() const {
   std::string Choice = choosePolicy(m_Rules, RateKind, "loans", 0).Choice;
   if (Choice == "priority")
--- a/src/pooling/TargetPool.cpp
+++ b/src/pooling/TargetPool.cpp
@@ -21,8 +21,6 @@
   return Request.Mode == Access::Primary && !Request.First.writes();
 }
 
-bool needsSlot(Verb Kind) { return Kind != Verb::Rollback; }
-
 } // namespace
 
 TargetPool::TargetPool(Context &Ctx, TargetId Id, DatabaseId Group,
@@ -31,6 +29,11 @@
       m_Address(std::move(Address)), m_Hooks(std::move(Callbacks)),
       m_ServiceSeconds(InitialServiceSeconds) {}
 
+bool TargetPool::opensTransaction(const QueueEntry &Next) {
+  return !Next.TransactionOpen &&
+         (isTransaction(Next.Request.Mode) || isPrimaryRead(Next.Request));
+}
+
 TargetPool::~TargetPool() {
   if (m_TickTimer)
     m_Context.timers().cancel(*m_TickTimer);
@@ -138,6 +141,7 @@
       static_cast<unsigned>(m_FailureRate * TargetLoad::Permille);
   Load.Wait = expectedWait() + timeUntilSlot();
   Load.Service = scaled(seconds(1), m_ServiceSeconds);
+  Load.Pace = m_Limits.AdaptivePace ? m_Pace.pace() : 0;
   return Load;
 }
 
@@ -166,8 +170,10 @@
   m_Operations.erase(Found);
   StatementResult Result;
   bool InFlight = Lost.State == Phase::Running;
-  if (InFlight)
+  if (InFlight) {
     recordOutcome(true);
+    recordPace(Lost, ErrorCode::Timeout);
+  }
   Result.Outcome =
       InFlight ? StatementResult::Kind::Lost : StatementResult::Kind::NotRun;
   Result.Reason = NotRunReason::Unreachable;
@@ -178,12 +184,17 @@
 
 TargetPool::QueueEntry *TargetPool::nextDispatchable() {
   std::vector<QueueEntry *> Entries;
+  bool HeldBack = false;
   for (const admission::WaitingWork &Work : sortedWaiting(Entries)) {
-    if (m_SlotsUsed >= m_Limits.Slots)
+    if (m_SlotsUsed >= usableSlots())
       return nullptr;
     QueueEntry *Next = Entries[Work.Key];
     if (Next->NotBefore > m_Context.now())
       continue;
+    // Statements that come later in the order must not take its turn.
+    HeldBack = HeldBack || !mayStart(*Next);
+    if (HeldBack && needsSlot(Next->Request.First.Kind))
+      continue;
     if (Next->AssignedLink || acquireLink(*Next))
       return Next;
   }
@@ -191,7 +202,7 @@
 }
 
 void TargetPool::dispatchWaiting() {
-  while (m_SlotsUsed < m_Limits.Slots) {
+  while (m_SlotsUsed < usableSlots()) {
     QueueEntry *Next = nextDispatchable();
     if (Next == nullptr)
       break;
@@ -223,6 +234,7 @@
   Sent.ControlRequestId = Link.ControlRequestId;
   Link.Unanswered.push_back(Sent);
   Link.LastUsedAt = m_Context.now();
+  chargeColdBound(Request.Type);
   m_Hooks.Send(Link.Id, Request);
 }
 
@@ -238,9 +250,7 @@
   Next.SentAt = m_Context.now();
   chargeSlotTime(Next);
   restoreSession(Link, Next);
-  bool Opens = !Next.TransactionOpen && (isTransaction(Next.Request.Mode) ||
-                                         isPrimaryRead(Next.Request));
-  if (!Opens)
+  if (!opensTransaction(Next))
     return sendStatement(Next, Link);
   // The statement waits for the reply: after a refused begin it would run
   // outside of a transaction.
@@ -410,6 +420,7 @@
   bool Single = !isTransaction(Operation.Request.Mode);
   Duration ServiceTime = m_Context.now() - Operation.SentAt;
   recordSlotTime(Operation, ServiceTime);
+  recordPace(Operation, Reply.Error);
   recordOutcome(Reply.Error == ErrorCode::Failed ||
                 Reply.Error == ErrorCode::Timeout ||
                 Reply.Error == ErrorCode::Busy);
--- a/src/pooling/TargetPoolLinks.cpp
+++ b/src/pooling/TargetPoolLinks.cpp
@@ -121,6 +121,7 @@
   if (m_ProbeLink == Id)
     m_ProbeLink.reset();
   releaseSlot(Link);
+  m_Pace.onOpened();
   onDataReceived();
   dispatchControlRequests();
   dispatchWaiting();
@@ -375,6 +376,7 @@
   bool WasUnreachable = m_Unreachable;
   m_Unreachable = true;
   m_ProbedAt = m_Context.now();
+  m_Pace.onUnreachable(m_ProbedAt);
   armTick();
   if (WasUnreachable)
     return m_Hooks.ReachabilityChanged(m_Id, false);
--- a/src/pooling/TargetPoolQueue.cpp
+++ b/src/pooling/TargetPoolQueue.cpp
@@ -19,7 +19,9 @@
 /// A statement that has run longer than expected ends soon.
 constexpr Duration MinRemainingTime = milliseconds(1);
 
-admission::WorkKind workKind(const OperationRequest &Request) {
+} // namespace
+
+admission::WorkKind TargetPool::workKind(const OperationRequest &Request) {
   const Statement &Stmt = Request.First;
   admission::WorkClass Class = Stmt.Kind == Verb::Commit
                                    ? admission::WorkClass::Commit
@@ -28,11 +30,8 @@
   return {Request.Route, Class};
 }
 
-} // namespace
-
 Duration TargetPool::expectedWait() const {
-  return scaled(seconds(1), m_ServiceSeconds * waitingCount() /
-                                std::max(1U, m_Limits.Slots));
+  return scaled(seconds(1), m_ServiceSeconds * waitingCount() / workingSlots());
 }
 
 /// @brief Waiting operations in the order in which they should run.
@@ -87,7 +86,7 @@
 
 /// @brief Expected time until one of the running statements ends.
 Duration TargetPool::timeUntilSlot() const {
-  if (m_SlotsUsed < m_Limits.Slots)
+  if (m_SlotsUsed < usableSlots())
     return Duration(0);
   std::optional<Duration> Soonest;
   for (const auto &[Id, Operation] : m_Operations) {
@@ -111,9 +110,8 @@
   if (Sorted.empty())
     return;
   std::vector<std::pair<OperationId, Duration>> Refused;
-  for (const admission::HopelessWork &Work :
-       m_Queue.findHopeless(Sorted, m_Context.now(),
-                            std::max(1U, m_Limits.Slots), timeUntilSlot()))
+  for (const admission::HopelessWork &Work : m_Queue.findHopeless(
+           Sorted, m_Context.now(), workingSlots(), timeUntilSlot()))
     Refused.emplace_back(Entries[Work.Key]->Request.Id, Work.ExpectedWait);
   for (const auto &[Id, ExpectedWait] : Refused) {
     auto Found = m_Operations.find(Id);
--- a/src/pooling/TargetTable.cpp
+++ b/src/pooling/TargetTable.cpp
@@ -19,6 +19,11 @@
     m_DrainingSince.erase(Entry.Id);
   m_NewestVersion = std::max(m_NewestVersion, Entry.Version);
   auto [Found, Added] = m_Entries.try_emplace(Entry.Id, Entry);
+  bool Newer = Added || Entry.Version > Found->second.Version;
+  if (Newer && Entry.ColdFor > Duration(0))
+    m_ColdUntil[Entry.Id] = Now + Entry.ColdFor;
+  else if (Newer)
+    m_ColdUntil.erase(Entry.Id);
   if (Added)
     return Change::Added;
   if (Entry.Version < Found->second.Version)
@@ -46,6 +51,7 @@
     m_Entries.erase(Id);
     m_RejectedClaims.erase(Id);
     m_DrainingSince.erase(Id);
+    m_ColdUntil.erase(Id);
   }
   return Expired;
 }
@@ -63,6 +69,11 @@
   return Members;
 }
 
+Instant TargetTable::coldUntil(const TargetId &Id) const {
+  auto Found = m_ColdUntil.find(Id);
+  return Found == m_ColdUntil.end() ? Instant() : Found->second;
+}
+
 bool TargetTable::acceptsOperations(const TargetId &Id) const {
   const TargetEntry *Entry = find(Id);
   return Entry != nullptr && !Entry->Draining && !isEvacuated(Id);
--- a/src/rules/PolicyKinds.cpp
+++ b/src/rules/PolicyKinds.cpp
@@ -31,6 +31,7 @@
       {"acknowledge", {"confirmed", "immediate"}, {}, false},
       {"queue", {"fair", "fifo", "urgency"}, {}, false},
       {"rate", {"loans", "split", "priority"}, {}, false},
+      {"pace", {"fixed", "adaptive"}, {}, false},
       {"failover", {"vote", "fixed"}, {durationParameter("timeout")}, false},
       {"home", {"rendezvous", "none"}, {}, false},
   };
--- a/src/runtime/site/SiteDaemon.cpp
+++ b/src/runtime/site/SiteDaemon.cpp
@@ -113,6 +113,8 @@
         false,     m_Boot.Cores};
     Result.Grace = m_Boot.GracePeriod;
     Result.EvacuationBound = m_Boot.EvacuationBound;
+    Result.ColdOverage = m_Boot.ColdOverage;
+    Result.ColdSlack = m_Boot.ColdSlack;
     Result.Regions = m_Boot.Regions;
     return Result;
   }
--- a/src/runtime/site/SiteMetrics.cpp
+++ b/src/runtime/site/SiteMetrics.cpp
@@ -40,6 +40,13 @@
     const std::string &Target = Pool.id().value();
     Text += renderLabelled("bergamotstage_target_waiting", {{"target", Target}},
                            Pool.waitingCount());
+    Text += renderLabelled(
+        "bergamotstage_target_pace",
+        {{"target", Target},
+         {"reason", pacing::paceReasonName(Pool.pace().lastReason())}},
+        Pool.usableSlots());
+    Text += renderLabelled("bergamotstage_target_slots", {{"target", Target}},
+                           Pool.pace().slots());
     for (const auto &[Kind, Estimate] : Pool.slotTimes().estimates())
       Text += renderLabelled("bergamotstage_slot_seconds",
                              {{"target", Target},
--- a/src/standin/site/PoolFleet.h
+++ b/src/standin/site/PoolFleet.h
@@ -113,6 +113,16 @@
   DataCentreId dataCentreOf(const TargetId &Target) const {
     return m_Targets.at(Target).DataCentre;
   }
+  /// @brief Lets a target start with cold caches: each statement takes longer
+  /// by a part for each other one that runs, which falls to nothing in @p Span.
+  void warmUp(const TargetId &Target, Duration Span);
+  /// @brief Lists a target as cold for the time, from now on.
+  void listCold(const TargetId &Target, Duration Span);
+  /// @brief Sets a hook that receives each caller's statement that arrives at a
+  /// target, and the VM that sent it.
+  void onStatement(std::function<void(const VmId &, const TargetId &)> Hook) {
+    m_OnStatement = std::move(Hook);
+  }
   std::uint64_t promotions() const { return m_Promotions; }
   std::uint64_t linksOpened() const { return m_LinksOpened; }
   /// @brief Reads of the configuration beside those that follow the store.
@@ -146,6 +156,9 @@
     bool Draining = false;
     double ReadFailureRatio = 0;
     unsigned RunningStatements = 0;
+    Instant WarmFrom{};
+    Duration WarmUp{}; ///< From WarmFrom on; 0 for a warm target.
+    Duration ColdFor{};
     std::uint64_t Version = 0;
     bool ReportsPrimary = false;
     Instant LastStatementAt{};
@@ -184,6 +197,8 @@
                 const pooling::LinkRequest &Request);
   void runLink(std::uint64_t Key, const pooling::LinkRequest &Request);
   void closeLink(std::uint64_t Key);
+  /// @brief Factor on the time of a statement that starts now.
+  static double slowdown(const TargetModel &Model, Instant Now);
   void resetLinksTo(const TargetId &Target);
   void sendPeer(const VmId &From, const MemberState &To,
                 const pooling::FleetMessage &Message);
@@ -230,6 +245,7 @@
   std::uint64_t m_LastCaller = 0;
   AnswerHook m_OnAnswer;
   CloseHook m_OnClose;
+  std::function<void(const VmId &, const TargetId &)> m_OnStatement;
   std::function<void(Instant, const VmId &, const WriteLog &)> m_OnLog;
 };
 
--- a/src/standin/site/PoolFleetEnvironment.cpp
+++ b/src/standin/site/PoolFleetEnvironment.cpp
@@ -98,8 +98,11 @@
   ModelGroup &Group = *m_Groups[Model.Group];
   if (!Group.hasLink(Key))
     return;
-  if (Request.Type == LinkRequest::Kind::CallerStatement)
+  if (Request.Type == LinkRequest::Kind::CallerStatement) {
     Model.LastStatementAt = m_Now;
+    if (m_OnStatement)
+      m_OnStatement(Opened.Vm, Opened.Target);
+  }
   bool TakesSlot = Request.Type == LinkRequest::Kind::CallerStatement ||
                    Request.Type == LinkRequest::Kind::Status;
   bool Full = TakesSlot && Model.RunningStatements >= m_Settings.Slots;
@@ -113,7 +116,8 @@
     if (Request.Type == LinkRequest::Kind::CallerStatement) {
       std::exponential_distribution<double> Draw(1.0);
       ServiceTime =
-          scaled(m_Settings.MeanServiceTime, std::min(5.0, Draw(m_Random)));
+          scaled(m_Settings.MeanServiceTime,
+                 std::min(5.0, Draw(m_Random)) * slowdown(Model, m_Now));
     }
   }
   if (TakesSlot && !Full) {
@@ -149,6 +153,27 @@
   });
 }
 
+void PoolFleet::listCold(const TargetId &Target, Duration Span) {
+  m_Targets.at(Target).ColdFor = Span;
+  publishTarget(Target);
+}
+
+void PoolFleet::warmUp(const TargetId &Target, Duration Span) {
+  TargetModel &Model = m_Targets.at(Target);
+  Model.WarmFrom = m_Now;
+  Model.WarmUp = Span;
+}
+
+double PoolFleet::slowdown(const TargetModel &Model, Instant Now) {
+  if (Model.WarmUp == Duration(0) || Now >= Model.WarmFrom + Model.WarmUp)
+    return 1;
+  // Concurrent statements evict each other's pages: with the square of their
+  // number, more of them at once finish later than one after the other.
+  double Cold = 1 - toSeconds(Now - Model.WarmFrom) / toSeconds(Model.WarmUp);
+  double Others = Model.RunningStatements;
+  return 1 + Cold * Others * Others;
+}
+
 void PoolFleet::closeLink(std::uint64_t Key) {
   auto Found = m_Links.find(Key);
   if (Found == m_Links.end())
@@ -280,6 +305,7 @@
   Entry.Slots = m_Settings.Slots;
   Entry.Draining = Model.Draining;
   Entry.ReportsPrimary = Model.ReportsPrimary;
+  Entry.ColdFor = Model.ColdFor;
   Entry.Version = Model.Version;
   return Entry;
 }
--- a/test/unit-platform-codec.cpp
+++ b/test/unit-platform-codec.cpp
@@ -320,6 +320,25 @@
   CHECK_FALSE(std::get<PromotionDecided>(Fenced).Applied);
 }
 
+// Guards against a bound for cold targets that is read wrongly, or that
+// applies where a field is missing.
+TEST(Documents, ReadsTheFieldsOfColdTargets) {
+  auto Bounded = parseConfig(replaced(
+      Config, "\"sync_replicas\": 0",
+      "\"sync_replicas\": 0, \"cold_start_s\": 8, \"cold_per_s\": 12.5"));
+  const auto &Group = Bounded->Groups.at(DatabaseId("svc"));
+  CHECK_TRUE(Group.ColdStart == seconds(8));
+  DOUBLES_EQUAL(12.5, Group.ColdPerSecond, 1e-9);
+  auto Unbounded = parseConfig(Config);
+  DOUBLES_EQUAL(0, Unbounded->Groups.at(DatabaseId("svc")).ColdPerSecond, 0);
+  auto Cold = parseTargetEntry(
+      "i-1",
+      replaced(Entry, "\"cold_remaining_ms\": 0", "\"cold_remaining_ms\": 750"),
+      1);
+  CHECK_TRUE(Cold->ColdFor == milliseconds(750));
+  CHECK_TRUE(parseTargetEntry("i-1", Entry, 1)->ColdFor == Duration(0));
+}
+
 TEST_GROUP(BootSettings){};
 
 TEST(BootSettings, IgnoresUnknownMembers) {
@@ -338,3 +357,14 @@
   CHECK_EQUAL("node_name", Read.error().front().Path);
   CHECK_FALSE(parseBootSettings("nothing").has_value());
 }
+
+// Guards against bounds for cold targets that are ignored.
+TEST(BootSettings, ReadsTheBoundsOfColdTargets) {
+  DOUBLES_EQUAL(1.5, parseBootSettings(Boot)->ColdOverage, 1e-9);
+  DOUBLES_EQUAL(5, parseBootSettings(Boot)->ColdSlack, 1e-9);
+  auto Read = parseBootSettings(
+      replaced(Boot, "\"grace_s\": 7",
+               "\"grace_s\": 7, \"cold_overage\": 2, \"cold_slack\": 0"));
+  DOUBLES_EQUAL(2, Read->ColdOverage, 1e-9);
+  DOUBLES_EQUAL(0, Read->ColdSlack, 1e-9);
+}
--- a/test/unit-pool-message.cpp
+++ b/test/unit-pool-message.cpp
@@ -61,6 +61,7 @@
   Entry.Slots = 3;
   Entry.ReportsPrimary = true;
   Entry.Version = 88;
+  Entry.ColdFor = milliseconds(750);
   Update.Changed = {Entry};
   Update.Removed = {TargetId("u")};
   Hello Greeting;
--- a/test/unit-pool-policy.cpp
+++ b/test/unit-pool-policy.cpp
@@ -36,13 +36,16 @@
   CHECK_EQUAL(0U, Policies.readRule(1)->Source.Line);
   CHECK_TRUE(Policies.rateSharing() == ratelimit::RateSharing::Loans);
   CHECK_TRUE(Policies.queueOrder() == admission::QueueOrder::Fair);
+  CHECK_FALSE(Policies.adaptsPace());
 }
 
 TEST(SitePolicies, ReadsPoliciesWithTheirAuthor) {
   SitePolicies Policies =
       parsed("policy reads earliest-finish primary-cost=30ms # ops\n"
              "policy queue fifo # ops\n"
-             "policy rate split # ops\n");
+             "policy rate split # ops\n"
+             "policy pace adaptive # ops\n");
+  CHECK_TRUE(Policies.adaptsPace());
   CHECK_TRUE(Policies.readRule(1)->PrimaryCost == milliseconds(30));
   CHECK_EQUAL("ops", Policies.readRule(1)->Source.Author);
   CHECK_TRUE(Policies.rateSharing() == ratelimit::RateSharing::Split);
