--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -3,6 +3,7 @@
 #include "bergamotstage/rules/PolicyChoice.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 #include <variant>
 
@@ -39,6 +40,15 @@
          std::holds_alternative<StoreUpdateRequest>(Message);
 }
 
+/// @brief Connections that a VM may open to a target.
+/// @param Rank position of the VM among the target's owners
+unsigned linkLimit(unsigned GroupLinks, std::ptrdiff_t Rank) {
+  double Share = Rank == 0   ? OwnerLinkShare
+                 : Rank == 1 ? SuccessorLinkShare
+                             : 0;
+  return std::max(static_cast<unsigned>(GroupLinks * Share), OtherLinks);
+}
+
 } // namespace
 
 PoolNode::PoolNode(Settings Initial, std::uint64_t Seed, Hooks Callbacks)
@@ -211,12 +221,7 @@
     bool IsOwner = Rank == 0 && !Owners.empty();
     TargetPool::Limits Limits;
     Limits.Slots = std::max(1U, Target->Slots);
-    Limits.MaxLinks = OtherLinks;
-    if (Rank == 0)
-      Limits.MaxLinks = static_cast<unsigned>(GroupLinks * OwnerLinkShare);
-    else if (Rank == 1)
-      Limits.MaxLinks = static_cast<unsigned>(GroupLinks * SuccessorLinkShare);
-    Limits.MaxLinks = std::max(Limits.MaxLinks, OtherLinks);
+    Limits.MaxLinks = linkLimit(GroupLinks, Rank);
     Limits.IdleLinkTimeout =
         IsOwner ? OwnerIdleLinkTimeout : OtherIdleLinkTimeout;
     Limits.TransactionIdleTimeout = m_Config->TransactionIdle;
