--- a/src/pooling/PoolNodeTargets.cpp
+++ b/src/pooling/PoolNodeTargets.cpp
@@ -130,6 +130,8 @@
 void PoolNode::onPromoted(const DatabaseId &Group, const TargetId &Id,
                           Term NewTerm) {
   m_Targets.recordPromotion(Group, Id, NewTerm);
+  if (m_AdaptsPace)
+    limitPools();
   m_Sessions.retryDeferred();
 }
 
