Report a target that turned cold or warm to other VMs

An entry that is only written again is not passed on; whether the target is cold counts as a change now, as owners on other VMs bound what it gets.

--- a/src/pooling/TargetTable.cpp
+++ b/src/pooling/TargetTable.cpp
@@ -10,12 +10,14 @@
 /// takes well under a second unless the platform is down.
 constexpr Duration DrainingPrimaryTimeout = seconds(5);
 
-/// @brief Whether two entries of a target differ at most in their versions.
+/// @brief Whether two entries of a target differ at most in their versions, and
+/// in how much longer a cold target stays cold.
 bool tellSame(const TargetEntry &Left, const TargetEntry &Right) {
   return Left.Group == Right.Group && Left.Address == Right.Address &&
          Left.DataCentre == Right.DataCentre && Left.Slots == Right.Slots &&
          Left.Draining == Right.Draining &&
-         Left.ReportsPrimary == Right.ReportsPrimary;
+         Left.ReportsPrimary == Right.ReportsPrimary &&
+         (Left.ColdFor > Duration(0)) == (Right.ColdFor > Duration(0));
 }
 
 } // namespace
