Keep the token of an operation whose reply was lost

A read or an open transaction that got no reply gave its token back, although the target had received it. With a target that runs statements and does not answer, an account with a burst of 4 and almost no rate could send any number: all of 12 reads ran. The token is now spent once a statement is lost, also if another target refuses the retry. Operations that were not sent return it as before.

--- a/src/pooling/SessionsOutcome.cpp
+++ b/src/pooling/SessionsOutcome.cpp
@@ -183,6 +183,8 @@
       isTransaction(Op.Mode) ? Commits && Op.HasWritten : Op.Current.writes();
   Op.ExcludedOwners.insert({Op.Owner, Op.Target});
   Op.ExcludedTargets.insert(Op.Target);
+  // The target may have run it: its token is spent and not returned.
+  Op.Admitted = false;
   if (Op.isSingleRead() && retryElsewhere(CallerSession, "no reply"))
     return;
   Op.Dispatched = false;
--- a/test/unit-pool-sessions.cpp
+++ b/test/unit-pool-sessions.cpp
@@ -362,3 +362,19 @@
   Small.Fleet.run(seconds(2));
   CHECK_TRUE(Small.sendAndWait(Verb::Read, seconds(2)).Error.has_value());
 }
+
+TEST(PoolSessions, ALostReadKeepsItsToken) {
+  // Guards against an account that exceeds its contract at a target which does
+  // not answer: each lost read gave its token back although it was sent.
+  SmallFleet Small(1);
+  SiteConfig Slow = Small.Config;
+  Slow.Version = 2;
+  Slow.Accounts[AccountId("account-0")] = {AccountId("account-0"), 0.01, 4};
+  Small.Fleet.configure(Slow);
+  Small.Fleet.run(seconds(1));
+  Small.connect("primary-0");
+  Small.Fleet.setLostReplyRatio(1);
+  for (int Count = 0; Count < 12; ++Count)
+    Small.sendAndWait(Verb::Read, seconds(2));
+  CHECK_TRUE(Small.Runs.size() <= 5);
+}
