Raise the overload of the soak and justify its margin

Cause: with 10 operations a second for each VM, the callers of the overloaded account asked for about twice its rate only. Change: half the rate, so that they ask for about four times as much; a longer pause outside of the overload keeps them within it. The comment of the margin tells what it covers.

--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -32,11 +32,11 @@
 /// Spans of a run with --evacuate.
 constexpr Duration EvacuationTime = seconds(10);
 constexpr Duration SpanAround = seconds(6);
-/// An account whose callers ask for about six times its rate for a while. Its
+/// An account whose callers ask for about four times its rate for a while. Its
 /// routes differ in their priority only, and each VM has one caller of each.
 constexpr unsigned Overloaded = Accounts;
-constexpr double OverloadedRatePerVm = 10;
-constexpr Duration UsualPause = milliseconds(600);
+constexpr double OverloadedRatePerVm = 5;
+constexpr Duration UsualPause = milliseconds(900);
 constexpr Duration OverloadPause = milliseconds(15);
 const char *const OverloadedRoutes[] = {"urgent", "usual", "late"};
 const char *const NewPolicies[] = {"queue urgency", "rate priority",
--- a/soak/PriorityShares.cpp
+++ b/soak/PriorityShares.cpp
@@ -9,9 +9,10 @@
 /// Three standard errors of the difference of two shares: 0.1 % of the runs
 /// exceed it by chance where the priorities are served alike.
 constexpr double StandardErrors = 3;
-/// Faults end many operations at once, so that the outcomes of operations are
-/// not independent and their standard error is too small. Measured without any
-/// difference by priority: see docs/DEVELOPERS.md.
+/// Faults end many operations at once, so that their outcomes are not
+/// independent. Under the older policies, which give tokens without regard to
+/// priority, shares of seeds 3000 to 3019 differed by up to 0.081, or 3.4
+/// standard errors; this margin covers that.
 constexpr double FaultMargin = 0.03;
 
 std::string percent(double Share) {
