--- a/src/configcheck/ReportText.cpp
+++ b/src/configcheck/ReportText.cpp
@@ -10,10 +10,10 @@
     return;
   Out += Title + ":\n";
   for (const Finding &Found : Findings) {
-    std::string Place =
-        Found.Line > 0 ? "line " + std::to_string(Found.Line) : Found.Path;
-    if (Found.Line > 0 && !Found.Path.empty())
-      Place = Found.Path + " " + Place;
+    std::string Place = Found.Path;
+    if (Found.Line > 0)
+      Place.append(Place.empty() ? "line " : " line ")
+          .append(std::to_string(Found.Line));
     Out += "  " + Place + (Place.empty() ? "" : ": ") + Found.Reason + "\n";
   }
   if (Count > Findings.size())
--- a/test/unit-platform-codec.cpp
+++ b/test/unit-platform-codec.cpp
@@ -232,6 +232,20 @@
           .has_value());
 }
 
+// Guards against a reason in the log that doesn't tell which entry is at fault,
+// and against numbers whose conversion is undefined.
+TEST(Documents, NamesTheEntryAtFaultAndCutsLargeNumbers) {
+  auto Faulty = parseConfig(replaced(Config, ": 800", ": \"800\""));
+  CHECK_FALSE(Faulty.has_value());
+  CHECK_EQUAL(std::string("routes[1].timeout_ms is not a non-negative number"),
+              Faulty.error());
+  auto Read = parseConfig(
+      replaced(replaced(Config, ": 800", ": 1e300"), ": 23", ": 1e300"));
+  CHECK_TRUE(Read.has_value());
+  CHECK(Read->Routes.at("pub").StatementTimeout > seconds(1000000));
+  CHECK(Read->Groups.at(DatabaseId("svc")).MaxLinks == 4294967295U);
+}
+
 TEST(Documents, ReadsAnEntryOfATarget) {
   auto Read = parseTargetEntry("i-1", Entry, 55);
   CHECK_TRUE(Read.has_value());
