--- a/test/ConfigCheckFiles.h
+++ b/test/ConfigCheckFiles.h
@@ -41,14 +41,20 @@
   std::string Accounts;
   for (unsigned I = 0; Routes.size() + Accounts.size() < Bytes; ++I) {
     std::string Number = std::to_string(I);
-    std::string Comma = I == 0 ? "" : ",\n";
-    Routes +=
-        Comma + R"({"name": "r-)" + Number + R"(", "database": "db-)" + Number +
-        R"(", "type": "bounded", "max_staleness_ms": 1500,)" +
-        R"("timeout_ms": 2000, "target_latency_ms": 500, "priority": 1,)" +
-        R"("service": "books", "public": false})";
-    Accounts += Comma + R"({"name": "a-)" + Number + R"(", "api_keys": ["k-)" +
-                Number + R"("], "rate_per_s": 10, "burst": 5})";
+    Routes.append(I == 0 ? "" : ",\n")
+        .append(R"({"name": "r-)")
+        .append(Number)
+        .append(R"(", "database": "db-)")
+        .append(Number)
+        .append(R"(", "type": "bounded", "max_staleness_ms": 1500,)")
+        .append(R"("timeout_ms": 2000, "target_latency_ms": 500,)")
+        .append(R"("priority": 1, "service": "books", "public": false})");
+    Accounts.append(I == 0 ? "" : ",\n")
+        .append(R"({"name": "a-)")
+        .append(Number)
+        .append(R"(", "api_keys": ["k-)")
+        .append(Number)
+        .append(R"("], "rate_per_s": 10, "burst": 5})");
   }
   return R"({"version": 7, "routes": [)" + Routes + R"(], "services": [)" +
          R"({"name": "books", "max_connections": 23}], "tenants": [)" +
--- a/test/unit-config-check.cpp
+++ b/test/unit-config-check.cpp
@@ -452,34 +452,34 @@
 TEST_GROUP(ConfigCheckCommand) {
   void setup() override {
     char Pattern[] = "/tmp/config-check-XXXXXX";
-    m_Folder = mkdtemp(Pattern);
+    Folder = mkdtemp(Pattern);
     write("valid.json", validConfig());
     write("warned.json", replaced(validConfig(), ": 2000", ": 400"));
     write("broken.json", "{");
   }
 
   void teardown() override {
-    for (const std::string &Name : m_Files)
-      std::remove((m_Folder + "/" + Name).c_str());
-    rmdir(m_Folder.c_str());
+    for (const std::string &Name : Files)
+      std::remove((Folder + "/" + Name).c_str());
+    rmdir(Folder.c_str());
   }
 
   void write(const std::string &Name, const std::string &Text) {
-    std::ofstream(m_Folder + "/" + Name) << Text;
-    m_Files.push_back(Name);
+    std::ofstream(Folder + "/" + Name) << Text;
+    Files.push_back(Name);
   }
 
   /// @return the exit code of the command with these options
   int run(const std::string &Options) {
-    std::string Command = "cd " + m_Folder +
+    std::string Command = "cd " + Folder +
                           " && " BERGAMOTSTAGE_PROGRAM " check " + Options +
                           " >/dev/null 2>&1";
     int Status = std::system(Command.c_str());
     return WIFEXITED(Status) ? WEXITSTATUS(Status) : -1;
   }
 
-  std::string m_Folder;
-  std::vector<std::string> m_Files;
+  std::string Folder;
+  std::vector<std::string> Files;
 };
 
 // Guards against exit codes that scripts can't rely on, and a check of rules
