Pass the ended operation of a rate share by reference

clang-tidy reports a parameter that is copied without need. Every caller holds the operation in a local variable while the callback runs.

unit-rate-faults, unit-rate-priority and unit-random-shares pass.

--- a/include/bergamotstage/ratelimit/RateShare.h
+++ b/include/bergamotstage/ratelimit/RateShare.h
@@ -143,7 +143,7 @@
   bool closeRequest(AccountState &State, std::uint64_t Number);
   void sendRequest(AccountState &State, const VmId &To,
                    pooling::TokenRequest Request);
-  void finish(PendingAdmission Ended, const AccountId &Id,
+  void finish(const PendingAdmission &Ended, const AccountId &Id,
               const Decision &Result);
 
   // RateSharing::Priority, in RatePriority.cpp.
--- a/src/ratelimit/RatePriority.cpp
+++ b/src/ratelimit/RatePriority.cpp
@@ -156,14 +156,13 @@
   PendingAdmission Asking{Need, Now, Now + tokenWait(Need), 0,
                           std::move(Callback)};
   if (!State.Filter.admits(Need, Now))
-    return finish(std::move(Asking), Id,
-                  {false, retryAfterShare(State, Need.Priority)});
+    return finish(Asking, Id, {false, retryAfterShare(State, Need.Priority)});
   bool First = State.Pending.empty() ||
                Need.Priority < State.Pending.front().Need.Priority;
   bool LoanFirst =
       !State.Loans.empty() && State.Loans.front().Priority < Need.Priority;
   if (First && !LoanFirst && consumeToken(State, Need.Priority)) {
-    finish(std::move(Asking), Id, {true, {}});
+    finish(Asking, Id, {true, {}});
     if (State.Pending.empty() && !isHolder(State))
       requestByPriority(Id, State);
     return;
@@ -191,7 +190,7 @@
   PendingAdmission Last = std::move(State.Pending.back());
   State.Pending.pop_back();
   Duration RetryAfter = retryAfterShare(State, Last.Need.Priority);
-  finish(std::move(Last), Id, {false, RetryAfter});
+  finish(Last, Id, {false, RetryAfter});
 }
 
 /// @brief Gives the available tokens to the most urgent operations of this VM
@@ -205,7 +204,7 @@
   if (!State.Pending.empty())
     requestByPriority(Id, State);
   for (PendingAdmission &Next : Admitted)
-    finish(std::move(Next), Id, {true, {}});
+    finish(Next, Id, {true, {}});
   refuseExpired(Id, State);
   scheduleDistribution(Id, State);
 }
@@ -301,7 +300,7 @@
   }
   for (PendingAdmission &Ended : Refused) {
     Duration RetryAfter = retryAfterShare(State, Ended.Need.Priority);
-    finish(std::move(Ended), Id, {false, RetryAfter});
+    finish(Ended, Id, {false, RetryAfter});
   }
 }
 
--- a/src/ratelimit/RateShare.cpp
+++ b/src/ratelimit/RateShare.cpp
@@ -159,7 +159,7 @@
 }
 
 /// @brief Reports the decision on an operation that waited.
-void RateShare::finish(PendingAdmission Ended, const AccountId &Id,
+void RateShare::finish(const PendingAdmission &Ended, const AccountId &Id,
                        const Decision &Result) {
   Counts &Total = m_Counts[{Id, Ended.Need.Priority}];
   if (Result.Admitted) {
@@ -190,10 +190,10 @@
                     available(State) < tokens(Demand * ReservedDemandSeconds);
     if (Prefetch)
       requestLoan(Id, State);
-    return finish(std::move(Asking), Id, {true, {}});
+    return finish(Asking, Id, {true, {}});
   }
   if (State.Pending.size() >= MaxPending)
-    return finish(std::move(Asking), Id, {false, retryAfter(State)});
+    return finish(Asking, Id, {false, retryAfter(State)});
   State.Pending.push_back(std::move(Asking));
   admitPending(Id);
 }
@@ -341,9 +341,9 @@
     });
   }
   for (PendingAdmission &Next : Admitted)
-    finish(std::move(Next), Id, {true, {}});
+    finish(Next, Id, {true, {}});
   for (PendingAdmission &Next : Refused)
-    finish(std::move(Next), Id, {false, RetryAfter});
+    finish(Next, Id, {false, RetryAfter});
 }
 
 void RateShare::lend(const VmId &To, AccountState &State,
