--- a/test/unit-rate-faults.cpp
+++ b/test/unit-rate-faults.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <memory>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -87,7 +88,8 @@
   void answer(std::uint64_t MilliTokens,
               std::vector<PriorityShare> Shares = {}) {
     const auto &[From, Request] = Requests.back();
-    Rates.onTokenMessage(From, grantFor(Request, MilliTokens, Shares));
+    Rates.onTokenMessage(From,
+                         grantFor(Request, MilliTokens, std::move(Shares)));
   }
 
   static TokenGrant grantFor(const TokenRequest &Request,
