--- a/test/unit-admission.cpp
+++ b/test/unit-admission.cpp
@@ -4,6 +4,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <optional>
 #include <random>
@@ -147,7 +148,7 @@
                            ? m_Queue.slotTimes().expected(Next.Kind)
                            : m_MeanMs / 1000;
       m_Queue.shares().charge(Next.Account, Charged);
-      int Ends = m_NowMs + static_cast<int>(m_ServiceMs[Next.Key] + 0.5);
+      int Ends = m_NowMs + static_cast<int>(std::lround(m_ServiceMs[Next.Key]));
       m_Running.push_back(
           {Next, Charged, m_NowMs, std::max(Ends, m_NowMs + 1)});
     }
