--- a/include/bergamotstage/pooling/FleetRows.h
+++ b/include/bergamotstage/pooling/FleetRows.h
@@ -5,7 +5,7 @@
 #include "bergamotstage/fleet/MemberState.h"
 #include "bergamotstage/pooling/Context.h"
 #include "bergamotstage/pooling/FleetMessage.h"
-#include "bergamotstage/pooling/RatePlan.h"
+#include "bergamotstage/ratelimit/RatePlan.h"
 
 #include <functional>
 #include <map>
@@ -17,6 +17,8 @@
 
 namespace bergamotstage::pooling {
 
+using ratelimit::RatePlan;
+
 /// @brief Lease that allows its holder to order promotions in a group.
 struct PromotionLease {
   VmId Holder;
@@ -77,6 +79,12 @@
   void acquireLease(const DatabaseId &Group,
                     std::function<void(std::optional<std::uint64_t>)> Callback);
 
+  /// @brief Whether this VM's row was renewed so recently that no other VM can
+  /// have removed it.
+  bool isListed() const {
+    return m_RenewedAt && m_Context.now() < *m_RenewedAt + ShareLeaseDuration;
+  }
+
   /// @brief Whether all rows have been read at least once.
   bool isLoaded() const { return m_Loaded; }
 
--- a/include/bergamotstage/pooling/OperationRequest.h
+++ b/include/bergamotstage/pooling/OperationRequest.h
@@ -47,6 +47,7 @@
   OperationId Id;
   TargetId Target;
   AccountId Account;
+  RouteId Route;
   Access Mode = Access::Primary;
   std::optional<HistoryPoint> RequiredPosition; ///< Minimum for a replica.
   unsigned Priority = 0;                        ///< 0 is the highest.
@@ -58,13 +59,21 @@
 
 /// @brief Why an operation was not sent to its target.
 enum class NotRunReason : std::uint8_t {
-  Overloaded,  ///< No slot or link was free in time.
-  Unreachable, ///< The target does not answer this VM.
-  Leaving,     ///< The VM or the target is draining.
+  Overloaded,   ///< No slot or link was free in time.
+  TooLate,      ///< Others precede it until it is too late to start.
+  AccountLimit, ///< Its account holds its share of the connections.
+  Unreachable,  ///< The target does not answer this VM.
+  Leaving,      ///< The VM or the target is draining.
   UnknownTarget
 };
 
 const char *notRunReasonName(NotRunReason Reason);
+/// @brief Whether the target is reachable and only its load prevented a run.
+inline bool isOverload(NotRunReason Reason) {
+  return Reason == NotRunReason::Overloaded ||
+         Reason == NotRunReason::TooLate ||
+         Reason == NotRunReason::AccountLimit;
+}
 
 /// @brief Load of a target as measured by its owner.
 struct TargetLoad {
@@ -73,6 +82,10 @@
   unsigned Queued = 0; ///< Operations in its queue.
   /// Share of the latest statements that failed or got no reply.
   unsigned FailedPermille = 0;
+  Duration Wait{};    ///< Expected wait of a new statement for a slot.
+  Duration Service{}; ///< Mean slot time; zero before any was measured.
+  /// Statements that the target gets at once; 0 if the pace is fixed.
+  unsigned Pace = 0;
 };
 
 /// @brief Result of one statement of an operation.
--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -1,6 +1,7 @@
 #ifndef BERGAMOTSTAGE_POOLING_POOLNODE_H
 #define BERGAMOTSTAGE_POOLING_POOLNODE_H
 
+#include "bergamotstage/balancing/TargetSelector.h"
 #include "bergamotstage/core/PlatformApi.h"
 #include "bergamotstage/metrics/Registry.h"
 #include "bergamotstage/pooling/ConfigExchange.h"
@@ -10,25 +11,30 @@
 #include "bergamotstage/pooling/FleetRows.h"
 #include "bergamotstage/pooling/PeerHealth.h"
 #include "bergamotstage/pooling/RankedMembers.h"
-#include "bergamotstage/pooling/RateShare.h"
 #include "bergamotstage/pooling/RenewalBatcher.h"
 #include "bergamotstage/pooling/Sessions.h"
 #include "bergamotstage/pooling/SiteConfig.h"
 #include "bergamotstage/pooling/SitePolicies.h"
 #include "bergamotstage/pooling/StoreReaders.h"
 #include "bergamotstage/pooling/TargetPool.h"
-#include "bergamotstage/pooling/TargetSelector.h"
 #include "bergamotstage/pooling/TargetTable.h"
+#include "bergamotstage/ratelimit/RateShare.h"
 
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bergamotstage::pooling {
 
+using balancing::TargetSelector;
+using ratelimit::RateShare;
+
 /// @brief Event-driven core of one VM, for targets that report their own state.
 ///
 /// It reads no clock and opens no socket: each event carries the time, and
@@ -37,6 +43,9 @@
 class PoolNode {
 public:
   using PlatformCallback = std::function<void(const PlatformAnswer &)>;
+  /// Operations that this VM's pools refused as not run.
+  using RefusalCounts =
+      std::map<std::pair<NotRunReason, unsigned>, std::uint64_t>;
   struct Hooks {
     std::function<void(CallerId, CallerReply &&)> Answer;
     std::function<void(CallerId)> CloseCaller;
@@ -65,6 +74,14 @@
   struct Settings {
     MemberState Self;
     Duration Grace = seconds(6); ///< From the signal to the forced exit.
+    /// From the acknowledgement of an evacuation until nothing may arrive.
+    Duration EvacuationBound = seconds(5);
+    /// Region of each data centre, for routes and accounts with home regions.
+    std::map<DataCentreId, RegionId> Regions;
+    /// A cold target gets the configured statements a second times ColdOverage,
+    /// and ColdSlack on top, in any second.
+    double ColdOverage = 1.5;
+    double ColdSlack = 5;
   };
 
   PoolNode(Settings Initial, std::uint64_t Seed, Hooks Callbacks);
@@ -109,6 +126,11 @@
   void onTargetRemoved(Instant Now, const TargetId &Id);
   /// @brief The full list was read; targets that it lacks are removed.
   void onTargetsListed(Instant Now, const std::vector<TargetEntry> &All);
+  /// @brief All rows of evacuated data centres were read.
+  void onEvacuationsListed(Instant Now, const placement::EvacuationList &List);
+  /// @brief The row of one data centre was written or removed.
+  void onEvacuationChanged(Instant Now, const DataCentreId &DataCentre,
+                           bool Evacuated, std::uint64_t Version);
   /// @brief The store answered a read or poll of its tables.
   void onStoreResponse(Instant Now);
 
@@ -129,6 +151,13 @@
   const metrics::Registry &metrics() const { return m_Metrics; }
   const Sessions &sessions() const { return m_Sessions; }
   std::size_t links() const;
+  /// @brief Refusals by reason and priority since the start.
+  const RefusalCounts &refusals() const { return m_Refusals; }
+  /// @brief Calls a function with each pool of links to a target.
+  void forEachPool(const std::function<void(const TargetPool &)> &Visit) const;
+  const RateShare &rates() const { return m_Rates; }
+  /// @brief Operations at targets of evacuated data centres.
+  std::size_t evacuatedOperations() const;
   std::size_t rateSlots() const { return m_Rates.slotCount(); }
 
 private:
@@ -176,6 +205,10 @@
   TargetPool *pool(const TargetId &Id);
   TargetPool *poolOfLink(LinkId Link);
   void limitPools();
+  // In PoolNodePacing.cpp.
+  void setPaceLimits(const TargetEntry &Target,
+                     TargetPool::Limits &Limits) const;
+  std::optional<unsigned> coldRank(const TargetEntry &Target) const;
   void dropPool(const TargetId &Id, const std::string &Reason);
   const std::vector<VmId> &owners(const TargetId &Id) const;
   /// @brief VMs in the order in which they should hold a group's lease.
@@ -183,8 +216,9 @@
   std::vector<VmId> peers() const;
   AccountId anyAccount() const;
   bool applyTarget(const TargetEntry &Entry);
-  void applyTargets(const std::vector<TargetEntry> &All);
-  void removeTarget(const TargetId &Id);
+  void applyTargets(const std::vector<TargetEntry> &Changed,
+                    const std::vector<TargetId> &Removed);
+  void applyAllTargets(const std::vector<TargetEntry> &All);
   void onReachabilityChanged(const TargetId &Id, bool Reachable);
   void onPromoted(const DatabaseId &Group, const TargetId &Id, Term NewTerm);
   bool holdsLease(const DatabaseId &Group) const;
@@ -194,6 +228,13 @@
   void markPeerLost(const VmId &Vm, const char *Reason);
   void setReachable(const VmId &Vm, bool Reachable);
   void checkPeers();
+  void applyEvacuations(const placement::EvacuationList &List);
+  void onEvacuationsUpdated(const std::set<DataCentreId> &Before);
+  void logEvacuation(const char *Event, const DataCentreId &DataCentre);
+  void scheduleEvacuationDeadline();
+  void checkEvacuations();
+  std::size_t operationsIn(const DataCentreId &DataCentre) const;
+  std::vector<DatabaseId> groups() const;
   void runHousekeeping();
   void drain();
 
@@ -201,8 +242,15 @@
   Hooks m_Hooks;
   Context m_Context;
   SharedConfig m_Config;
-  bool m_FairQueues = true;
+  admission::QueueOrder m_QueueOrder = admission::QueueOrder::Fair;
+  bool m_AdaptsPace = false;
+  Instant m_StartedAt{};
+  RefusalCounts m_Refusals;
   metrics::Registry m_Metrics;
+  placement::Evacuations m_Evacuations;
+  /// Evacuated data centres in which operations may be left.
+  std::set<DataCentreId> m_OccupiedEvacuations;
+  std::optional<TimerId> m_EvacuationTimer;
   TargetTable m_Targets;
   RankedMembers m_Members;
   PeerHealth m_Health;
--- a/include/bergamotstage/pooling/Session.h
+++ b/include/bergamotstage/pooling/Session.h
@@ -32,6 +32,7 @@
   RouteConfig Route;                     ///< Copied when the operation begins.
   std::shared_ptr<const ReadRule> Reads; ///< Copied; null for default.
   AccountId Account;
+  placement::RegionSet AccountHomes;
   Access Mode = Access::Primary;
   Instant Arrived{};
   Statement Current;          ///< Latest statement.
@@ -78,6 +79,8 @@
   std::optional<Operation> Op;
   std::deque<Statement> Backlog; ///< Received before the last reply.
   bool HasReply = false;         ///< A statement of it has a reply.
+  /// Until then, its next operation retries one that got no token.
+  Instant RetryExpectedUntil{};
 
   SessionState state() const {
     bool Transaction = Op && isTransaction(Op->Mode);
--- a/include/bergamotstage/pooling/SitePolicies.h
+++ b/include/bergamotstage/pooling/SitePolicies.h
@@ -1,9 +1,11 @@
 #ifndef BERGAMOTSTAGE_POOLING_SITEPOLICIES_H
 #define BERGAMOTSTAGE_POOLING_SITEPOLICIES_H
 
+#include "bergamotstage/admission/QueueOrder.h"
 #include "bergamotstage/core/Ids.h"
 #include "bergamotstage/core/Outcome.h"
 #include "bergamotstage/core/Time.h"
+#include "bergamotstage/ratelimit/RateSharing.h"
 #include "bergamotstage/rules/RuleSet.h"
 
 #include <tl/expected.hpp>
@@ -18,7 +20,8 @@
 /// @brief Target selection for reads that replicas may serve.
 struct ReadRule {
   enum class Kind : std::uint8_t {
-    EarliestFinish, ///< Least expected time by distance and load.
+    EarliestFinish, ///< Least expected time by distance and queue length.
+    LeastWait,      ///< The same by measured times; see TargetEstimate.
     NearestCovered, ///< Nearest replica; the primary comes last.
     RandomReplica,  ///< Any replica; the primary comes last.
     PrimaryOnly
@@ -54,10 +57,13 @@
   /// Complexity: linear in the shares.
   std::shared_ptr<const ReadRule> readRule(std::uint64_t SessionHash) const;
 
-  /// @brief Whether targets use fair queueing over accounts instead of FIFO.
-  bool usesFairQueues() const;
-  /// @brief Whether VMs borrow tokens from each other.
-  bool usesRateLoans() const;
+  /// @brief How VMs share the rates of accounts.
+  ratelimit::RateSharing rateSharing() const;
+  /// @brief Order of the operations that wait for a target.
+  admission::QueueOrder queueOrder() const;
+  /// @brief Whether targets get as many statements at once as they answer in
+  /// their usual time, instead of as many as they have slots.
+  bool adaptsPace() const;
 
   const RuleSet &rules() const { return m_Rules; }
 
--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -1,6 +1,9 @@
 #ifndef BERGAMOTSTAGE_POOLING_TARGETPOOL_H
 #define BERGAMOTSTAGE_POOLING_TARGETPOOL_H
 
+#include "bergamotstage/admission/TargetQueue.h"
+#include "bergamotstage/pacing/ColdStartLimiter.h"
+#include "bergamotstage/pacing/PaceController.h"
 #include "bergamotstage/pooling/Context.h"
 #include "bergamotstage/pooling/LinkMessage.h"
 #include "bergamotstage/pooling/OperationRequest.h"
@@ -36,6 +39,8 @@
     std::function<void(const TargetId &, Instant RequestedAt,
                        const HistoryPoint &)>
         PositionProven;
+    /// An operation of a priority was refused as not run.
+    std::function<void(NotRunReason, unsigned Priority)> Refused;
   };
 
   /// @brief Limits of one target.
@@ -44,7 +49,13 @@
     unsigned MaxLinks = 2; ///< Maximum number of connections of this VM.
     Duration IdleLinkTimeout = seconds(3);
     Duration TransactionIdleTimeout = seconds(3);
-    bool Fair = true; ///< Fair queueing over accounts; otherwise FIFO.
+    admission::QueueOrder Order = admission::QueueOrder::Fair;
+    bool AdaptivePace = false; ///< Otherwise all slots are used.
+    bool IsOwner = false;      ///< This VM is the first to own the links.
+    bool IsPrimary = false;
+    unsigned ReportedPace = 0; ///< Of the previous owner; 0 if unknown.
+    pacing::ColdBound Cold{};
+    std::optional<unsigned> ColdRank{}; ///< For ColdStartLimiter.
   };
 
   using ProofCallback =
@@ -57,10 +68,19 @@
   TargetPool(const TargetPool &) = delete;
   TargetPool &operator=(const TargetPool &) = delete;
 
-  void setLimits(const Limits &NewLimits) { m_Limits = NewLimits; }
+  void setLimits(const Limits &NewLimits);
   /// @brief Rejects new operations; open transactions continue.
   void stopAdmission() { m_AcceptsOperations = false; }
-  void resumeAdmission() { m_AcceptsOperations = true; }
+  void resumeAdmission() {
+    m_AcceptsOperations = true;
+    m_Evacuated = false;
+  }
+  /// @brief Refuses operations that wait for a first slot, so that they run
+  /// elsewhere.
+  void refuseWaiting();
+  /// @brief Sends nothing more: ends all operations but statements in flight
+  /// and closes their links, which rolls transactions back.
+  void evacuate();
 
   /// @brief Queues a new operation. Each statement gets exactly one reply
   /// unless the operation is aborted.
@@ -102,11 +122,17 @@
 
   bool hasLink(LinkId Id) const { return m_Links.count(Id) > 0; }
   bool isIdle() const { return m_Operations.empty(); }
+  std::size_t operationCount() const { return m_Operations.size(); }
   bool isReachable() const { return !m_Unreachable; }
   /// @brief Time at which the target last sent data.
   Instant lastReceivedAt() const { return m_LastReceivedAt; }
   std::size_t linkCount() const { return m_Links.size(); }
   unsigned waitingCount() const;
+  const TargetId &id() const { return m_Id; }
+  const admission::SlotTimes &slotTimes() const { return m_Queue.slotTimes(); }
+  const pacing::PaceController &pace() const { return m_Pace; }
+  /// @brief Statements that may be in flight; the slots if the pace is fixed.
+  unsigned usableSlots() const;
 
 private:
   enum class Phase : std::uint8_t {
@@ -126,6 +152,7 @@
     Instant SentAt{};
     Instant NotBefore{}; ///< Backoff after the target was busy.
     std::uint64_t ArrivalNumber = 0;
+    double ChargedSeconds = 0; ///< Slot time charged for its statement.
   };
   struct ControlRequest {
     AccountId Account;
@@ -136,8 +163,31 @@
 
   void dispatchWaiting();
   QueueEntry *nextDispatchable();
-  bool precedes(const QueueEntry &Left, const QueueEntry &Right) const;
-  double startTag(const QueueEntry &Operation) const;
+  // The queue, in TargetPoolQueue.cpp.
+  std::vector<admission::WaitingWork>
+  sortedWaiting(std::vector<QueueEntry *> &Entries);
+  std::optional<NotRunReason>
+  admissionFault(const OperationRequest &Request) const;
+  void removeBlocked(std::vector<admission::WaitingWork> &Waiting);
+  void refuseHopeless();
+  void chargeSlotTime(QueueEntry &Next);
+  void recordSlotTime(const QueueEntry &Ended, Duration Held, bool WasBusy);
+  Duration timeUntilSlot() const;
+  bool usesUrgency() const {
+    return m_Limits.Order == admission::QueueOrder::Urgency;
+  }
+  // The pace, in TargetPoolPace.cpp.
+  unsigned workingSlots() const;
+  bool mayStart(const QueueEntry &Next) const;
+  void chargeColdBound(LinkRequest::Kind Type);
+  void recordPace(const QueueEntry &Ended,
+                  const std::optional<ErrorCode> &Error);
+  void logPace(unsigned Before);
+  static bool opensTransaction(const QueueEntry &Next);
+  static bool needsSlot(Verb Kind) { return Kind != Verb::Rollback; }
+  static admission::WorkKind workKind(const OperationRequest &Request);
+  unsigned accountLinkLimit() const;
+  unsigned openTransactions(const AccountId &Account) const;
   bool acquireLink(QueueEntry &Operation);
   bool mayOpenLink(const QueueEntry &Operation) const;
   bool openLink(const AccountId &Account);
@@ -181,11 +231,14 @@
   Hooks m_Hooks;
   Limits m_Limits;
   bool m_AcceptsOperations = true;
+  bool m_Evacuated = false; ///< Nothing more may be sent.
   std::map<OperationId, QueueEntry> m_Operations;
   std::map<LinkId, PoolLink> m_Links;
   std::map<std::uint64_t, ControlRequest> m_ControlRequests;
-  std::map<AccountId, double> m_FinishTags; ///< Virtual finish times in s.
-  double m_VirtualTime = 0;
+  admission::TargetQueue m_Queue;
+  pacing::PaceController m_Pace;
+  pacing::ColdStartLimiter m_Cold;
+  bool m_LimitsSet = false;
   unsigned m_SlotsUsed = 0;
   std::uint64_t m_LastArrivalNumber = 0;
   std::uint64_t m_LastControlRequestId = 0;
--- a/include/bergamotstage/pooling/RatePlan.h
+++ b/include/bergamotstage/ratelimit/RatePlan.h
@@ -1,5 +1,5 @@
-#ifndef BERGAMOTSTAGE_POOLING_RATEPLAN_H
-#define BERGAMOTSTAGE_POOLING_RATEPLAN_H
+#ifndef BERGAMOTSTAGE_RATELIMIT_RATEPLAN_H
+#define BERGAMOTSTAGE_RATELIMIT_RATEPLAN_H
 
 #include "bergamotstage/core/Ids.h"
 
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-namespace bergamotstage::pooling {
+namespace bergamotstage::ratelimit {
 
 /// @brief Assignment of rate slots to VMs.
 ///
@@ -40,6 +40,8 @@
   double share(const AccountId &Account, const std::set<Slot> &Usable) const;
   /// @brief Distinct VMs that hold slots of an account.
   std::vector<VmId> holders(const AccountId &Account) const;
+  /// @brief Share of an account's rate of each VM that holds any, from 0 to 1.
+  std::map<VmId, double> holderShares(const AccountId &Account) const;
   /// @brief Number of slots of each VM that holds any.
   std::map<VmId, std::size_t> slotCounts() const;
   /// @brief Distinct VMs that hold slots.
@@ -52,6 +54,6 @@
   std::vector<VmId> m_Holders; ///< By slot.
 };
 
-} // namespace bergamotstage::pooling
+} // namespace bergamotstage::ratelimit
 
-#endif // BERGAMOTSTAGE_POOLING_RATEPLAN_H
+#endif // BERGAMOTSTAGE_RATELIMIT_RATEPLAN_H
--- a/src/pooling/TargetSelector.cpp
+++ b/src/balancing/TargetSelector.cpp
@@ -1,8 +1,11 @@
-#include "bergamotstage/pooling/TargetSelector.h"
+#include "bergamotstage/balancing/TargetSelector.h"
 
 #include <algorithm>
 
-namespace bergamotstage::pooling {
+namespace bergamotstage::balancing {
+
+using namespace pooling;
+
 namespace {
 
 /// A replica that lacked a position gets no reads for this time.
@@ -13,6 +16,9 @@
 constexpr Duration QueueInfoLifetime = milliseconds(300);
 /// Validity of a failure rate; then a read tries the target again.
 constexpr Duration FailureInfoLifetime = seconds(3);
+/// Validity of a reported pace. Losing an owner takes under two seconds to
+/// notice; a target that was well so recently needs no careful start.
+constexpr Duration PaceInfoLifetime = seconds(3);
 /// Slot time of one statement.
 constexpr double StatementCostMs = 15;
 /// Another data centre adds a round trip and paid traffic.
@@ -35,6 +41,18 @@
   TargetState &State = m_States[Target];
   State.Load = Load;
   State.LoadAt = m_Context.now();
+  State.Estimate.recordReport(Load, m_Context.now());
+}
+
+unsigned TargetSelector::reportedPace(const TargetId &Target) const {
+  auto Found = m_States.find(Target);
+  bool Valid = Found != m_States.end() &&
+               m_Context.now() - Found->second.LoadAt < PaceInfoLifetime;
+  return Valid ? Found->second.Load.Pace : 0;
+}
+
+void TargetSelector::recordOutcome(const TargetId &Target, bool Failed) {
+  m_States[Target].Estimate.recordOutcome(Failed, m_Context.now());
 }
 
 void TargetSelector::markBehind(const TargetId &Target) {
@@ -48,17 +66,45 @@
 std::optional<VmId> TargetSelector::selectOwner(const TargetId &Target,
                                                 const Operation &Op) const {
   for (const VmId &Vm : m_Owners(Target))
-    if (Op.ExcludedOwners.count({Vm, Target}) == 0)
+    if (Op.ExcludedOwners.count({Vm, Target}) == 0 && mayPass(Vm, Op))
       return Vm;
   return std::nullopt;
 }
 
+/// @brief Whether the home regions of an operation include a target's.
+bool TargetSelector::mayRunAt(const TargetId &Target,
+                              const Operation &Op) const {
+  const TargetEntry *Entry = m_Targets.find(Target);
+  return Entry == nullptr ||
+         m_Homes.mayRunIn(Entry->DataCentre, Op.Route.Homes, Op.AccountHomes);
+}
+
+bool TargetSelector::mayPass(const VmId &Vm, const Operation &Op) const {
+  bool Restricted = !Op.Route.Homes.empty() || !Op.AccountHomes.empty();
+  return !Restricted || !m_DataCentreOf || Vm == m_Context.self() ||
+         m_Homes.mayPass(m_DataCentreOf(Vm), m_Context.dataCentre(),
+                         Op.Route.Homes, Op.AccountHomes);
+}
+
+TargetSelector::Choice TargetSelector::notAllowed(const char *Reason) const {
+  Choice Result;
+  Result.Type = Choice::Kind::NotAllowed;
+  Result.Reason = Reason;
+  return Result;
+}
+
 TargetSelector::Choice
 TargetSelector::selectPrimary(const Operation &Op) const {
   Choice Result;
   Result.AccessMode =
       isTransaction(Op.Mode) ? Access::PrimaryTransaction : Access::Primary;
   auto Primary = m_Targets.primary(Op.Route.Group);
+  if (Primary && !mayRunAt(*Primary, Op))
+    return notAllowed("the primary is outside of the home regions");
+  bool Withdrawn = Primary && !m_Targets.maySend(*Primary, m_Context.now()) &&
+                   m_Targets.isWhollyEvacuated(Op.Route.Group);
+  if (Withdrawn)
+    return notAllowed("the data centres of all targets are evacuated");
   if (!Primary || !m_Targets.mayServeAsPrimary(*Primary, m_Context.now()))
     return Result;
   auto Owner = selectOwner(*Primary, Op);
@@ -99,6 +145,10 @@
            (IsPrimary ? LastResortCostMs : 0);
   if (Rule.Type == ReadRule::Kind::NearestCovered)
     return (Remote ? RemoteCostMs : 0) + (IsPrimary ? LastResortCostMs : 0);
+  double PlaceCost = (Remote ? RemoteCostMs : 0) +
+                     (IsPrimary ? toMilliseconds(Rule.PrimaryCost) : 0);
+  if (Rule.Type == ReadRule::Kind::LeastWait)
+    return PlaceCost + expectedTimeMs(Target);
   double Cost = StatementCostMs;
   auto Found = m_States.find(Target.Id);
   if (Found != m_States.end()) {
@@ -109,11 +159,23 @@
     if (Age < FailureInfoLifetime)
       Cost += FailureCostMs * Load.FailedPermille / TargetLoad::Permille;
   }
-  if (Remote)
-    Cost += RemoteCostMs;
-  if (IsPrimary)
-    Cost += toMilliseconds(Rule.PrimaryCost);
-  return Cost;
+  return Cost + PlaceCost;
+}
+
+/// @brief Expected time at a target; one that fails comes last.
+double TargetSelector::expectedTimeMs(const TargetEntry &Target) const {
+  static const TargetEstimate Unknown;
+  auto Found = m_States.find(Target.Id);
+  const TargetEstimate &Estimate =
+      Found == m_States.end() ? Unknown : Found->second.Estimate;
+  Instant Now = m_Context.now();
+  double Cost = toMilliseconds(
+      Estimate.expectedTime(Target.Slots, Now, m_Context.random()));
+  if (Found != m_States.end() &&
+      Now - Found->second.LoadAt < FailureInfoLifetime)
+    Cost += FailureCostMs * Found->second.Load.FailedPermille /
+            TargetLoad::Permille;
+  return Cost + (Estimate.isEjected(Now) ? LastResortCostMs : 0);
 }
 
 TargetSelector::Choice TargetSelector::select(const Session &Caller,
@@ -137,7 +199,7 @@
       HasBest ? estimateCost(Rule, *m_Targets.find(Best.Target), true) : 0;
   for (const TargetId &Id : m_Targets.groupMembers(Op.Route.Group)) {
     bool Usable = Primary != Id && m_Targets.acceptsOperations(Id) &&
-                  Op.ExcludedTargets.count(Id) == 0;
+                  Op.ExcludedTargets.count(Id) == 0 && mayRunAt(Id, Op);
     if (!Usable)
       continue;
     auto State = m_States.find(Id);
@@ -162,4 +224,4 @@
   return Best;
 }
 
-} // namespace bergamotstage::pooling
+} // namespace bergamotstage::balancing
--- a/src/metrics/Prometheus.cpp
+++ b/src/metrics/Prometheus.cpp
@@ -1,5 +1,7 @@
 #include "bergamotstage/metrics/Prometheus.h"
 
+#include <cmath>
+#include <cstdint>
 #include <sstream>
 
 namespace bergamotstage::metrics {
@@ -84,4 +86,25 @@
   return Name + " " + std::to_string(Value) + "\n";
 }
 
+std::string renderLabelled(
+    const std::string &Name,
+    std::initializer_list<std::pair<const char *, std::string>> Labels,
+    double Value) {
+  std::ostringstream Out;
+  Out << Name << "{";
+  const char *Separator = "";
+  for (const auto &[Label, Text] : Labels) {
+    Out << Separator << Label << "=\"" << escapeLabel(Text) << "\"";
+    Separator = ",";
+  }
+  Out << "} ";
+  // A stream prints six digits of a double, too few for a counter of bytes.
+  constexpr double MaxExact = 1e15;
+  if (Value == std::floor(Value) && std::fabs(Value) < MaxExact)
+    Out << static_cast<std::int64_t>(Value) << "\n";
+  else
+    Out << Value << "\n";
+  return Out.str();
+}
+
 } // namespace bergamotstage::metrics
--- a/src/pooling/FleetMessage.cpp
+++ b/src/pooling/FleetMessage.cpp
@@ -1,191 +1,17 @@
 #include "bergamotstage/pooling/FleetMessage.h"
 
-#include "bergamotstage/fleet/detail/ByteCodec.h"
+#include "bergamotstage/pooling/detail/FieldCodec.h"
 
-#include <algorithm>
 #include <type_traits>
 #include <utility>
 
 namespace bergamotstage::pooling {
 namespace {
 
-using detail::ByteReader;
-using detail::ByteWriter;
+using namespace detail;
 
-/// Encodes the absence of an error code.
-constexpr std::uint8_t NoError = 0xFF;
 /// Cores are encoded in thousandths.
 constexpr double CoreScale = 1000;
-/// Maximum number of session values; a larger count is malformed.
-constexpr std::uint64_t MaxSessionValues = 100'000;
-
-/// @brief Reads an enumerator; clamps unknown values to the last one.
-template <class Enum> Enum readEnum(ByteReader &In, Enum Last) {
-  return static_cast<Enum>(
-      std::min(In.byte(), static_cast<std::uint8_t>(Last)));
-}
-
-void write(ByteWriter &Out, Duration Span) {
-  Out.varint(Span.count() < 0 ? 0 : static_cast<std::uint64_t>(Span.count()));
-}
-Duration readDuration(ByteReader &In) {
-  return Duration(static_cast<Duration::rep>(In.varint()));
-}
-
-void write(ByteWriter &Out, const HistoryPoint &Point) {
-  Out.varint(Point.AtTerm.value());
-  Out.varint(Point.Position.value());
-}
-HistoryPoint readPoint(ByteReader &In) {
-  HistoryPoint Point;
-  Point.AtTerm = Term(In.varint());
-  Point.Position = LogPosition(In.varint());
-  return Point;
-}
-
-void write(ByteWriter &Out, const std::optional<HistoryPoint> &Point) {
-  Out.byte(Point ? 1 : 0);
-  if (Point)
-    write(Out, *Point);
-}
-std::optional<HistoryPoint> readOptionalPoint(ByteReader &In) {
-  if (In.byte() == 0)
-    return std::nullopt;
-  return readPoint(In);
-}
-
-void write(ByteWriter &Out, const SharedValues &Values) {
-  Out.varint(Values ? Values->size() : 0);
-  if (!Values)
-    return;
-  for (const auto &[Name, Value] : *Values) {
-    Out.text(Name);
-    Out.text(Value);
-  }
-}
-SharedValues readValues(ByteReader &In) {
-  std::uint64_t Count = In.varint();
-  if (Count > MaxSessionValues)
-    In.invalidate();
-  if (Count == 0 || !In.isValid())
-    return nullptr;
-  auto Values = std::make_shared<SessionValues>();
-  for (; Count > 0 && In.isValid(); --Count) {
-    std::string Name = In.text();
-    (*Values)[std::move(Name)] = In.text();
-  }
-  return Values;
-}
-
-void write(ByteWriter &Out, const Statement &Stmt) {
-  Out.text(Stmt.RequestId);
-  Out.byte(static_cast<std::uint8_t>(Stmt.Kind));
-  Out.text(Stmt.Text);
-  Out.byte(Stmt.Prepared.Writes ? 1 : 0);
-  Out.text(Stmt.Prepared.Text);
-  Out.text(Stmt.Arguments);
-}
-Statement readStatement(ByteReader &In) {
-  Statement Stmt;
-  Stmt.RequestId = In.text();
-  Stmt.Kind = readEnum(In, Verb::Unknown);
-  Stmt.Text = In.text();
-  Stmt.Prepared.Writes = In.byte() != 0;
-  Stmt.Prepared.Text = In.text();
-  Stmt.Arguments = In.text();
-  return Stmt;
-}
-
-void write(ByteWriter &Out, const OperationRequest &Request) {
-  Out.text(Request.Id.Origin.value());
-  Out.varint(Request.Id.Number);
-  Out.text(Request.Target.value());
-  Out.text(Request.Account.value());
-  Out.byte(static_cast<std::uint8_t>(Request.Mode));
-  write(Out, Request.RequiredPosition);
-  Out.varint(Request.Priority);
-  write(Out, Request.QueueTime);
-  write(Out, Request.StatementTimeout);
-  write(Out, Request.Values);
-  write(Out, Request.First);
-}
-OperationRequest readOperationRequest(ByteReader &In) {
-  OperationRequest Request;
-  Request.Id.Origin = VmId(In.text());
-  Request.Id.Number = In.varint();
-  Request.Target = TargetId(In.text());
-  Request.Account = AccountId(In.text());
-  Request.Mode = readEnum(In, Access::ReplicaTransaction);
-  Request.RequiredPosition = readOptionalPoint(In);
-  Request.Priority = static_cast<unsigned>(In.varint());
-  Request.QueueTime = readDuration(In);
-  Request.StatementTimeout = readDuration(In);
-  Request.Values = readValues(In);
-  Request.First = readStatement(In);
-  return Request;
-}
-
-void write(ByteWriter &Out, const StatementResult &Result) {
-  Out.byte(static_cast<std::uint8_t>(Result.Outcome));
-  Out.byte(static_cast<std::uint8_t>(Result.Reason));
-  Out.byte(Result.Error ? static_cast<std::uint8_t>(*Result.Error) : NoError);
-  Out.text(Result.ErrorText);
-  Out.varint(Result.Rows.size());
-  for (const std::string &Row : Result.Rows)
-    Out.text(Row);
-  Out.text(Result.Signature);
-  Out.byte(static_cast<std::uint8_t>(Result.State));
-  write(Out, Result.Position);
-  Out.byte(Result.PrimaryProven ? 1 : 0);
-  Out.varint(Result.Load.Queued);
-  Out.varint(Result.Load.FailedPermille);
-  write(Out, Result.RetryAfter);
-}
-StatementResult readResult(ByteReader &In) {
-  StatementResult Result;
-  Result.Outcome = readEnum(In, StatementResult::Kind::Lost);
-  Result.Reason = readEnum(In, NotRunReason::UnknownTarget);
-  std::uint8_t Error = In.byte();
-  if (Error != NoError)
-    Result.Error = static_cast<ErrorCode>(
-        std::min(Error, static_cast<std::uint8_t>(ErrorCode::Other)));
-  Result.ErrorText = In.text();
-  for (std::uint64_t Count = In.varint(); Count > 0 && In.isValid(); --Count)
-    Result.Rows.push_back(In.text());
-  Result.Signature = In.text();
-  Result.State = readEnum(In, SessionState::Failed);
-  Result.Position = readOptionalPoint(In);
-  Result.PrimaryProven = In.byte() != 0;
-  Result.Load.Queued = static_cast<unsigned>(In.varint());
-  Result.Load.FailedPermille = static_cast<unsigned>(In.varint());
-  Result.RetryAfter = readDuration(In);
-  return Result;
-}
-
-void write(ByteWriter &Out, const TargetEntry &Entry) {
-  Out.text(Entry.Id.value());
-  Out.text(Entry.Group.value());
-  Out.text(Entry.Address);
-  Out.text(Entry.DataCentre.value());
-  Out.varint(Entry.Slots);
-  Out.byte(Entry.Draining ? 1 : 0);
-  Out.byte(Entry.ReportsPrimary ? 1 : 0);
-  Out.varint(Entry.ProcessStart);
-  Out.varint(Entry.Version);
-}
-TargetEntry readEntry(ByteReader &In) {
-  TargetEntry Entry;
-  Entry.Id = TargetId(In.text());
-  Entry.Group = DatabaseId(In.text());
-  Entry.Address = In.text();
-  Entry.DataCentre = DataCentreId(In.text());
-  Entry.Slots = static_cast<unsigned>(In.varint());
-  Entry.Draining = In.byte() != 0;
-  Entry.ReportsPrimary = In.byte() != 0;
-  Entry.ProcessStart = In.varint();
-  Entry.Version = In.varint();
-  return Entry;
-}
 
 struct Encoder {
   ByteWriter &Out;
@@ -229,11 +55,29 @@
   void operator()(const TokenRequest &Body) {
     Out.text(Body.Account.value());
     Out.varint(Body.MilliTokens);
+    Out.varint(Body.Demand.size());
+    for (const ratelimit::PriorityDemand &Level : Body.Demand) {
+      Out.varint(Level.Priority);
+      Out.varint(Level.MilliPerSecond);
+    }
+    Out.varint(Body.Waiting.size());
+    for (const ratelimit::WaitingOperations &Group : Body.Waiting) {
+      Out.varint(Group.Priority);
+      Out.varint(Group.Count);
+      write(Out, Group.MaxWait);
+    }
+    Out.varint(Body.Number);
   }
   void operator()(const TokenGrant &Body) {
     Out.text(Body.Account.value());
     Out.varint(Body.MilliTokens);
     Out.varint(Body.LeftMilliTokens);
+    Out.varint(Body.Shares.size());
+    for (const ratelimit::PriorityShare &Share : Body.Shares) {
+      Out.varint(Share.Priority);
+      Out.varint(Share.Permille);
+    }
+    Out.varint(Body.Number);
   }
   void operator()(const PrimarySuspected &Body) {
     Out.text(Body.Group.value());
@@ -261,19 +105,29 @@
     Out.varint(Body.ConfigVersion);
     Out.varint(Body.TargetsVersion);
     Out.varint(Body.Timestamp);
+    Out.varint(Body.ListDigest);
+    Out.varint(Body.Rejected.size());
+    for (const TargetId &Id : Body.Rejected)
+      Out.text(Id.value());
   }
   void operator()(const StoreUpdate &Body) {
     Out.varint(Body.Timestamp);
     write(Out, Body.StoreAge);
     Out.varint(Body.ConfigVersion);
+    Out.byte(Body.SameList ? 1 : 0);
     Out.varint(Body.BaseTargetsVersion);
     Out.varint(Body.TargetsVersion);
+    Out.varint(Body.NewestRow);
     Out.varint(Body.Changed.size());
     for (const TargetEntry &Entry : Body.Changed)
       write(Out, Entry);
     Out.varint(Body.Removed.size());
     for (const TargetId &Id : Body.Removed)
       Out.text(Id.value());
+    Out.varint(Body.Evacuations.Version);
+    Out.varint(Body.Evacuations.DataCentres.size());
+    for (const DataCentreId &Id : Body.Evacuations.DataCentres)
+      Out.text(Id.value());
   }
   void operator()(const RenewalRequest &Body) {
     Out.text(Body.Row);
@@ -336,6 +190,20 @@
   TokenRequest Body;
   Body.Account = AccountId(In.text());
   Body.MilliTokens = In.varint();
+  for (std::uint64_t Count = In.varint(); Count > 0 && In.isValid(); --Count) {
+    ratelimit::PriorityDemand Level;
+    Level.Priority = static_cast<unsigned>(In.varint());
+    Level.MilliPerSecond = In.varint();
+    Body.Demand.push_back(Level);
+  }
+  for (std::uint64_t Count = In.varint(); Count > 0 && In.isValid(); --Count) {
+    ratelimit::WaitingOperations Group;
+    Group.Priority = static_cast<unsigned>(In.varint());
+    Group.Count = In.varint();
+    Group.MaxWait = readDuration(In);
+    Body.Waiting.push_back(Group);
+  }
+  Body.Number = In.varint();
   return Body;
 }
 
@@ -344,6 +212,13 @@
   Body.Account = AccountId(In.text());
   Body.MilliTokens = In.varint();
   Body.LeftMilliTokens = In.varint();
+  for (std::uint64_t Count = In.varint(); Count > 0 && In.isValid(); --Count) {
+    ratelimit::PriorityShare Share;
+    Share.Priority = static_cast<unsigned>(In.varint());
+    Share.Permille = static_cast<unsigned>(In.varint());
+    Body.Shares.push_back(Share);
+  }
+  Body.Number = In.varint();
   return Body;
 }
 
@@ -355,17 +230,33 @@
   return Read;
 }
 
+StoreUpdateRequest readStoreUpdateRequest(ByteReader &In) {
+  StoreUpdateRequest Body;
+  Body.ConfigVersion = In.varint();
+  Body.TargetsVersion = In.varint();
+  Body.Timestamp = In.varint();
+  Body.ListDigest = In.varint();
+  for (std::uint64_t Count = In.varint(); Count > 0 && In.isValid(); --Count)
+    Body.Rejected.emplace_back(In.text());
+  return Body;
+}
+
 StoreUpdate readStoreUpdate(ByteReader &In) {
   StoreUpdate Body;
   Body.Timestamp = In.varint();
   Body.StoreAge = readDuration(In);
   Body.ConfigVersion = In.varint();
+  Body.SameList = In.byte() != 0;
   Body.BaseTargetsVersion = In.varint();
   Body.TargetsVersion = In.varint();
+  Body.NewestRow = In.varint();
   for (std::uint64_t Count = In.varint(); Count > 0 && In.isValid(); --Count)
     Body.Changed.push_back(readEntry(In));
   for (std::uint64_t Count = In.varint(); Count > 0 && In.isValid(); --Count)
     Body.Removed.emplace_back(In.text());
+  Body.Evacuations.Version = In.varint();
+  for (std::uint64_t Count = In.varint(); Count > 0 && In.isValid(); --Count)
+    Body.Evacuations.DataCentres.emplace(In.text());
   return Body;
 }
 
@@ -433,13 +324,8 @@
     return readConfigRequest(In);
   case tagOf<ConfigText>():
     return readConfigText(In);
-  case tagOf<StoreUpdateRequest>(): {
-    StoreUpdateRequest Body;
-    Body.ConfigVersion = In.varint();
-    Body.TargetsVersion = In.varint();
-    Body.Timestamp = In.varint();
-    return Body;
-  }
+  case tagOf<StoreUpdateRequest>():
+    return readStoreUpdateRequest(In);
   case tagOf<StoreUpdate>():
     return readStoreUpdate(In);
   case tagOf<RenewalRequest>(): {
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -3,6 +3,7 @@
 #include "bergamotstage/rules/PolicyChoice.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 #include <variant>
 
@@ -24,9 +25,6 @@
 /// Idle timeouts of free links.
 constexpr Duration OwnerIdleLinkTimeout = seconds(25);
 constexpr Duration OtherIdleLinkTimeout = seconds(3);
-/// Time that a lease holder must be lost before another VM takes the lease.
-constexpr Duration HolderLossTimeout = seconds(2);
-constexpr Duration LeaseRequestTimeout = seconds(3);
 /// New connections arrive after the signal until the platform's two readiness
 /// probes, one second apart, have failed.
 constexpr Duration AcceptAfterSignal = milliseconds(2300);
@@ -42,6 +40,15 @@
          std::holds_alternative<StoreUpdateRequest>(Message);
 }
 
+/// @brief Connections that a VM may open to a target.
+/// @param Rank position of the VM among the target's owners
+unsigned linkLimit(unsigned GroupLinks, std::ptrdiff_t Rank) {
+  double Share = Rank == 0   ? OwnerLinkShare
+                 : Rank == 1 ? SuccessorLinkShare
+                             : 0;
+  return std::max(static_cast<unsigned>(GroupLinks * Share), OtherLinks);
+}
+
 } // namespace
 
 PoolNode::PoolNode(Settings Initial, std::uint64_t Seed, Hooks Callbacks)
@@ -70,12 +77,21 @@
       m_Configs(m_Context, configHooks()), m_Readers(m_Context, readerHooks()),
       m_Failover(m_Context, m_Targets, failoverHooks()),
       m_Sessions(m_Context, m_Targets, m_Selector, m_Rates, m_Metrics,
-                 sessionHooks()) {}
+                 sessionHooks()) {
+  m_Evacuations.setBound(m_Settings.EvacuationBound);
+  m_Targets.setEvacuations(m_Evacuations);
+  m_Selector.setHomes(
+      placement::HomeRegions(m_Settings.Regions), [this](const VmId &Vm) {
+        const MemberState *Member = m_Members.find(Vm);
+        return Member == nullptr ? DataCentreId() : Member->DataCentre;
+      });
+}
 
 void PoolNode::setTime(Instant Now) { m_Context.setNow(Now); }
 
 void PoolNode::start(Instant Now) {
   setTime(Now);
+  m_StartedAt = Now;
   m_Rows.start();
   m_Readers.start();
   checkPeers();
@@ -205,16 +221,13 @@
     bool IsOwner = Rank == 0 && !Owners.empty();
     TargetPool::Limits Limits;
     Limits.Slots = std::max(1U, Target->Slots);
-    Limits.MaxLinks = OtherLinks;
-    if (Rank == 0)
-      Limits.MaxLinks = static_cast<unsigned>(GroupLinks * OwnerLinkShare);
-    else if (Rank == 1)
-      Limits.MaxLinks = static_cast<unsigned>(GroupLinks * SuccessorLinkShare);
-    Limits.MaxLinks = std::max(Limits.MaxLinks, OtherLinks);
+    Limits.MaxLinks = linkLimit(GroupLinks, Rank);
     Limits.IdleLinkTimeout =
         IsOwner ? OwnerIdleLinkTimeout : OtherIdleLinkTimeout;
     Limits.TransactionIdleTimeout = m_Config->TransactionIdle;
-    Limits.Fair = m_FairQueues;
+    Limits.Order = m_QueueOrder;
+    Limits.IsOwner = IsOwner;
+    setPaceLimits(*Target, Limits);
     Pool->setLimits(Limits);
     bool IsPrimary = m_Targets.primary(Target->Group) == Id &&
                      m_Targets.mayServeAsPrimary(Id, m_Context.now());
@@ -222,6 +235,10 @@
       Pool->resumeAdmission();
     else
       Pool->stopAdmission();
+    if (m_Targets.isEvacuated(Id) && !IsPrimary)
+      Pool->refuseWaiting();
+    if (!m_Targets.maySend(Id, m_Context.now()))
+      Pool->evacuate();
   }
 }
 
@@ -235,160 +252,6 @@
   m_Selector.forget(Id);
 }
 
-// Targets.
-
-const std::vector<VmId> &PoolNode::owners(const TargetId &Id) const {
-  const TargetEntry *Target = m_Targets.find(Id);
-  DataCentreId TargetDataCentre =
-      Target == nullptr ? DataCentreId() : Target->DataCentre;
-  return m_Members.ownerOrder(Id.value(), TargetDataCentre);
-}
-
-AccountId PoolNode::anyAccount() const {
-  if (m_Config->Accounts.empty())
-    return AccountId("-");
-  return m_Config->Accounts.begin()->first;
-}
-
-void PoolNode::onTargetListed(Instant Now, const TargetEntry &Entry) {
-  setTime(Now);
-  if (applyTarget(Entry))
-    m_Readers.onTargetsChanged({Entry}, {});
-  dispatchLocalMessages();
-}
-
-void PoolNode::onTargetRemoved(Instant Now, const TargetId &Id) {
-  setTime(Now);
-  removeTarget(Id);
-  m_Readers.onTargetsChanged({}, {Id});
-  dispatchLocalMessages();
-}
-
-void PoolNode::onTargetsListed(Instant Now,
-                               const std::vector<TargetEntry> &All) {
-  setTime(Now);
-  applyTargets(All);
-  m_Readers.onTargetsListed();
-  dispatchLocalMessages();
-}
-
-void PoolNode::onStoreResponse(Instant Now) {
-  setTime(Now);
-  m_Readers.onStoreResponse();
-}
-
-bool PoolNode::applyTarget(const TargetEntry &Entry) {
-  TargetTable::Change Change = m_Targets.apply(Entry, m_Context.now());
-  if (Change == TargetTable::Change::None)
-    return false;
-  m_Context.log(WriteLog::Level::Info, "target_listed",
-                {{"target", Entry.Id.value()},
-                 {"group", Entry.Group.value()},
-                 {"draining", Entry.Draining ? "yes" : "no"},
-                 {"leads", Entry.ReportsPrimary ? "yes" : "no"},
-                 {"version", std::to_string(Entry.Version)}});
-  if (Change == TargetTable::Change::Restarted)
-    dropPool(Entry.Id, "the target was restarted");
-  limitPools();
-  m_Failover.checkGroups({Entry.Group});
-  m_Sessions.retryDeferred();
-  return true;
-}
-
-void PoolNode::removeTarget(const TargetId &Id) {
-  m_Targets.remove(Id, m_Context.now());
-  m_Context.log(WriteLog::Level::Info, "target_unlisted",
-                {{"target", Id.value()}});
-}
-
-void PoolNode::applyTargets(const std::vector<TargetEntry> &All) {
-  std::vector<TargetId> Removed;
-  for (const auto &[Id, Target] : m_Targets.entries()) {
-    bool Listed = std::any_of(
-        All.begin(), All.end(),
-        [Id = Id](const TargetEntry &Entry) { return Entry.Id == Id; });
-    if (!Listed)
-      Removed.push_back(Id);
-  }
-  for (const TargetId &Id : Removed)
-    m_Targets.remove(Id, m_Context.now());
-  for (const TargetEntry &Entry : All)
-    applyTarget(Entry);
-}
-
-void PoolNode::onReachabilityChanged(const TargetId &Id, bool Reachable) {
-  const TargetEntry *Target = m_Targets.find(Id);
-  if (Target == nullptr)
-    return;
-  if (Reachable) {
-    m_Sessions.retryDeferred();
-    return;
-  }
-  m_Selector.markUnreachable(Id);
-  if (m_Targets.primary(Target->Group) != Id)
-    return;
-  PrimarySuspected Message{Target->Group, Id};
-  auto Lease = m_Rows.promotionLease(Target->Group);
-  if (Lease && Lease->Holder != m_Context.self())
-    send(Lease->Holder, FleetMessage(Message));
-  bool HolderLost = !Lease || m_Health.isLost(Lease->Holder);
-  // Copied because send() may change the members.
-  std::vector<VmId> Candidates = leaseCandidates(Target->Group);
-  if (HolderLost && !Candidates.empty() &&
-      Candidates.front() != m_Context.self())
-    send(Candidates.front(), FleetMessage(Message));
-  if (HolderLost)
-    acquireLeaseIfFirst(Target->Group);
-  m_Failover.onPrimarySuspected(Target->Group, Id);
-}
-
-void PoolNode::onPromoted(const DatabaseId &Group, const TargetId &Id,
-                          Term NewTerm) {
-  m_Targets.recordPromotion(Group, Id, NewTerm);
-  m_Sessions.retryDeferred();
-}
-
-// Promotion leases.
-
-const std::vector<VmId> &
-PoolNode::leaseCandidates(const DatabaseId &Group) const {
-  return m_Members.ownerOrder("duty " + Group.value(), DataCentreId());
-}
-
-bool PoolNode::holdsLease(const DatabaseId &Group) const {
-  auto Lease = m_Rows.promotionLease(Group);
-  return Lease && Lease->Holder == m_Context.self() && !m_LeavingSince;
-}
-
-void PoolNode::acquireLeaseIfFirst(const DatabaseId &Group) {
-  if (!m_Rows.isLoaded() || m_LeavingSince || holdsLease(Group))
-    return;
-  auto Request = m_LeaseRequestedAt.find(Group);
-  bool RequestPending = Request != m_LeaseRequestedAt.end() &&
-                        Request->second + LeaseRequestTimeout > m_Context.now();
-  const std::vector<VmId> &Candidates = leaseCandidates(Group);
-  bool IsFirst = !Candidates.empty() && Candidates.front() == m_Context.self();
-  auto Lease = m_Rows.promotionLease(Group);
-  bool HolderUnavailable = true;
-  if (Lease) {
-    const MemberState *Holder = m_Members.find(Lease->Holder);
-    HolderUnavailable = Holder == nullptr || Holder->Leaving ||
-                        m_Health.lostDuration(Lease->Holder, m_Context.now()) >=
-                            HolderLossTimeout;
-  }
-  if (RequestPending || !IsFirst || !HolderUnavailable)
-    return;
-  m_LeaseRequestedAt[Group] = m_Context.now();
-  m_Rows.acquireLease(Group, [this, Group](std::optional<std::uint64_t>) {
-    m_LeaseRequestedAt.erase(Group);
-  });
-}
-
-void PoolNode::acquireLeases() {
-  for (const auto &[Group, Rule] : m_Config->Groups)
-    acquireLeaseIfFirst(Group);
-}
-
 // The platform.
 
 void PoolNode::onPlatformAnswer(Instant Now, const PlatformCallback &Callback,
@@ -423,8 +286,9 @@
                    {"arm", armLabel(Rule.Choice, Rule.Parameters).value()},
                    {"line", std::to_string(Rule.Source.Line)},
                    {"author", Rule.Source.Author}});
-  m_FairQueues = Policies.usesFairQueues();
-  m_Rates.setBorrowing(Policies.usesRateLoans());
+  m_Rates.setSharing(Policies.rateSharing());
+  m_QueueOrder = Policies.queueOrder();
+  m_AdaptsPace = Policies.adaptsPace();
   m_Sessions.setPolicies(Policies);
   limitPools();
   dispatchLocalMessages();
@@ -438,10 +302,8 @@
   for (auto &[Id, Pool] : m_Pools)
     Pool->closeUnusedLinks();
   acquireLeases();
-  std::vector<DatabaseId> Groups;
-  for (const auto &[Group, Rule] : m_Config->Groups)
-    Groups.push_back(Group);
-  m_Failover.checkGroups(Groups);
+  m_Failover.checkGroups(groups());
+  checkEvacuations();
   std::vector<VmId> Peers = peers();
   std::uniform_int_distribution<unsigned> Draw(0, VersionPingPeriod - 1);
   if (!Peers.empty() && Draw(m_Context.random()) == 0) {
--- a/src/pooling/PoolNodeHooks.cpp
+++ b/src/pooling/PoolNodeHooks.cpp
@@ -45,9 +45,18 @@
     if (const TargetEntry *Target = m_Targets.find(Id))
       m_Selector.proofs(Target->Group).add(RequestedAt, Position);
   };
+  Callbacks.Refused = [this](NotRunReason Reason, unsigned Priority) {
+    ++m_Refusals[{Reason, Priority}];
+  };
   return Callbacks;
 }
 
+void PoolNode::forEachPool(
+    const std::function<void(const TargetPool &)> &Visit) const {
+  for (const auto &[Id, Pool] : m_Pools)
+    Visit(*Pool);
+}
+
 FailoverController::Hooks PoolNode::failoverHooks() {
   FailoverController::Hooks Callbacks;
   Callbacks.ProvePrimary = [this](const TargetId &Id,
@@ -106,11 +115,12 @@
   Callbacks.RequestRenewal = [this](const RenewalRequest &Request) {
     if (m_Members.all().size() < MinBatchedVms)
       return false;
-    std::vector<VmId> Order =
+    const std::vector<VmId> &Order =
         m_Members.ownerOrder(RenewalSubject, DataCentreId());
     if (Order.empty())
       return false;
-    send(Order.front(), RenewalRequest(Request));
+    VmId Batcher = Order.front();
+    send(Batcher, RenewalRequest(Request));
     return true;
   };
   Callbacks.OnPlanChanged = [this](std::shared_ptr<const RatePlan> Plan,
@@ -155,20 +165,27 @@
   Callbacks.Targets = [this] {
     std::vector<TargetEntry> All;
     for (const auto &[Id, Entry] : m_Targets.entries())
-      All.push_back(Entry);
+      if (m_Targets.isListed(Id))
+        All.push_back(Entry);
     return All;
   };
   Callbacks.SetFollowing = m_Hooks.FollowStore;
   Callbacks.OnConfigVersion = [this](const VmId &From, std::uint64_t Version) {
     m_Configs.onPeerVersion(From, Version);
   };
+  Callbacks.Evacuations = [this] { return m_Evacuations.list(); };
+  Callbacks.ApplyEvacuations = [this](const placement::EvacuationList &List) {
+    applyEvacuations(List);
+  };
+  Callbacks.RejectedClaims = [this] { return m_Targets.unresolvedClaims(); };
+  Callbacks.NewestRow = [this] { return m_Targets.newestVersion(); };
+  Callbacks.OnNewestRow = [this](std::uint64_t Version) {
+    m_Targets.recordVersion(Version);
+  };
   Callbacks.ApplyUpdate = [this](const StoreUpdate &Update) {
     if (Update.BaseTargetsVersion == 0)
-      return applyTargets(Update.Changed);
-    for (const TargetEntry &Entry : Update.Changed)
-      applyTarget(Entry);
-    for (const TargetId &Id : Update.Removed)
-      removeTarget(Id);
+      return applyAllTargets(Update.Changed);
+    applyTargets(Update.Changed, Update.Removed);
   };
   return Callbacks;
 }
--- a/src/pooling/Sessions.cpp
+++ b/src/pooling/Sessions.cpp
@@ -17,10 +17,16 @@
 /// The same for a statement of an open transaction, whose earlier work a
 /// timeout would discard.
 constexpr double TransactionQueueTimeFactor = 2.5;
+/// Suggested retry delay while all targets that could serve are excluded by an
+/// operator.
+constexpr Duration EvacuatedRetryAfter = seconds(2);
 /// Suggested retry delay while no target is reachable.
 constexpr Duration NoTargetRetryAfter = milliseconds(200);
 /// Time after which an unanswered proof request may be repeated.
 constexpr Duration ProofTimeout = milliseconds(250);
+/// Time after its retry delay in which the next operation of a session that was
+/// refused for its account's rate counts as a retry.
+constexpr Duration RetryGrace = milliseconds(500);
 /// Maximum number of statements that a caller may pipeline.
 constexpr std::size_t MaxBacklog = 64;
 
@@ -209,6 +215,9 @@
   Op.Reads = CallerSession.Reads;
   Op.Account =
       Key == m_Config->Keys.end() ? AccountId("-") : AccountId(Key->second);
+  auto Account = m_Config->Accounts.find(Op.Account);
+  if (Account != m_Config->Accounts.end())
+    Op.AccountHomes = Account->second.Homes;
   Op.Mode = Mode;
   Op.ReplicaAllowed = !needsPrimary(Mode);
   Op.Arrived = m_Context.now();
@@ -270,20 +279,30 @@
   admit(CallerSession);
 }
 
+ratelimit::Urgency Sessions::tokenUrgency(const Session &CallerSession) const {
+  const RouteConfig &Route = CallerSession.Op->Route;
+  return {Route.Priority, Route.LatencyTarget,
+          m_Context.now() <= CallerSession.RetryExpectedUntil};
+}
+
 void Sessions::admit(Session &CallerSession) {
   CallerId Caller = CallerSession.Id;
   std::uint64_t Number = CallerSession.Op->Number;
-  m_Rates.admit(CallerSession.Op->Account,
+  m_Rates.admit(CallerSession.Op->Account, tokenUrgency(CallerSession),
                 [this, Caller, Number](const RateShare::Decision &Admission) {
                   Session *Remaining = find(Caller);
                   bool SameOperation = Remaining != nullptr && Remaining->Op &&
                                        Remaining->Op->Number == Number;
                   if (!SameOperation)
                     return;
-                  if (!Admission.Admitted)
+                  if (!Admission.Admitted) {
+                    Remaining->RetryExpectedUntil =
+                        m_Context.now() + Admission.RetryAfter + RetryGrace;
                     return refuse(*Remaining, ErrorCode::Busy,
                                   "the client account is over its rate",
                                   Admission.RetryAfter);
+                  }
+                  Remaining->RetryExpectedUntil = Instant();
                   Remaining->Op->Admitted = true;
                   dispatch(*Remaining);
                 });
@@ -303,6 +322,9 @@
     Op.ExcludedOwners.clear();
     Op.ExcludedTargets.clear();
     return defer(CallerSession, "no VM can reach the target");
+  case TargetSelector::Choice::Kind::NotAllowed:
+    return refuse(CallerSession, ErrorCode::Busy, Selected.Reason,
+                  EvacuatedRetryAfter);
   case TargetSelector::Choice::Kind::Chosen:
     break;
   }
@@ -320,11 +342,13 @@
   Op.Target = Selected.Target;
   Op.Mode = Selected.AccessMode;
   Op.SentAt = m_Context.now();
+  m_Selector.recordSent(Op.Target);
   Op.SentValues = CallerSession.Values;
   OperationRequest Request;
   Request.Id = {m_Context.self(), Op.Number};
   Request.Target = Selected.Target;
   Request.Account = Op.Account;
+  Request.Route = Op.Route.Name;
   Request.Mode = Selected.AccessMode;
   Request.RequiredPosition = Selected.After;
   Request.Priority = Op.Route.Priority;
--- a/src/pooling/SessionsOutcome.cpp
+++ b/src/pooling/SessionsOutcome.cpp
@@ -9,6 +9,8 @@
 
 /// Maximum number of times that an operation is sent to an owner.
 constexpr unsigned MaxAttempts = 4;
+/// The same for a read that targets refuse because of their load: two replicas.
+constexpr unsigned MaxOverloadedAttempts = 2;
 constexpr Duration BusyRetryAfter = milliseconds(50);
 /// One in this many successful statements within the latency target is logged.
 constexpr std::uint64_t SuccessLogInterval = 256;
@@ -54,6 +56,12 @@
 void Sessions::recordTargetState(const Operation &Op,
                                  const StatementResult &Result) {
   m_Selector.recordLoad(Op.Target, Result.Load);
+  bool Ran = Result.Outcome != StatementResult::Kind::NotRun;
+  bool Failed = Result.Outcome == StatementResult::Kind::Lost ||
+                Result.Error == ErrorCode::Failed ||
+                Result.Error == ErrorCode::Timeout;
+  if (Ran)
+    m_Selector.recordOutcome(Op.Target, Failed);
   if (Result.PrimaryProven && Result.Position)
     m_Selector.proofs(Op.Route.Group).add(Op.SentAt, *Result.Position);
   if (Result.Error == ErrorCode::Behind)
@@ -87,7 +95,8 @@
 /// account and therefore requires an available token.
 bool Sessions::retryRead(Session &CallerSession) {
   Operation &Op = *CallerSession.Op;
-  if (!Op.isSingleRead() || Op.Retried || !m_Rates.tryAdmit(Op.Account))
+  if (!Op.isSingleRead() || Op.Retried ||
+      !m_Rates.tryAdmit(Op.Account, tokenUrgency(CallerSession)))
     return false;
   Op.Retried = true;
   Op.ExcludedTargets.insert(Op.Target);
@@ -147,7 +156,15 @@
                       notRunReasonName(Result.Reason),
                   Result.RetryAfter);
   }
-  if (Result.Reason != NotRunReason::Overloaded) {
+  bool ElsewhereInTime = Result.Reason == NotRunReason::TooLate &&
+                         !needsPrimary(Op.Mode) &&
+                         Op.Attempts < MaxOverloadedAttempts;
+  if (ElsewhereInTime) {
+    Op.ExcludedTargets.insert(Op.Target);
+    if (retryElsewhere(CallerSession, notRunReasonName(Result.Reason)))
+      return;
+  }
+  if (!isOverload(Result.Reason)) {
     Op.ExcludedOwners.insert({Op.Owner, Op.Target});
     if (!needsPrimary(Op.Mode))
       Op.ExcludedTargets.insert(Op.Target);
@@ -166,6 +183,8 @@
       isTransaction(Op.Mode) ? Commits && Op.HasWritten : Op.Current.writes();
   Op.ExcludedOwners.insert({Op.Owner, Op.Target});
   Op.ExcludedTargets.insert(Op.Target);
+  // The target may have run it: its token is spent and not returned.
+  Op.Admitted = false;
   if (Op.isSingleRead() && retryElsewhere(CallerSession, "no reply"))
     return;
   Op.Dispatched = false;
--- a/src/pooling/SitePolicies.cpp
+++ b/src/pooling/SitePolicies.cpp
@@ -17,12 +17,14 @@
 constexpr const char *ReadsKind = "reads";
 constexpr const char *QueueKind = "queue";
 constexpr const char *RateKind = "rate";
+constexpr const char *PaceKind = "pace";
 constexpr const char *PrimaryCostName = "primary-cost";
 constexpr const char *DefaultReads = "earliest-finish";
 
 ReadRule::Kind readKind(const std::string &Choice) {
   static const std::map<std::string, ReadRule::Kind> Kinds = {
       {DefaultReads, ReadRule::Kind::EarliestFinish},
+      {"least-wait", ReadRule::Kind::LeastWait},
       {"nearest-covered", ReadRule::Kind::NearestCovered},
       {"random-replica", ReadRule::Kind::RandomReplica},
       {"primary-only", ReadRule::Kind::PrimaryOnly}};
@@ -49,7 +51,7 @@
 void reportIneffective(const std::string &Kind, const Parameters &Settings,
                        const RuleRef &Source, Faults &Found) {
   static const std::set<std::string> Supported = {ReadsKind, QueueKind,
-                                                  RateKind};
+                                                  RateKind, PaceKind};
   if (Supported.count(Kind) == 0)
     Found.push_back({Source.Line, "policy '" + Kind +
                                       "' has no effect here; the platform "
@@ -103,12 +105,24 @@
   return Result;
 }
 
-bool SitePolicies::usesFairQueues() const {
-  return choosePolicy(m_Rules, QueueKind, "fair", 0).Choice == "fair";
+admission::QueueOrder SitePolicies::queueOrder() const {
+  std::string Choice = choosePolicy(m_Rules, QueueKind, "fair", 0).Choice;
+  if (Choice == "urgency")
+    return admission::QueueOrder::Urgency;
+  return Choice == "fifo" ? admission::QueueOrder::Fifo
+                          : admission::QueueOrder::Fair;
 }
 
-bool SitePolicies::usesRateLoans() const {
-  return choosePolicy(m_Rules, RateKind, "loans", 0).Choice == "loans";
+bool SitePolicies::adaptsPace() const {
+  return choosePolicy(m_Rules, PaceKind, "fixed", 0).Choice == "adaptive";
+}
+
+ratelimit::RateSharing SitePolicies::rateSharing() const {
+  std::string Choice = choosePolicy(m_Rules, RateKind, "loans", 0).Choice;
+  if (Choice == "priority")
+    return ratelimit::RateSharing::Priority;
+  return Choice == "split" ? ratelimit::RateSharing::Split
+                           : ratelimit::RateSharing::Loans;
 }
 
 } // namespace bergamotstage::pooling
--- a/src/pooling/TargetPool.cpp
+++ b/src/pooling/TargetPool.cpp
@@ -12,11 +12,8 @@
 constexpr Duration BusyRetryDelay = milliseconds(5);
 /// Service time assumed before any was measured.
 constexpr double InitialServiceSeconds = 0.02;
-constexpr double ServiceTimeWeight = 0.05; ///< Weight of the newest sample.
 /// Detects a target that fails 40% of its statements after about ten of them.
 constexpr double FailureWeight = 0.1;
-/// Bounds the queue's memory; operations beyond it would miss their deadline.
-constexpr std::size_t MaxWaiting = 512;
 constexpr Duration MinRetryAfter = milliseconds(20);
 
 /// @brief Whether an operation is a single read that needs the primary.
@@ -24,8 +21,6 @@
   return Request.Mode == Access::Primary && !Request.First.writes();
 }
 
-bool needsSlot(Verb Kind) { return Kind != Verb::Rollback; }
-
 } // namespace
 
 TargetPool::TargetPool(Context &Ctx, TargetId Id, DatabaseId Group,
@@ -34,6 +29,11 @@
       m_Address(std::move(Address)), m_Hooks(std::move(Callbacks)),
       m_ServiceSeconds(InitialServiceSeconds) {}
 
+bool TargetPool::opensTransaction(const QueueEntry &Next) {
+  return !Next.TransactionOpen &&
+         (isTransaction(Next.Request.Mode) || isPrimaryRead(Next.Request));
+}
+
 TargetPool::~TargetPool() {
   if (m_TickTimer)
     m_Context.timers().cancel(*m_TickTimer);
@@ -45,13 +45,9 @@
       [](const auto &Entry) { return Entry.second.State == Phase::Waiting; }));
 }
 
-Duration TargetPool::expectedWait() const {
-  return scaled(seconds(1), m_ServiceSeconds * waitingCount() /
-                                std::max(1U, m_Limits.Slots));
-}
-
 void TargetPool::enqueue(OperationRequest Request) {
   auto Reject = [&](NotRunReason Reason) {
+    m_Hooks.Refused(Reason, Request.Priority);
     m_Hooks.Reply(Request.Id, makeNotRunResult(Reason));
   };
   if (!m_AcceptsOperations)
@@ -60,8 +56,8 @@
   // taken for one to the new operation.
   if (m_Unreachable || m_Operations.count(Request.Id) > 0)
     return Reject(NotRunReason::Unreachable);
-  if (m_Operations.size() >= MaxWaiting || expectedWait() > Request.QueueTime)
-    return Reject(NotRunReason::Overloaded);
+  if (auto Fault = admissionFault(Request))
+    return Reject(*Fault);
   QueueEntry Queued;
   Queued.WaitingSince = m_Context.now();
   Queued.Deadline = m_Context.now() + Request.QueueTime;
@@ -70,6 +66,7 @@
   Queued.Request = std::move(Request);
   m_Operations[Id] = std::move(Queued);
   dispatchWaiting();
+  refuseHopeless();
 }
 
 void TargetPool::enqueueNext(const OperationId &Id, Statement Stmt,
@@ -138,8 +135,14 @@
 }
 
 TargetLoad TargetPool::load() const {
-  return {waitingCount(),
-          static_cast<unsigned>(m_FailureRate * TargetLoad::Permille)};
+  TargetLoad Load;
+  Load.Queued = waitingCount();
+  Load.FailedPermille =
+      static_cast<unsigned>(m_FailureRate * TargetLoad::Permille);
+  Load.Wait = expectedWait() + timeUntilSlot();
+  Load.Service = scaled(seconds(1), m_ServiceSeconds);
+  Load.Pace = m_Limits.AdaptivePace ? m_Pace.pace() : 0;
+  return Load;
 }
 
 void TargetPool::recordOutcome(bool Failed) {
@@ -155,6 +158,7 @@
     Link.ActiveOperation.reset();
     rollBack(Link);
   }
+  m_Hooks.Refused(Reason, Refused.Request.Priority);
   reply(Refused, makeNotRunResult(Reason));
 }
 
@@ -166,8 +170,10 @@
   m_Operations.erase(Found);
   StatementResult Result;
   bool InFlight = Lost.State == Phase::Running;
-  if (InFlight)
+  if (InFlight) {
     recordOutcome(true);
+    recordPace(Lost, ErrorCode::Timeout);
+  }
   Result.Outcome =
       InFlight ? StatementResult::Kind::Lost : StatementResult::Kind::NotRun;
   Result.Reason = NotRunReason::Unreachable;
@@ -176,38 +182,19 @@
     reply(Lost, std::move(Result));
 }
 
-double TargetPool::startTag(const QueueEntry &Operation) const {
-  auto Found = m_FinishTags.find(Operation.Request.Account);
-  double FinishTag = Found == m_FinishTags.end() ? 0 : Found->second;
-  return std::max(FinishTag, m_VirtualTime);
-}
-
-bool TargetPool::precedes(const QueueEntry &Left,
-                          const QueueEntry &Right) const {
-  if (Left.AssignedLink.has_value() != Right.AssignedLink.has_value())
-    return Left.AssignedLink.has_value();
-  if (Left.Request.Priority != Right.Request.Priority)
-    return Left.Request.Priority < Right.Request.Priority;
-  double LeftTag = m_Limits.Fair ? startTag(Left) : 0;
-  double RightTag = m_Limits.Fair ? startTag(Right) : 0;
-  if (LeftTag != RightTag)
-    return LeftTag < RightTag;
-  return Left.ArrivalNumber < Right.ArrivalNumber;
-}
-
 TargetPool::QueueEntry *TargetPool::nextDispatchable() {
-  std::vector<QueueEntry *> Waiting;
-  for (auto &[Id, Operation] : m_Operations)
-    if (Operation.State == Phase::Waiting &&
-        Operation.NotBefore <= m_Context.now())
-      Waiting.push_back(&Operation);
-  std::sort(Waiting.begin(), Waiting.end(),
-            [this](const QueueEntry *Left, const QueueEntry *Right) {
-              return precedes(*Left, *Right);
-            });
-  for (QueueEntry *Next : Waiting) {
-    if (m_SlotsUsed >= m_Limits.Slots)
+  std::vector<QueueEntry *> Entries;
+  bool HeldBack = false;
+  for (const admission::WaitingWork &Work : sortedWaiting(Entries)) {
+    if (m_SlotsUsed >= usableSlots())
       return nullptr;
+    QueueEntry *Next = Entries[Work.Key];
+    if (Next->NotBefore > m_Context.now())
+      continue;
+    // Statements that come later in the order must not take its turn.
+    HeldBack = HeldBack || !mayStart(*Next);
+    if (HeldBack && needsSlot(Next->Request.First.Kind))
+      continue;
     if (Next->AssignedLink || acquireLink(*Next))
       return Next;
   }
@@ -215,7 +202,7 @@
 }
 
 void TargetPool::dispatchWaiting() {
-  while (m_SlotsUsed < m_Limits.Slots) {
+  while (m_SlotsUsed < usableSlots()) {
     QueueEntry *Next = nextDispatchable();
     if (Next == nullptr)
       break;
@@ -247,6 +234,7 @@
   Sent.ControlRequestId = Link.ControlRequestId;
   Link.Unanswered.push_back(Sent);
   Link.LastUsedAt = m_Context.now();
+  chargeColdBound(Request.Type);
   m_Hooks.Send(Link.Id, Request);
 }
 
@@ -260,13 +248,9 @@
   if (needsSlot(Next.Request.First.Kind))
     acquireSlot(Link);
   Next.SentAt = m_Context.now();
-  double Start = startTag(Next);
-  m_VirtualTime = Start;
-  m_FinishTags[Next.Request.Account] = Start + m_ServiceSeconds;
+  chargeSlotTime(Next);
   restoreSession(Link, Next);
-  bool Opens = !Next.TransactionOpen && (isTransaction(Next.Request.Mode) ||
-                                         isPrimaryRead(Next.Request));
-  if (!Opens)
+  if (!opensTransaction(Next))
     return sendStatement(Next, Link);
   // The statement waits for the reply: after a refused begin it would run
   // outside of a transaction.
@@ -395,7 +379,7 @@
     return dropLink(Link.Id, true);
   QueueEntry &Operation = Found->second;
   bool Opened = !Reply.Error && Reply.State == SessionState::InTransaction;
-  if (Opened && !Operation.Aborted) {
+  if (Opened && !Operation.Aborted && !m_Evacuated) {
     Operation.TransactionOpen = true;
     return sendStatement(Operation, Link);
   }
@@ -404,6 +388,11 @@
   Link.ActiveOperation.reset();
   QueueEntry Ended = std::move(Operation);
   m_Operations.erase(Found);
+  if (Opened && m_Evacuated) {
+    dropLink(AssignedLink, true);
+    m_Hooks.Refused(NotRunReason::Leaving, Ended.Request.Priority);
+    return reply(Ended, makeNotRunResult(NotRunReason::Leaving));
+  }
   if (Opened)
     rollBack(Link);
   else if (Reply.State != SessionState::Idle)
@@ -435,12 +424,12 @@
   bool Commits = Operation.Request.First.Kind == Verb::Commit;
   bool Single = !isTransaction(Operation.Request.Mode);
   Duration ServiceTime = m_Context.now() - Operation.SentAt;
-  m_ServiceSeconds +=
-      ServiceTimeWeight * (toSeconds(ServiceTime) - m_ServiceSeconds);
+  recordSlotTime(Operation, ServiceTime, Reply.Error == ErrorCode::Busy);
+  recordPace(Operation, Reply.Error);
   recordOutcome(Reply.Error == ErrorCode::Failed ||
                 Reply.Error == ErrorCode::Timeout ||
                 Reply.Error == ErrorCode::Busy);
-  bool RetryBusy = Reply.Error == ErrorCode::Busy &&
+  bool RetryBusy = !m_Evacuated && Reply.Error == ErrorCode::Busy &&
                    m_Context.now() + BusyRetryDelay < Operation.Deadline &&
                    !Operation.Aborted;
   if (RetryBusy && Single) {
@@ -471,12 +460,17 @@
   if (!Finished && !Operation.Aborted) {
     Operation.State = Phase::Idle;
     Operation.WaitingSince = m_Context.now();
-    return reply(Operation, std::move(Result));
+    reply(Operation, std::move(Result));
+    if (m_Evacuated)
+      dropLink(Link.Id, true);
+    return;
   }
   QueueEntry Ended = std::move(Operation);
   m_Operations.erase(Found);
   Link.ActiveOperation.reset();
-  if (!Finished)
+  if (m_Evacuated)
+    dropLink(Link.Id, true);
+  else if (!Finished)
     rollBack(Link);
   else
     releaseLink(Link);
--- a/src/pooling/TargetPoolLinks.cpp
+++ b/src/pooling/TargetPoolLinks.cpp
@@ -58,16 +58,19 @@
 bool TargetPool::mayOpenLink(const QueueEntry &Operation) const {
   if (m_Context.now() < m_NoOpenBefore || m_Unreachable)
     return false;
-  bool HasLink = false;
+  unsigned LinksOfAccount = 0;
   for (const auto &[Id, Link] : m_Links) {
     if (Link.Account != Operation.Request.Account)
       continue;
     // The link being opened can serve any operation of the account.
     if (!Link.Open)
       return false;
-    HasLink = true;
+    ++LinksOfAccount;
   }
-  return !HasLink || m_Context.now() - Operation.WaitingSince >= ExtraLinkDelay;
+  if (usesUrgency() && LinksOfAccount >= accountLinkLimit())
+    return false;
+  return LinksOfAccount == 0 ||
+         m_Context.now() - Operation.WaitingSince >= ExtraLinkDelay;
 }
 
 bool TargetPool::openLink(const AccountId &Account) {
@@ -118,6 +121,7 @@
   if (m_ProbeLink == Id)
     m_ProbeLink.reset();
   releaseSlot(Link);
+  m_Pace.onOpened();
   onDataReceived();
   dispatchControlRequests();
   dispatchWaiting();
@@ -260,6 +264,7 @@
 
 void TargetPool::onTick() {
   enforceDeadlines();
+  refuseHopeless();
   checkLiveness();
   dispatchControlRequests();
   dispatchWaiting();
@@ -274,6 +279,7 @@
 void TargetPool::enforceDeadlines() {
   Instant Now = m_Context.now();
   std::vector<OperationId> Expired;
+  std::vector<OperationId> Resting;
   std::vector<LinkId> Overdue;
   for (auto &[Id, Operation] : m_Operations) {
     bool Waits = Operation.State == Phase::Waiting;
@@ -291,7 +297,7 @@
                     {{"target", m_Id.value()},
                      {"origin", Id.Origin.value()},
                      {"work", std::to_string(Id.Number)}});
-      Expired.push_back(Id);
+      Resting.push_back(Id);
     }
   }
   for (const auto &[Id, Link] : m_Links) {
@@ -302,12 +308,12 @@
     if (CleanupOverdue || (!Link.Open && Link.OpenedAt + OpenTimeout <= Now))
       Overdue.push_back(Id);
   }
-  for (const OperationId &Id : Expired) {
-    if (m_Operations.at(Id).State == Phase::Idle)
-      abortOperation(Id);
-    else
-      rejectOperation(Id, NotRunReason::Overloaded);
-  }
+  // The end of a transaction sends other statements, so that refusals come
+  // first.
+  for (const OperationId &Id : Expired)
+    rejectOperation(Id, NotRunReason::Overloaded);
+  for (const OperationId &Id : Resting)
+    abortOperation(Id);
   for (LinkId Id : Overdue) {
     m_Context.log(WriteLog::Level::Warning, "link_overdue",
                   {{"target", m_Id.value()},
@@ -337,7 +343,8 @@
     dropLink(Probe, true);
     return markUnreachable("a probe connection was not opened in time");
   }
-  bool ProbeAgain = m_Unreachable && m_ProbedAt + ReprobeInterval <= Now;
+  bool ProbeAgain =
+      m_Unreachable && !m_Evacuated && m_ProbedAt + ReprobeInterval <= Now;
   std::optional<Instant> Oldest;
   for (const auto &[Id, Link] : m_Links)
     if (!Link.Unanswered.empty() &&
@@ -350,8 +357,8 @@
   AccountId Account;
   for (const auto &[Id, Operation] : m_Operations)
     Account = Operation.Request.Account;
-  if (Account.value().empty() && !m_FinishTags.empty())
-    Account = m_FinishTags.begin()->first;
+  if (Account.value().empty())
+    Account = m_Queue.shares().anyAccount();
   if (Account.value().empty())
     return;
   if (m_Links.size() >= m_Limits.MaxLinks && !evictIdleLink())
@@ -370,6 +377,7 @@
   bool WasUnreachable = m_Unreachable;
   m_Unreachable = true;
   m_ProbedAt = m_Context.now();
+  m_Pace.onUnreachable(m_ProbedAt);
   armTick();
   if (WasUnreachable)
     return m_Hooks.ReachabilityChanged(m_Id, false);
@@ -417,6 +425,31 @@
     dropLink(Id, true);
 }
 
+void TargetPool::refuseWaiting() {
+  std::vector<OperationId> Refused;
+  for (const auto &[Id, Operation] : m_Operations)
+    if (Operation.State == Phase::Waiting && !Operation.AssignedLink)
+      Refused.push_back(Id);
+  for (const OperationId &Id : Refused)
+    rejectOperation(Id, NotRunReason::Leaving);
+}
+
+void TargetPool::evacuate() {
+  if (m_Evacuated)
+    return;
+  m_Evacuated = true;
+  m_AcceptsOperations = false;
+  refuseWaiting();
+  std::vector<LinkId> Unused;
+  for (const auto &[Id, Link] : m_Links) {
+    bool InFlight = !Link.Unanswered.empty();
+    if (Link.Open && !InFlight)
+      Unused.push_back(Id);
+  }
+  for (LinkId Id : Unused)
+    dropLink(Id, true);
+}
+
 void TargetPool::shutDown(const std::string &Reason) {
   m_AcceptsOperations = false;
   m_Context.log(WriteLog::Level::Info, "target_released",
--- a/src/pooling/RateShare.cpp
+++ b/src/ratelimit/RateShare.cpp
@@ -1,10 +1,21 @@
-#include "bergamotstage/pooling/RateShare.h"
+#include "bergamotstage/ratelimit/RateShare.h"
+
+#include "bergamotstage/ratelimit/detail/Tokens.h"
 
 #include <algorithm>
 #include <cmath>
 #include <utility>
 
-namespace bergamotstage::pooling {
+namespace bergamotstage::ratelimit {
+
+using detail::fromMilli;
+using detail::MilliPerToken;
+using detail::tokens;
+using detail::toMilli;
+using pooling::AccountConfig;
+using pooling::TokenGrant;
+using pooling::TokenRequest;
+
 namespace {
 
 /// Maximum wait of an operation for a loan: a few round trips.
@@ -18,39 +29,24 @@
 /// Borrowed tokens serve current demand. Kept longer, they would increase the
 /// burst of the whole fleet.
 constexpr Duration BorrowedLifetime = seconds(1);
+/// Later grants are dropped: the lender's bucket has earned the tokens again,
+/// so that they would add to its burst.
+constexpr Duration MaxGrantDelay = seconds(1);
 /// Seconds of demand that a lender reserves and that a borrower requests.
 constexpr double ReservedDemandSeconds = 0.15;
 constexpr double BorrowedDemandSeconds = 0.3;
 /// Operations per second below which tokens are not prefetched, since most
 /// would expire unused.
 constexpr double MinPrefetchDemand = 4;
-/// Window of the demand counter, and weight of the newest sample.
-constexpr Duration DemandWindow = milliseconds(250);
-constexpr double DemandWeight = 0.4;
 /// Added to the burst so that synchronized arrivals are not rejected. Up to 10%
 /// above the contract is tolerated in any 5 s; this is less than half of that.
 constexpr double ExtraBurstSeconds = 0.15;
 /// Minimum downtime of a restarting process. Nothing is spent meanwhile, so the
 /// bucket starts with the tokens earned in this time.
 constexpr double MinDowntimeSeconds = 0.3;
-constexpr double MilliPerToken = 1000;
-constexpr std::int64_t PicoPerMilli = TokenCount::PicoPerToken / 1000;
 constexpr std::size_t MaxPending = 256;
 constexpr Duration MinRetryAfter = milliseconds(20);
 
-TokenCount tokens(double Amount) {
-  return {static_cast<std::int64_t>(
-      std::max(0.0, Amount) * static_cast<double>(TokenCount::PicoPerToken))};
-}
-
-std::uint64_t toMilli(TokenCount Amount) {
-  return static_cast<std::uint64_t>(Amount.Pico / PicoPerMilli);
-}
-
-TokenCount fromMilli(std::uint64_t Amount) {
-  return {static_cast<std::int64_t>(Amount) * PicoPerMilli};
-}
-
 } // namespace
 
 void RateShare::configure(const std::map<AccountId, AccountConfig> &Accounts) {
@@ -87,6 +83,26 @@
     creditStartup(State);
 }
 
+void RateShare::setSharing(RateSharing Sharing) {
+  if (m_Sharing == Sharing)
+    return;
+  m_Sharing = Sharing;
+  for (auto &[Id, State] : m_Accounts) {
+    std::stable_sort(
+        State.Pending.begin(), State.Pending.end(),
+        [Sharing](const PendingAdmission &Left, const PendingAdmission &Right) {
+          return Sharing == RateSharing::Priority
+                     ? Left.Need.Priority < Right.Need.Priority
+                     : Left.Deadline < Right.Deadline;
+        });
+    for (const LoanQueue::Finished &Refused :
+         State.Loans.eraseIf([](const LoanQueue::Entry &) { return true; }))
+      grantLoan(Id, State, Refused, 0);
+    if (!State.Pending.empty() || State.WakeTimer)
+      admitPending(Id);
+  }
+}
+
 /// @brief Credits the tokens earned while the process was down.
 void RateShare::creditStartup(AccountState &State) {
   double Share = m_Plan->share(State.Contract.Id, m_Usable);
@@ -100,8 +116,11 @@
   State.Bucket.configure(
       makeContract(State.Contract.Rate * Share, Burst * Share),
       m_Context.now());
+  State.OwnShare = Share;
   State.Holders =
       m_Plan ? m_Plan->holders(State.Contract.Id) : std::vector<VmId>();
+  State.HolderShares = m_Plan ? m_Plan->holderShares(State.Contract.Id)
+                              : std::map<VmId, double>();
 }
 
 /// @brief Tokens of this VM's own slots.
@@ -124,52 +143,66 @@
   return ownTokens(State) + State.Borrowed;
 }
 
-bool RateShare::consumeToken(AccountState &State) {
-  if (available(State) < OneToken)
-    return false;
+/// @brief Takes a token; own ones only beyond the reserve for more urgent
+/// operations.
+bool RateShare::consumeToken(AccountState &State, unsigned Priority) {
+  available(State); // Drops expired borrowed tokens.
   TokenCount FromBorrowed = std::min(State.Borrowed, OneToken);
+  TokenCount FromBucket = OneToken - FromBorrowed;
+  bool NeedsBucket = TokenCount{} < FromBucket;
+  if (NeedsBucket &&
+      ownTokens(State) < FromBucket + reservedAbove(State, Priority))
+    return false;
   State.Borrowed = State.Borrowed - FromBorrowed;
-  State.Bucket.tryTake(OneToken - FromBorrowed, m_Context.now());
+  State.Bucket.tryTake(FromBucket, m_Context.now());
   return true;
 }
 
-void RateShare::recordDemand(AccountState &State) {
-  ++State.RecentCount;
-  Duration Span = m_Context.now() - State.WindowStart;
-  if (Span < DemandWindow)
-    return;
-  double Rate = State.RecentCount / toSeconds(Span);
-  State.Demand += DemandWeight * (Rate - State.Demand);
-  State.RecentCount = 0;
-  State.WindowStart = m_Context.now();
+/// @brief Reports the decision on an operation that waited.
+void RateShare::finish(const PendingAdmission &Ended, const AccountId &Id,
+                       const Decision &Result) {
+  Counts &Total = m_Counts[{Id, Ended.Need.Priority}];
+  if (Result.Admitted) {
+    ++Total.Admitted;
+    Total.Waited += m_Context.now() - Ended.Since;
+  } else {
+    ++Total.Refused;
+  }
+  Ended.Callback(Result);
 }
 
-void RateShare::admit(const AccountId &Id, AdmitCallback Callback) {
+void RateShare::admit(const AccountId &Id, const Urgency &Need,
+                      AdmitCallback Callback) {
   auto Found = m_Accounts.find(Id);
   if (Found == m_Accounts.end())
     return Callback({true, {}});
   AccountState &State = Found->second;
-  recordDemand(State);
-  bool Taken = State.Pending.empty() && consumeToken(State);
+  Instant Now = m_Context.now();
+  State.Demand.record(Need.Priority, Now);
+  if (m_Sharing == RateSharing::Priority)
+    return admitByPriority(Id, State, Need, std::move(Callback));
+  PendingAdmission Asking{Need, Now, Now + MaxWait, 0, std::move(Callback)};
+  bool Taken = State.Pending.empty() && consumeToken(State, Need.Priority);
   if (Taken) {
     // Prefetched tokens spare later operations the wait.
-    bool Prefetch =
-        State.Demand >= MinPrefetchDemand &&
-        available(State) < tokens(State.Demand * ReservedDemandSeconds);
+    double Demand = State.Demand.total(Now);
+    bool Prefetch = Demand >= MinPrefetchDemand &&
+                    available(State) < tokens(Demand * ReservedDemandSeconds);
     if (Prefetch)
       requestLoan(Id, State);
-    return Callback({true, {}});
+    return finish(Asking, Id, {true, {}});
   }
   if (State.Pending.size() >= MaxPending)
-    return Callback({false, retryAfter(State)});
-  State.Pending.push_back({m_Context.now() + MaxWait, std::move(Callback)});
+    return finish(Asking, Id, {false, retryAfter(State)});
+  State.Pending.push_back(std::move(Asking));
   admitPending(Id);
 }
 
-bool RateShare::tryAdmit(const AccountId &Id) {
+bool RateShare::tryAdmit(const AccountId &Id, const Urgency &Need) {
   auto Found = m_Accounts.find(Id);
   return Found == m_Accounts.end() ||
-         (Found->second.Pending.empty() && consumeToken(Found->second));
+         (Found->second.Pending.empty() &&
+          consumeToken(Found->second, Need.Priority));
 }
 
 void RateShare::refund(const AccountId &Id) {
@@ -193,7 +226,9 @@
   return std::max(MinRetryAfter, Soonest);
 }
 
-std::optional<VmId> RateShare::chooseLender(const AccountState &State) const {
+/// @param Priority most urgent one that the tokens are for
+std::optional<VmId> RateShare::chooseLender(const AccountState &State,
+                                            unsigned Priority) const {
   std::vector<VmId> Candidates;
   std::optional<VmId> Richest;
   std::uint64_t Most = 0;
@@ -208,7 +243,9 @@
       Candidates.push_back(Peer);
       continue;
     }
-    if (Entry->second.NotBefore > m_Context.now())
+    bool InBackoff = Entry->second.NotBefore > m_Context.now() &&
+                     Priority >= Entry->second.RefusedPriority;
+    if (InBackoff)
       continue;
     Candidates.push_back(Peer);
     if (Entry->second.LeftMilliTokens > Most) {
@@ -225,36 +262,61 @@
 }
 
 void RateShare::requestLoan(const AccountId &Id, AccountState &State) {
-  bool RequestPending =
-      State.PendingLender &&
-      State.RequestedAt + LoanRequestTimeout > m_Context.now();
+  bool RequestPending = State.PendingLender && State.LostAt > m_Context.now();
   if (RequestPending)
     return;
   if (State.PendingLender)
     State.Lenders[*State.PendingLender] = {m_Context.now() + EmptyLenderBackoff,
-                                           0};
+                                           0, 0};
   State.PendingLender.reset();
-  auto Lender = chooseLender(State);
+  auto Lender = chooseLender(State, 0);
   if (!Lender)
     return;
-  double Prefetch = State.Demand >= MinPrefetchDemand
-                        ? State.Demand * BorrowedDemandSeconds
-                        : 0;
+  double Demand = State.Demand.total(m_Context.now());
+  double Prefetch =
+      Demand >= MinPrefetchDemand ? Demand * BorrowedDemandSeconds : 0;
   double Needed = static_cast<double>(State.Pending.size()) + Prefetch;
   State.PendingLender = Lender;
   State.RequestedAt = m_Context.now();
-  m_Send(*Lender,
-         TokenRequest{Id, static_cast<std::uint64_t>(Needed * MilliPerToken)});
+  State.LostAt = State.RequestedAt + LoanRequestTimeout;
+  sendRequest(
+      State, *Lender,
+      TokenRequest{
+          Id, static_cast<std::uint64_t>(Needed * MilliPerToken), {}, {}});
+}
+
+void RateShare::sendRequest(AccountState &State, const VmId &To,
+                            TokenRequest Request) {
+  Instant Now = m_Context.now();
+  auto &Open = State.OpenRequests;
+  while (!Open.empty() && Open.begin()->second + MaxGrantDelay < Now)
+    Open.erase(Open.begin());
+  Request.Number = ++m_LastRequest;
+  Open[Request.Number] = Now;
+  m_Send(To, std::move(Request));
+}
+
+/// @brief Whether a request gets its first answer, in time.
+bool RateShare::closeRequest(AccountState &State, std::uint64_t Number) {
+  auto Found = State.OpenRequests.find(Number);
+  if (Found == State.OpenRequests.end())
+    return false;
+  Instant SentAt = Found->second;
+  State.OpenRequests.erase(Found);
+  return m_Context.now() - SentAt <= MaxGrantDelay;
 }
 
 void RateShare::admitPending(const AccountId &Id) {
+  if (m_Sharing == RateSharing::Priority)
+    return distribute(Id);
   AccountState &State = m_Accounts.at(Id);
   std::deque<PendingAdmission> Admitted;
-  while (!State.Pending.empty() && consumeToken(State)) {
+  while (!State.Pending.empty() &&
+         consumeToken(State, State.Pending.front().Need.Priority)) {
     Admitted.push_back(std::move(State.Pending.front()));
     State.Pending.pop_front();
   }
-  if (m_BorrowingEnabled && !State.Pending.empty())
+  if (m_Sharing == RateSharing::Loans && !State.Pending.empty())
     requestLoan(Id, State);
   bool NoTokensExpected =
       !State.PendingLender && timeUntilToken(State) > MaxWait;
@@ -279,30 +341,37 @@
     });
   }
   for (PendingAdmission &Next : Admitted)
-    Next.Callback({true, {}});
+    finish(Next, Id, {true, {}});
   for (PendingAdmission &Next : Refused)
-    Next.Callback({false, RetryAfter});
+    finish(Next, Id, {false, RetryAfter});
 }
 
-void RateShare::onTokenMessage(const VmId &From, const TokenRequest &Request) {
+void RateShare::lend(const VmId &To, AccountState &State,
+                     const TokenRequest &Request) {
   TokenGrant Grant;
   Grant.Account = Request.Account;
+  Grant.Number = Request.Number;
+  TokenCount Available = ownTokens(State);
+  TokenCount Reserved =
+      tokens(State.Demand.total(m_Context.now()) * ReservedDemandSeconds);
+  TokenCount Spare = State.Pending.empty() && Reserved < Available
+                         ? Available - Reserved
+                         : TokenCount{};
+  Grant.MilliTokens = std::min(Request.MilliTokens, toMilli(Spare));
+  State.Bucket.tryTake(fromMilli(Grant.MilliTokens), m_Context.now());
+  Grant.LeftMilliTokens = toMilli(Spare) - Grant.MilliTokens;
+  m_Send(To, std::move(Grant));
+}
+
+void RateShare::onTokenMessage(const VmId &From, const TokenRequest &Request) {
   auto Found = m_Accounts.find(Request.Account);
-  if (Found != m_Accounts.end()) {
-    AccountState &State = Found->second;
-    // Without admissions the demand is not updated.
-    if (State.WindowStart + 4 * DemandWindow < m_Context.now())
-      State.Demand = 0;
-    TokenCount Available = ownTokens(State);
-    TokenCount Reserved = tokens(State.Demand * ReservedDemandSeconds);
-    TokenCount Spare = State.Pending.empty() && Reserved < Available
-                           ? Available - Reserved
-                           : TokenCount{};
-    Grant.MilliTokens = std::min(Request.MilliTokens, toMilli(Spare));
-    State.Bucket.tryTake(fromMilli(Grant.MilliTokens), m_Context.now());
-    Grant.LeftMilliTokens = toMilli(Spare) - Grant.MilliTokens;
-  }
-  m_Send(From, std::move(Grant));
+  if (Found == m_Accounts.end())
+    return m_Send(From, TokenGrant{Request.Account, 0, 0, {}, Request.Number});
+  // Only VMs with RateSharing::Priority report their demand and queue loans.
+  if (Request.Demand.empty() || m_Sharing != RateSharing::Priority)
+    return lend(From, Found->second, Request);
+  queueLoan(From, Found->second, Request);
+  distribute(Request.Account);
 }
 
 void RateShare::onTokenMessage(const VmId &From, const TokenGrant &Grant) {
@@ -310,17 +379,29 @@
   if (Found == m_Accounts.end())
     return;
   AccountState &State = Found->second;
-  if (State.PendingLender == From)
+  if (!closeRequest(State, Grant.Number)) {
+    m_Context.log(WriteLog::Level::Debug, "token_grant_dropped",
+                  {{"account", Grant.Account.value()}, {"vm", From.value()}});
+    return;
+  }
+  bool Expected = State.PendingLender == From;
+  if (Expected)
     State.PendingLender.reset();
   Lender &Entry = State.Lenders[From];
   Entry.LeftMilliTokens = Grant.LeftMilliTokens;
-  bool Empty = Grant.LeftMilliTokens < toMilli(OneToken);
-  Entry.NotBefore =
-      m_Context.now() + (Empty ? EmptyLenderBackoff : Duration(0));
   available(State); // Drops expired borrowed tokens.
   State.Borrowed = State.Borrowed + fromMilli(Grant.MilliTokens);
   State.BorrowedAt = m_Context.now();
+  if (m_Sharing == RateSharing::Priority) {
+    if (Expected)
+      onGrantByPriority(From, State, Grant);
+  } else {
+    bool Empty = Grant.LeftMilliTokens < toMilli(OneToken);
+    Entry.RefusedPriority = 0;
+    Entry.NotBefore =
+        m_Context.now() + (Empty ? EmptyLenderBackoff : Duration(0));
+  }
   admitPending(Grant.Account);
 }
 
-} // namespace bergamotstage::pooling
+} // namespace bergamotstage::ratelimit
--- a/src/rules/PolicyKinds.cpp
+++ b/src/rules/PolicyKinds.cpp
@@ -24,12 +24,14 @@
 const std::vector<PolicyKind> &policyKinds() {
   static const std::vector<PolicyKind> Kinds = {
       {"reads",
-       {"nearest-covered", "earliest-finish", "random-replica", "primary-only"},
+       {"nearest-covered", "earliest-finish", "random-replica", "primary-only",
+        "least-wait"},
        {durationParameter("wait"), durationParameter("primary-cost")},
        true},
       {"acknowledge", {"confirmed", "immediate"}, {}, false},
-      {"queue", {"fair", "fifo"}, {}, false},
-      {"rate", {"loans", "split"}, {}, false},
+      {"queue", {"fair", "fifo", "urgency"}, {}, false},
+      {"rate", {"loans", "split", "priority"}, {}, false},
+      {"pace", {"fixed", "adaptive"}, {}, false},
       {"failover", {"vote", "fixed"}, {durationParameter("timeout")}, false},
       {"home", {"rendezvous", "none"}, {}, false},
   };
--- a/src/standin/site/PoolFleet.cpp
+++ b/src/standin/site/PoolFleet.cpp
@@ -50,6 +50,12 @@
   }
   replicate();
   storeHeartbeat();
+  if (m_Settings.TargetRewriteInterval > Duration(0)) {
+    std::uniform_real_distribution<double> Phase(0, 1);
+    for (const auto &[Name, Model] : m_Targets)
+      after(scaled(m_Settings.TargetRewriteInterval, Phase(m_Random)),
+            [this, Name = Name] { rewriteTarget(Name); });
+  }
 }
 
 std::vector<VmId> PoolFleet::vms() const {
@@ -168,6 +174,8 @@
   if (m_OnLog)
     Process.Node->setLogHook(
         [this, Name](WriteLog &&Entry) { m_OnLog(m_Now, Name, Entry); });
+  if (!m_Policies.rules().Policies.empty())
+    Process.Node->onPoliciesRead(m_Now, m_Policies);
   readTables(Name, Process.Generation);
   Process.Node->start(m_Now);
   scheduleWake(Name);
@@ -187,6 +195,7 @@
                  std::vector<pooling::TargetEntry> All;
                  for (const auto &[Target, Unused] : m_Targets)
                    All.push_back(targetEntry(Target));
+                 Node.onEvacuationsListed(m_Now, {m_Version, m_Evacuated});
                  Node.onTargetsListed(m_Now, All);
                  if (m_Config)
                    deliverConfig(Name, Generation, [] {});
@@ -322,6 +331,16 @@
   return Hooks;
 }
 
+void PoolFleet::setPolicies(const pooling::SitePolicies &Policies) {
+  m_Policies = Policies;
+  for (auto &[Name, Process] : m_Vms)
+    if (Process.Up)
+      deliverAfter(Name, Process.Generation, Duration(0),
+                   [this, Policies](PoolNode &Node) {
+                     Node.onPoliciesRead(m_Now, Policies);
+                   });
+}
+
 // Callers.
 
 CallerId PoolFleet::connect(const VmId &Name, const std::string &Database,
--- a/src/standin/site/PoolFleet.h
+++ b/src/standin/site/PoolFleet.h
@@ -1,6 +1,7 @@
 #ifndef BERGAMOTSTAGE_STANDIN_SITE_POOLFLEET_H
 #define BERGAMOTSTAGE_STANDIN_SITE_POOLFLEET_H
 
+#include "bergamotstage/fleetcost/PeerTraffic.h"
 #include "bergamotstage/pooling/PoolNode.h"
 #include "standin/site/LinkModel.h"
 #include "standin/site/ModelGroup.h"
@@ -40,6 +41,9 @@
     Duration ReplicaLag = milliseconds(10);
     Duration StoreDelay = milliseconds(4);
     Duration PromotionTime = milliseconds(300);
+    /// Interval at which each target writes its entry again unchanged, under a
+    /// new version; 0 means never.
+    Duration TargetRewriteInterval{};
     /// Returns the size of a VM; without it all have the same.
     std::function<VmSize(unsigned Index)> SizeOf;
   };
@@ -63,6 +67,8 @@
 
   /// @brief Publishes a configuration to all subscribed VMs.
   void configure(pooling::SiteConfig Config);
+  /// @brief Sets the policies of all VMs, also of those that start later.
+  void setPolicies(const pooling::SitePolicies &Policies);
   /// @brief Starts all VMs.
   void start();
   /// @brief Runs all events of a time span.
@@ -92,6 +98,8 @@
   /// @brief Sets whether a target ignores requests and new links.
   void setUnresponsive(const TargetId &Target, bool Unresponsive);
   void drain(const TargetId &Target, bool Draining);
+  /// @brief Writes or removes the row that evacuates a data centre.
+  void evacuate(const DataCentreId &DataCentre, bool Evacuated);
   void setLag(Duration Lag) { m_Settings.ReplicaLag = Lag; }
   void setStoreDown(bool Down);
   /// @brief Sets the fraction (0 to 1) of store writes without answer; half of
@@ -105,6 +113,30 @@
     m_Targets.at(Target).ReadFailureRatio = Ratio;
   }
 
+  /// @brief Last time at which a statement of a caller arrived at a target of a
+  /// data centre.
+  Instant lastStatementIn(const DataCentreId &DataCentre) const;
+  DataCentreId dataCentreOf(const TargetId &Target) const {
+    return m_Targets.at(Target).DataCentre;
+  }
+  /// @brief Messages of a VM since the start of the fleet.
+  const fleetcost::PeerTraffic &traffic(const VmId &Vm) const {
+    return m_Vms.at(Vm).Traffic;
+  }
+  /// @brief Calls of the store's rows by a VM, and bytes that it read.
+  fleetcost::PeerTraffic::Count rowCalls(const VmId &Vm) const {
+    return m_Vms.at(Vm).RowCalls;
+  }
+  /// @brief Lets a target start with cold caches: each statement takes longer
+  /// by a part for each other one that runs, which falls to nothing in @p Span.
+  void warmUp(const TargetId &Target, Duration Span);
+  /// @brief Lists a target as cold for the time, from now on.
+  void listCold(const TargetId &Target, Duration Span);
+  /// @brief Sets a hook that receives each caller's statement that arrives at a
+  /// target, and the VM that sent it.
+  void onStatement(std::function<void(const VmId &, const TargetId &)> Hook) {
+    m_OnStatement = std::move(Hook);
+  }
   std::uint64_t promotions() const { return m_Promotions; }
   std::uint64_t linksOpened() const { return m_LinksOpened; }
   /// @brief Reads of the configuration beside those that follow the store.
@@ -126,6 +158,8 @@
     std::set<VmId> Streams; ///< VMs to which it has opened a stream.
     LinkModel Outgoing;
     LinkModel Incoming;
+    fleetcost::PeerTraffic Traffic;
+    fleetcost::PeerTraffic::Count RowCalls;
   };
   struct PublishedConfig {
     pooling::SharedConfig Config;
@@ -138,8 +172,12 @@
     bool Draining = false;
     double ReadFailureRatio = 0;
     unsigned RunningStatements = 0;
+    Instant WarmFrom{};
+    Duration WarmUp{}; ///< From WarmFrom on; 0 for a warm target.
+    Duration ColdFor{};
     std::uint64_t Version = 0;
     bool ReportsPrimary = false;
+    Instant LastStatementAt{};
   };
   struct Link {
     VmId Vm;
@@ -155,6 +193,9 @@
   /// @brief Delivers bytes from another VM, after the links' queues.
   void deliverFromPeer(const VmId &From, const VmId &To, std::size_t Bytes,
                        std::function<void(pooling::PoolNode &)> Handler);
+  /// @brief Sends a message on an open stream and counts it.
+  void deliverMessage(const VmId &From, const VmId &To,
+                      const pooling::FleetMessage &Message);
   /// @brief Delivers the newest configuration from the store, and reports its
   /// arrival.
   void deliverConfig(const VmId &Name, std::uint64_t Generation,
@@ -175,6 +216,8 @@
                 const pooling::LinkRequest &Request);
   void runLink(std::uint64_t Key, const pooling::LinkRequest &Request);
   void closeLink(std::uint64_t Key);
+  /// @brief Factor on the time of a statement that starts now.
+  static double slowdown(const TargetModel &Model, Instant Now);
   void resetLinksTo(const TargetId &Target);
   void sendPeer(const VmId &From, const MemberState &To,
                 const pooling::FleetMessage &Message);
@@ -193,6 +236,8 @@
   pooling::TargetEntry targetEntry(const TargetId &Target) const;
   void replicate();
   void storeHeartbeat();
+  /// @brief Writes a target's entry again, and then at each interval.
+  void rewriteTarget(const TargetId &Target);
 
   Settings m_Settings;
   Instant m_Now{seconds(1000)};
@@ -206,7 +251,9 @@
   std::uint64_t m_LastLink = 0;
   std::map<std::string, TableRow> m_Rows;
   std::uint64_t m_Version = 0;
+  std::set<DataCentreId> m_Evacuated;
   std::map<DatabaseId, std::uint64_t> m_FencingTokens;
+  pooling::SitePolicies m_Policies;
   pooling::SharedConfig m_Config;
   std::map<std::uint64_t, PublishedConfig> m_Configs; ///< By version.
   std::set<std::pair<VmId, VmId>> m_CutPeers;
@@ -220,6 +267,7 @@
   std::uint64_t m_LastCaller = 0;
   AnswerHook m_OnAnswer;
   CloseHook m_OnClose;
+  std::function<void(const VmId &, const TargetId &)> m_OnStatement;
   std::function<void(Instant, const VmId &, const WriteLog &)> m_OnLog;
 };
 
--- a/src/standin/site/PoolFleetEnvironment.cpp
+++ b/src/standin/site/PoolFleetEnvironment.cpp
@@ -98,6 +98,11 @@
   ModelGroup &Group = *m_Groups[Model.Group];
   if (!Group.hasLink(Key))
     return;
+  if (Request.Type == LinkRequest::Kind::CallerStatement) {
+    Model.LastStatementAt = m_Now;
+    if (m_OnStatement)
+      m_OnStatement(Opened.Vm, Opened.Target);
+  }
   bool TakesSlot = Request.Type == LinkRequest::Kind::CallerStatement ||
                    Request.Type == LinkRequest::Kind::Status;
   bool Full = TakesSlot && Model.RunningStatements >= m_Settings.Slots;
@@ -111,7 +116,8 @@
     if (Request.Type == LinkRequest::Kind::CallerStatement) {
       std::exponential_distribution<double> Draw(1.0);
       ServiceTime =
-          scaled(m_Settings.MeanServiceTime, std::min(5.0, Draw(m_Random)));
+          scaled(m_Settings.MeanServiceTime,
+                 std::min(5.0, Draw(m_Random)) * slowdown(Model, m_Now));
     }
   }
   if (TakesSlot && !Full) {
@@ -147,6 +153,27 @@
   });
 }
 
+void PoolFleet::listCold(const TargetId &Target, Duration Span) {
+  m_Targets.at(Target).ColdFor = Span;
+  publishTarget(Target);
+}
+
+void PoolFleet::warmUp(const TargetId &Target, Duration Span) {
+  TargetModel &Model = m_Targets.at(Target);
+  Model.WarmFrom = m_Now;
+  Model.WarmUp = Span;
+}
+
+double PoolFleet::slowdown(const TargetModel &Model, Instant Now) {
+  if (Model.WarmUp == Duration(0) || Now >= Model.WarmFrom + Model.WarmUp)
+    return 1;
+  // Concurrent statements evict each other's pages: with the square of their
+  // number, more of them at once finish later than one after the other.
+  double Cold = 1 - toSeconds(Now - Model.WarmFrom) / toSeconds(Model.WarmUp);
+  double Others = Model.RunningStatements;
+  return 1 + Cold * Others * Others;
+}
+
 void PoolFleet::closeLink(std::uint64_t Key) {
   auto Found = m_Links.find(Key);
   if (Found == m_Links.end())
@@ -190,18 +217,27 @@
                           Node.onPeerLost(m_Now, Other);
                         });
   }
-  std::string Bytes = pooling::encodeMessage(Message);
   bool NewStream = Sender.Streams.insert(To.Vm).second;
-  deliverFromPeer(
-      From, To.Vm, Bytes.size(),
-      [this, From, Bytes, NewStream, Self = Sender.Self](PoolNode &Node) {
-        if (NewStream)
-          Node.onPeerMessage(m_Now, From,
-                             pooling::Hello{Self.Vm, Self.DataCentre,
-                                            Self.PeerAddress, Self.Start, 0,
-                                            false, Self.Cores});
-        Node.onPeerMessage(m_Now, From, *pooling::decodeMessage(Bytes));
-      });
+  const MemberState &Self = Sender.Self;
+  if (NewStream)
+    deliverMessage(From, To.Vm,
+                   pooling::Hello{Self.Vm, Self.DataCentre, Self.PeerAddress,
+                                  Self.Start, 0, false, Self.Cores});
+  deliverMessage(From, To.Vm, Message);
+}
+
+void PoolFleet::deliverMessage(const VmId &From, const VmId &To,
+                               const FleetMessage &Message) {
+  std::string Bytes = pooling::encodeMessage(Message);
+  m_Vms.at(From).Traffic.record(Message, fleetcost::Direction::Sent,
+                                Bytes.size());
+  deliverFromPeer(From, To, Bytes.size(),
+                  [this, From, To, Bytes](PoolNode &Node) {
+                    FleetMessage Received = *pooling::decodeMessage(Bytes);
+                    m_Vms.at(To).Traffic.record(
+                        Received, fleetcost::Direction::Received, Bytes.size());
+                    Node.onPeerMessage(m_Now, From, std::move(Received));
+                  });
 }
 
 void PoolFleet::replyPeer(const VmId &From, const VmId &To,
@@ -209,12 +245,8 @@
   auto Found = m_Vms.find(To);
   bool Reached = Found != m_Vms.end() && canReachPeer(From, To) &&
                  Found->second.Streams.count(From) > 0;
-  if (!Reached)
-    return;
-  std::string Bytes = pooling::encodeMessage(Message);
-  deliverFromPeer(From, To, Bytes.size(), [this, From, Bytes](PoolNode &Node) {
-    Node.onPeerMessage(m_Now, From, *pooling::decodeMessage(Bytes));
-  });
+  if (Reached)
+    deliverMessage(From, To, Message);
 }
 
 void PoolFleet::cutPeers(const VmId &Left, const VmId &Right, bool Cut) {
@@ -249,6 +281,25 @@
   publishTarget(Target);
 }
 
+void PoolFleet::evacuate(const DataCentreId &DataCentre, bool Evacuated) {
+  if (Evacuated)
+    m_Evacuated.insert(DataCentre);
+  else
+    m_Evacuated.erase(DataCentre);
+  notifySubscribers(
+      [this, DataCentre, Evacuated, Version = ++m_Version](PoolNode &Node) {
+        Node.onEvacuationChanged(m_Now, DataCentre, Evacuated, Version);
+      });
+}
+
+Instant PoolFleet::lastStatementIn(const DataCentreId &DataCentre) const {
+  Instant Last{};
+  for (const auto &[Id, Model] : m_Targets)
+    if (Model.DataCentre == DataCentre)
+      Last = std::max(Last, Model.LastStatementAt);
+  return Last;
+}
+
 pooling::TargetEntry PoolFleet::targetEntry(const TargetId &Target) const {
   const TargetModel &Model = m_Targets.at(Target);
   pooling::TargetEntry Entry;
@@ -259,6 +310,7 @@
   Entry.Slots = m_Settings.Slots;
   Entry.Draining = Model.Draining;
   Entry.ReportsPrimary = Model.ReportsPrimary;
+  Entry.ColdFor = Model.ColdFor;
   Entry.Version = Model.Version;
   return Entry;
 }
@@ -304,11 +356,19 @@
   after(StoreHeartbeat, [this] { storeHeartbeat(); });
 }
 
+void PoolFleet::rewriteTarget(const TargetId &Target) {
+  if (!m_Targets.at(Target).Unresponsive)
+    publishTarget(Target);
+  after(m_Settings.TargetRewriteInterval,
+        [this, Target] { rewriteTarget(Target); });
+}
+
 void PoolFleet::callPlatform(const VmId &Name, std::uint64_t Generation,
                              const PlatformRequest &Request,
                              const PoolNode::PlatformCallback &Callback) {
   std::uniform_real_distribution<double> Chance(0, 1);
   bool Writes = !std::holds_alternative<ReadRows>(Request);
+  ++m_Vms.at(Name).RowCalls.Messages;
   auto Answer = [this, Name, Generation,
                  Callback](Duration Delay, const PlatformAnswer &Result) {
     deliverAfter(Name, Generation, Delay,
@@ -320,8 +380,12 @@
     return Answer(PlatformCallTimeout, PlatformFailed{Writes, "down"});
   bool Lost = Writes && Chance(m_Random) < m_LostWriteAnswerRatio;
   if (!Lost)
-    return after(m_Settings.StoreDelay / 2, [this, Request, Answer] {
-      Answer(m_Settings.StoreDelay / 2, executeRequest(Request));
+    return after(m_Settings.StoreDelay / 2, [this, Name, Request, Answer] {
+      PlatformAnswer Result = executeRequest(Request);
+      if (const auto *Read = std::get_if<RowsRead>(&Result))
+        for (const TableRow &Row : Read->Rows)
+          m_Vms.at(Name).RowCalls.Bytes += Row.Key.size() + Row.Value.size();
+      Answer(m_Settings.StoreDelay / 2, Result);
     });
   bool Late = Chance(m_Random) < 0.5;
   after(Late ? LateWriteDelay : m_Settings.StoreDelay,
--- a/test/unit-platform-codec.cpp
+++ b/test/unit-platform-codec.cpp
@@ -232,6 +232,20 @@
           .has_value());
 }
 
+// Guards against a reason in the log that doesn't tell which entry is at fault,
+// and against numbers whose conversion is undefined.
+TEST(Documents, NamesTheEntryAtFaultAndCutsLargeNumbers) {
+  auto Faulty = parseConfig(replaced(Config, ": 800", ": \"800\""));
+  CHECK_FALSE(Faulty.has_value());
+  CHECK_EQUAL(std::string("routes[1].timeout_ms is not a non-negative number"),
+              Faulty.error());
+  auto Read = parseConfig(
+      replaced(replaced(Config, ": 800", ": 1e300"), ": 23", ": 1e300"));
+  CHECK_TRUE(Read.has_value());
+  CHECK(Read->Routes.at("pub").StatementTimeout > seconds(1000000));
+  CHECK(Read->Groups.at(DatabaseId("svc")).MaxLinks == 4294967295U);
+}
+
 TEST(Documents, ReadsAnEntryOfATarget) {
   auto Read = parseTargetEntry("i-1", Entry, 55);
   CHECK_TRUE(Read.has_value());
@@ -302,6 +316,24 @@
   CHECK_FALSE(parseRows("").has_value());
 }
 
+// Guards against one row of another writer, such as an evacuation without a
+// body, that hides all rows of its table.
+TEST(StoreCodec, ARowWithMembersOfAnotherTypeHidesNoOther) {
+  auto Read = parseRows(R"({"rows":[
+    {"table":"op","part":"","key":"evacuate/a","ver":4},
+    {"table":"op","part":"","key":"evacuate/b","value":null,"ver":5},
+    {"table":"op","part":"","key":"evacuate/c","value":7,"ver":6,"deleted":0},
+    {"table":"op","part":"","key":"config","value":"bm9kZS0x","ver":7}],
+    "has_more":false,"ver":9,"now_ms":1})");
+  CHECK_TRUE(Read.has_value());
+  LONGS_EQUAL(4, Read->Rows.size());
+  for (std::size_t Index = 0; Index < 3; ++Index) {
+    CHECK_TRUE(evacuatedDataCentre(Read->Rows[Index]).has_value());
+    CHECK_FALSE(Read->Rows[Index].Deleted);
+  }
+  CHECK_EQUAL("node-1", Read->Rows[3].Value);
+}
+
 TEST(StoreCodec, ReportsRequestsThatMayHaveTakenEffect) {
   ConditionalWrite Write;
   auto MayHaveTakenEffect = [&](const PlatformRequest &Request,
@@ -320,6 +352,25 @@
   CHECK_FALSE(std::get<PromotionDecided>(Fenced).Applied);
 }
 
+// Guards against a bound for cold targets that is read wrongly, or that
+// applies where a field is missing.
+TEST(Documents, ReadsTheFieldsOfColdTargets) {
+  auto Bounded = parseConfig(replaced(
+      Config, "\"sync_replicas\": 0",
+      "\"sync_replicas\": 0, \"cold_start_s\": 8, \"cold_per_s\": 12.5"));
+  const auto &Group = Bounded->Groups.at(DatabaseId("svc"));
+  CHECK_TRUE(Group.ColdStart == seconds(8));
+  DOUBLES_EQUAL(12.5, Group.ColdPerSecond, 1e-9);
+  auto Unbounded = parseConfig(Config);
+  DOUBLES_EQUAL(0, Unbounded->Groups.at(DatabaseId("svc")).ColdPerSecond, 0);
+  auto Cold = parseTargetEntry(
+      "i-1",
+      replaced(Entry, "\"cold_remaining_ms\": 0", "\"cold_remaining_ms\": 750"),
+      1);
+  CHECK_TRUE(Cold->ColdFor == milliseconds(750));
+  CHECK_TRUE(parseTargetEntry("i-1", Entry, 1)->ColdFor == Duration(0));
+}
+
 TEST_GROUP(BootSettings){};
 
 TEST(BootSettings, IgnoresUnknownMembers) {
@@ -338,3 +389,14 @@
   CHECK_EQUAL("node_name", Read.error().front().Path);
   CHECK_FALSE(parseBootSettings("nothing").has_value());
 }
+
+// Guards against bounds for cold targets that are ignored.
+TEST(BootSettings, ReadsTheBoundsOfColdTargets) {
+  DOUBLES_EQUAL(1.5, parseBootSettings(Boot)->ColdOverage, 1e-9);
+  DOUBLES_EQUAL(5, parseBootSettings(Boot)->ColdSlack, 1e-9);
+  auto Read = parseBootSettings(
+      replaced(Boot, "\"grace_s\": 7",
+               "\"grace_s\": 7, \"cold_overage\": 2, \"cold_slack\": 0"));
+  DOUBLES_EQUAL(2, Read->ColdOverage, 1e-9);
+  DOUBLES_EQUAL(0, Read->ColdSlack, 1e-9);
+}
--- a/test/unit-pool-message.cpp
+++ b/test/unit-pool-message.cpp
@@ -53,6 +53,8 @@
   Update.StoreAge = milliseconds(900);
   Update.Timestamp = 77;
   Update.ConfigVersion = 9;
+  Update.SameList = true;
+  Update.NewestRow = 99;
   Update.BaseTargetsVersion = 4;
   Update.TargetsVersion = 5;
   TargetEntry Entry;
@@ -61,6 +63,7 @@
   Entry.Slots = 3;
   Entry.ReportsPrimary = true;
   Entry.Version = 88;
+  Entry.ColdFor = milliseconds(750);
   Update.Changed = {Entry};
   Update.Removed = {TargetId("u")};
   Hello Greeting;
@@ -82,14 +85,18 @@
       ProofRequest{TargetId("t"), AccountId("a"), 123},
       ProofReply{
           TargetId("t"), true, {Term(1), LogPosition(2)}, milliseconds(3), 123},
-      TokenRequest{AccountId("a"), 1500},
-      TokenGrant{AccountId("a"), 1500, 20},
+      TokenRequest{AccountId("a"),
+                   1500,
+                   {{0, 2500}, {2, 100}},
+                   {{0, 3, milliseconds(40)}},
+                   77},
+      TokenGrant{AccountId("a"), 1500, 20, {{0, 1000}, {2, 150}}, 77},
       PrimarySuspected{DatabaseId("g"), TargetId("t")},
       TargetAlive{DatabaseId("g"), TargetId("t")},
       Promoted{DatabaseId("g"), TargetId("t"), Term(4)},
       ConfigRequest{7, TextDigest(8)},
       ConfigText{9, TextDigest(8), "{}"},
-      StoreUpdateRequest{1, 2, 77},
+      StoreUpdateRequest{1, 2, 77, 5, {TargetId("t")}},
       Update,
       RenewalRequest{"east 10.0.0.1:1 5 0.25", 77},
       RenewalReply{77, true}};
