Ask whether a holder is reachable instead of copying all names of VMs

Cause: RateShare took a sorted list of all reachable VMs for each admission at a holder and each loan, to look up at most four of them. It also kept the holders of an account beside their shares, and two files defined the same limits. Change: a hook tells whether one VM is reachable; the holders are the keys of their shares; common limits are in detail/Limits.h; a request measures its demand once. Ruled out: keeping the list up to date inside of RateShare, which copies the state of the members. Result: no behaviour changes. unit-pool-rate, unit-rate-priority, unit-rate-faults and unit-random-shares pass; their fixtures give the hook, no assertion changed. The time saved was not measured.

--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -214,6 +214,7 @@
   /// @brief VMs in the order in which they should hold a group's lease.
   const std::vector<VmId> &leaseCandidates(const DatabaseId &Group) const;
   std::vector<VmId> peers() const;
+  bool isReachablePeer(const VmId &Vm) const;
   AccountId anyAccount() const;
   bool applyTarget(const TargetEntry &Entry);
   void applyTargets(const std::vector<TargetEntry> &Changed,
--- a/include/bergamotstage/ratelimit/RateShare.h
+++ b/include/bergamotstage/ratelimit/RateShare.h
@@ -39,11 +39,12 @@
   };
   using AdmitCallback = std::function<void(const Decision &)>;
   using SendHook = std::function<void(const VmId &, pooling::FleetMessage &&)>;
-  using PeersHook = std::function<std::vector<VmId>()>;
+  using ReachableHook = std::function<bool(const VmId &)>;
 
-  /// @param Peers returns the reachable VMs in ascending order
-  RateShare(pooling::Context &Ctx, SendHook Send, PeersHook Peers)
-      : m_Context(Ctx), m_Send(std::move(Send)), m_Peers(std::move(Peers)) {}
+  /// @param IsReachable whether another VM is reachable; false for this one
+  RateShare(pooling::Context &Ctx, SendHook Send, ReachableHook IsReachable)
+      : m_Context(Ctx), m_Send(std::move(Send)),
+        m_IsReachable(std::move(IsReachable)) {}
 
   /// @brief Sets rates and bursts. Complexity: linear in the accounts.
   void configure(const std::map<AccountId, pooling::AccountConfig> &Accounts);
@@ -104,7 +105,6 @@
   struct AccountState {
     pooling::AccountConfig Contract;
     TokenBucket Bucket;
-    std::vector<VmId> Holders; ///< VMs with slots of the account.
     TokenCount Borrowed;
     Instant BorrowedAt{};
     std::deque<PendingAdmission> Pending;
@@ -118,9 +118,11 @@
     DemandMeter Demand;
     std::optional<TimerId> WakeTimer;
 
-    // With RateSharing::Priority.
     double OwnShare = 0; ///< Of the rate, in this VM's slots; from 0 to 1.
+    /// Shares of the VMs with slots of the account, as planned.
     std::map<VmId, double> HolderShares;
+
+    // With RateSharing::Priority.
     FleetDemand Fleet; ///< As reported to this VM as a holder.
     LoanQueue Loans;   ///< Requests of other VMs that wait for tokens.
     ShareFilter Filter;
@@ -177,7 +179,7 @@
 
   pooling::Context &m_Context;
   SendHook m_Send;
-  PeersHook m_Peers;
+  ReachableHook m_IsReachable;
   std::shared_ptr<const RatePlan> m_Plan;
   std::set<RatePlan::Slot> m_Usable;
   Instant m_LeaseEnd{};
--- a/include/bergamotstage/ratelimit/TokenDemand.h
+++ b/include/bergamotstage/ratelimit/TokenDemand.h
@@ -17,6 +17,8 @@
 
 /// @brief Operations per second that ask for tokens at one priority.
 struct PriorityDemand {
+  static constexpr double MilliPerOperation = 1000;
+
   unsigned Priority = 0;
   std::uint64_t MilliPerSecond = 0;
 };
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -68,7 +68,7 @@
             else
               send(To, std::move(Message));
           },
-          [this] { return peers(); }),
+          [this](const VmId &Vm) { return isReachablePeer(Vm); }),
       m_Rows(m_Context, m_Settings.Self, rowHooks()),
       m_Renewals(m_Context, {m_Hooks.CallPlatform,
                              [this](const VmId &To, FleetMessage &&Message) {
--- a/src/pooling/PoolNodeMessages.cpp
+++ b/src/pooling/PoolNodeMessages.cpp
@@ -198,6 +198,11 @@
 
 // Other VMs.
 
+bool PoolNode::isReachablePeer(const VmId &Vm) const {
+  const MemberState *Member = m_Members.find(Vm);
+  return Member != nullptr && Vm != m_Context.self() && Member->Reachable;
+}
+
 std::vector<VmId> PoolNode::peers() const {
   std::vector<VmId> Reachable;
   for (const auto &[Id, Member] : m_Members.all())
--- a/src/ratelimit/DemandMeter.cpp
+++ b/src/ratelimit/DemandMeter.cpp
@@ -8,7 +8,6 @@
 constexpr double NewestWeight = 0.4;
 /// Windows without any operation after which the average is dropped.
 constexpr int IdleWindows = 4;
-constexpr double MilliPerOperation = 1000;
 
 } // namespace
 
@@ -36,7 +35,8 @@
   Rates.reserve(m_Levels.size());
   for (const auto &[Priority, State] : m_Levels)
     Rates.push_back(
-        {Priority, static_cast<std::uint64_t>(State.Rate * MilliPerOperation)});
+        {Priority, static_cast<std::uint64_t>(
+                       State.Rate * PriorityDemand::MilliPerOperation)});
   return Rates;
 }
 
--- a/src/ratelimit/FleetDemand.cpp
+++ b/src/ratelimit/FleetDemand.cpp
@@ -10,7 +10,6 @@
 /// milliseconds, so that each holder hears of it within this time.
 constexpr Duration ReportLifetime = milliseconds(1500);
 constexpr Duration TotalLifetime = milliseconds(50);
-constexpr double MilliPerOperation = 1000;
 
 } // namespace
 
@@ -30,8 +29,8 @@
       continue;
     }
     for (const PriorityDemand &Level : Entry->second.Demand)
-      m_Total[Level.Priority] +=
-          static_cast<double>(Level.MilliPerSecond) / MilliPerOperation;
+      m_Total[Level.Priority] += static_cast<double>(Level.MilliPerSecond) /
+                                 PriorityDemand::MilliPerOperation;
     ++Entry;
   }
   return m_Total;
--- a/src/ratelimit/RatePriority.cpp
+++ b/src/ratelimit/RatePriority.cpp
@@ -1,5 +1,6 @@
 #include "bergamotstage/ratelimit/RateShare.h"
 
+#include "bergamotstage/ratelimit/detail/Limits.h"
 #include "bergamotstage/ratelimit/detail/Tokens.h"
 
 #include <algorithm>
@@ -13,10 +14,7 @@
 
 namespace bergamotstage::ratelimit {
 
-using detail::fromMilli;
-using detail::MilliPerToken;
-using detail::tokens;
-using detail::toMilli;
+using namespace detail;
 using pooling::TokenGrant;
 using pooling::TokenRequest;
 
@@ -28,11 +26,7 @@
 /// The same while the rate does not cover the priority's demand: most of these
 /// operations are refused, and a retry needs time as well.
 constexpr double OverRateWaitFraction = 0.25;
-/// A few round trips to a holder, for short latency targets.
-constexpr Duration MinTokenWait = milliseconds(40);
 constexpr Duration MaxTokenWait = milliseconds(250);
-/// Time beyond the longest wait after which a request is considered lost.
-constexpr Duration AnswerTimeout = milliseconds(120);
 /// A holder that had no token is passed over for this time if there are others.
 constexpr Duration RefusedLenderBackoff = milliseconds(50);
 /// Requests without a token, of different holders, until it is refused.
@@ -48,22 +42,15 @@
 constexpr std::int64_t SmallBucketParts = 4;
 /// Tokens that have been saved up are spent over this time.
 constexpr double BurstSeconds = 1;
-/// Below this demand, in operations per second, tokens are not prefetched, and
-/// a borrower prefetches this time's demand.
-constexpr double MinPrefetchDemand = 4;
-constexpr double PrefetchSeconds = 0.3;
 /// Operations per second up to which an account is not reported as over its
 /// rate: single operations look like a high demand.
 constexpr double MinReportedDemand = 10;
-constexpr std::size_t MaxPending = 256;
-constexpr Duration MinRetryAfter = milliseconds(20);
-constexpr Duration MaxRetryAfter = seconds(5);
 /// Spreads the retries of operations that were refused together.
 constexpr double RetryJitter = 0.25;
 
 Duration tokenWait(const Urgency &Need, bool Covered) {
   double Fraction = Covered ? TokenWaitFraction : OverRateWaitFraction;
-  return std::clamp(scaled(Need.LatencyTarget, Fraction), MinTokenWait,
+  return std::clamp(scaled(Need.LatencyTarget, Fraction), LoanWait,
                     MaxTokenWait);
 }
 
@@ -99,11 +86,9 @@
 /// @brief Tokens per second of the account that holders within reach can give,
 /// and what is saved up, spent over a second.
 double RateShare::spendableRate(AccountState &State) {
-  std::vector<VmId> Reachable = m_Peers();
   double Share = 0;
   for (const auto &[Holder, Part] : State.HolderShares)
-    if (Holder == m_Context.self() ||
-        std::binary_search(Reachable.begin(), Reachable.end(), Holder))
+    if (Holder == m_Context.self() || m_IsReachable(Holder))
       Share += Part;
   double Saved = static_cast<double>(toMilli(ownTokens(State))) / MilliPerToken;
   double SavedOfAll =
@@ -363,7 +348,7 @@
   Instant Now = m_Context.now();
   bool Lost = State.PendingLender && State.LostAt <= Now;
   if (Lost) {
-    State.Lenders[*State.PendingLender] = {Now + AnswerTimeout, 0, 0};
+    State.Lenders[*State.PendingLender] = {Now + LoanRequestTimeout, 0, 0};
     State.PendingLender.reset();
   }
   std::vector<WaitingOperations> Waiting = waitingOperations(State);
@@ -372,12 +357,14 @@
   if (State.PendingLender && !MoreUrgent)
     return;
   double Demand = State.Demand.total(Now);
+  std::vector<PriorityDemand> Levels = State.Demand.rates(Now);
   bool WithinRate = true;
-  for (const PriorityDemand &Level : State.Demand.rates(Now))
+  for (const PriorityDemand &Level : Levels)
     WithinRate = WithinRate &&
                  State.Filter.share(Level.Priority, Now) >= PriorityShare::All;
-  bool Prefetches = WithinRate && Demand >= MinPrefetchDemand &&
-                    available(State) < tokens(Demand * PrefetchSeconds / 2);
+  bool Prefetches =
+      WithinRate && Demand >= MinPrefetchDemand &&
+      available(State) < tokens(Demand * BorrowedDemandSeconds / 2);
   if (Waiting.empty() && !Prefetches)
     return;
   unsigned Priority = Waiting.empty() ? ~0U : Waiting.front().Priority;
@@ -386,17 +373,18 @@
   if (!Lender)
     return;
   double Needed = static_cast<double>(State.Pending.size()) +
-                  (Prefetches ? Demand * PrefetchSeconds : 0);
+                  (Prefetches ? Demand * BorrowedDemandSeconds : 0);
   State.PendingLender = Lender;
   State.RequestedAt = Now;
-  State.LostAt = Now + AnswerTimeout;
+  State.LostAt = Now + LoanRequestTimeout;
   for (const WaitingOperations &Group : Waiting)
-    State.LostAt = std::max(State.LostAt, Now + Group.MaxWait + AnswerTimeout);
+    State.LostAt =
+        std::max(State.LostAt, Now + Group.MaxWait + LoanRequestTimeout);
   State.RequestedPriority = Priority;
   sendRequest(State, *Lender,
               TokenRequest{Id,
                            static_cast<std::uint64_t>(Needed * MilliPerToken),
-                           State.Demand.rates(Now), std::move(Waiting)});
+                           std::move(Levels), std::move(Waiting)});
 }
 
 /// @brief Queues the request of another VM, or answers one for tokens in
--- a/src/ratelimit/RateShare.cpp
+++ b/src/ratelimit/RateShare.cpp
@@ -1,5 +1,6 @@
 #include "bergamotstage/ratelimit/RateShare.h"
 
+#include "bergamotstage/ratelimit/detail/Limits.h"
 #include "bergamotstage/ratelimit/detail/Tokens.h"
 
 #include <algorithm>
@@ -8,44 +9,29 @@
 
 namespace bergamotstage::ratelimit {
 
-using detail::fromMilli;
-using detail::MilliPerToken;
-using detail::tokens;
-using detail::toMilli;
+using namespace detail;
 using pooling::AccountConfig;
 using pooling::TokenGrant;
 using pooling::TokenRequest;
 
 namespace {
 
-/// Maximum wait of an operation for a loan: a few round trips.
-constexpr Duration MaxWait = milliseconds(40);
-/// A loan request without a reply is considered lost after this time.
-constexpr Duration LoanRequestTimeout = milliseconds(120);
 /// Minimum time between requests to a lender without tokens.
 constexpr Duration EmptyLenderBackoff = milliseconds(250);
-/// Contracts are measured over this period; a longer wait gains nothing.
-constexpr Duration MaxRetryAfter = seconds(5);
 /// Borrowed tokens serve current demand. Kept longer, they would increase the
 /// burst of the whole fleet.
 constexpr Duration BorrowedLifetime = seconds(1);
 /// Later grants are dropped: the lender's bucket has earned the tokens again,
 /// so that they would add to its burst.
 constexpr Duration MaxGrantDelay = seconds(1);
-/// Seconds of demand that a lender reserves and that a borrower requests.
+/// Seconds of demand that a lender reserves.
 constexpr double ReservedDemandSeconds = 0.15;
-constexpr double BorrowedDemandSeconds = 0.3;
-/// Operations per second below which tokens are not prefetched, since most
-/// would expire unused.
-constexpr double MinPrefetchDemand = 4;
 /// Added to the burst so that synchronized arrivals are not rejected. Up to 10%
 /// above the contract is tolerated in any 5 s; this is less than half of that.
 constexpr double ExtraBurstSeconds = 0.15;
 /// Minimum downtime of a restarting process. Nothing is spent meanwhile, so the
 /// bucket starts with the tokens earned in this time.
 constexpr double MinDowntimeSeconds = 0.3;
-constexpr std::size_t MaxPending = 256;
-constexpr Duration MinRetryAfter = milliseconds(20);
 
 } // namespace
 
@@ -105,9 +91,9 @@
 
 /// @brief Credits the tokens earned while the process was down.
 void RateShare::creditStartup(AccountState &State) {
-  double Share = m_Plan->share(State.Contract.Id, m_Usable);
-  State.Bucket.refund(tokens(State.Contract.Rate * Share * MinDowntimeSeconds),
-                      m_Context.now());
+  State.Bucket.refund(
+      tokens(State.Contract.Rate * State.OwnShare * MinDowntimeSeconds),
+      m_Context.now());
 }
 
 void RateShare::applyContract(AccountState &State) {
@@ -117,8 +103,6 @@
       makeContract(State.Contract.Rate * Share, Burst * Share),
       m_Context.now());
   State.OwnShare = Share;
-  State.Holders =
-      m_Plan ? m_Plan->holders(State.Contract.Id) : std::vector<VmId>();
   State.HolderShares = m_Plan ? m_Plan->holderShares(State.Contract.Id)
                               : std::map<VmId, double>();
 }
@@ -181,7 +165,7 @@
   State.Demand.record(Need.Priority, Now);
   if (m_Sharing == RateSharing::Priority)
     return admitByPriority(Id, State, Need, std::move(Callback));
-  PendingAdmission Asking{Need, Now, Now + MaxWait, 0, std::move(Callback)};
+  PendingAdmission Asking{Need, Now, Now + LoanWait, 0, std::move(Callback)};
   bool Taken = State.Pending.empty() && consumeToken(State, Need.Priority);
   if (Taken) {
     // Prefetched tokens spare later operations the wait.
@@ -215,7 +199,7 @@
 Duration RateShare::retryAfter(AccountState &State) {
   Instant Now = m_Context.now();
   Duration Soonest = std::min(MaxRetryAfter, timeUntilToken(State));
-  for (const VmId &Peer : State.Holders) {
+  for (const auto &[Peer, Share] : State.HolderShares) {
     auto Entry = State.Lenders.find(Peer);
     bool InBackoff =
         Entry != State.Lenders.end() && Entry->second.NotBefore > Now;
@@ -232,11 +216,8 @@
   std::vector<VmId> Candidates;
   std::optional<VmId> Richest;
   std::uint64_t Most = 0;
-  std::vector<VmId> Reachable = m_Peers();
-  for (const VmId &Peer : State.Holders) {
-    bool IsReachable =
-        std::binary_search(Reachable.begin(), Reachable.end(), Peer);
-    if (!IsReachable)
+  for (const auto &[Peer, Share] : State.HolderShares) {
+    if (!m_IsReachable(Peer))
       continue;
     auto Entry = State.Lenders.find(Peer);
     if (Entry == State.Lenders.end()) {
@@ -319,7 +300,7 @@
   if (m_Sharing == RateSharing::Loans && !State.Pending.empty())
     requestLoan(Id, State);
   bool NoTokensExpected =
-      !State.PendingLender && timeUntilToken(State) > MaxWait;
+      !State.PendingLender && timeUntilToken(State) > LoanWait;
   std::deque<PendingAdmission> Refused;
   while (
       !State.Pending.empty() &&
--- a/test/unit-pool-rate.cpp
+++ b/test/unit-pool-rate.cpp
@@ -47,13 +47,13 @@
             [this](const VmId &, FleetMessage &&Message) {
               ToSecond.push_back(std::move(Message));
             },
-            [] { return std::vector<VmId>{VmId("vm-1")}; }),
+            [](const VmId &Peer) { return Peer == VmId("vm-1"); }),
         Second(
             SecondCtx,
             [this](const VmId &, FleetMessage &&Message) {
               ToFirst.push_back(std::move(Message));
             },
-            [] { return std::vector<VmId>{VmId("vm-0")}; }) {
+            [](const VmId &Peer) { return Peer == VmId("vm-0"); }) {
     std::map<AccountId, AccountConfig> Accounts{{Ward, {Ward, Rate, Burst}}};
     First.configure(Accounts);
     Second.configure(Accounts);
--- a/test/unit-random-shares.cpp
+++ b/test/unit-random-shares.cpp
@@ -127,7 +127,9 @@
               [&Fleet, Name](const VmId &To, pooling::FleetMessage &&Message) {
                 Fleet.send(Name, To, Message);
               },
-              [&Fleet, Name] { return Fleet.peersOf(Name); }) {}
+              [&Fleet, Name](const VmId &Peer) {
+                return Fleet.reaches(Name, Peer);
+              }) {}
   };
   struct Sent {
     VmId From;
@@ -186,12 +188,8 @@
     Each.Ctx.timers().runDue(m_Now);
   }
 
-  std::vector<VmId> peersOf(const VmId &Self) const {
-    std::vector<VmId> Peers;
-    for (const VmId &Name : m_Names)
-      if (Name != Self && m_Cut.count(Self) == m_Cut.count(Name))
-        Peers.push_back(Name);
-    return Peers;
+  bool reaches(const VmId &Self, const VmId &Peer) const {
+    return Self != Peer && m_Cut.count(Self) == m_Cut.count(Peer);
   }
 
   void send(const VmId &From, const VmId &To,
--- a/test/unit-rate-faults.cpp
+++ b/test/unit-rate-faults.cpp
@@ -49,7 +49,9 @@
               if (const auto *Grant = std::get_if<TokenGrant>(&Message))
                 Grants.emplace_back(To, *Grant);
             },
-            [this] { return Peers; }) {
+            [this](const VmId &Peer) {
+              return std::find(Peers.begin(), Peers.end(), Peer) != Peers.end();
+            }) {
     for (const VmId &Name : vmNames())
       if (Name != Ctx.self())
         Peers.push_back(Name);
--- a/test/unit-rate-priority.cpp
+++ b/test/unit-rate-priority.cpp
@@ -104,7 +104,9 @@
                 Fleet.m_Messages.push_back({Fleet.m_Now + milliseconds(1), Name,
                                             To, std::move(Message)});
               },
-              [&Fleet, Name] { return Fleet.peersOf(Name); }) {}
+              [&Fleet, Name](const VmId &Peer) {
+                return Fleet.reaches(Name, Peer);
+              }) {}
   };
   struct Sent {
     Instant ArrivesAt;
@@ -120,12 +122,8 @@
     return Names;
   }
 
-  std::vector<VmId> peersOf(const VmId &Self) const {
-    std::vector<VmId> Peers;
-    for (const VmId &Name : m_Names)
-      if (Name != Self && m_Cut.count(Self) == m_Cut.count(Name))
-        Peers.push_back(Name);
-    return Peers;
+  bool reaches(const VmId &Self, const VmId &Peer) const {
+    return Self != Peer && m_Cut.count(Self) == m_Cut.count(Peer);
   }
 
   void ask() {
