Keep the report of a target's owner once

Cause: TargetSelector stored each report twice, for itself and in TargetEstimate, and computed the cost of failures in two places. Change: TargetEstimate gives the report and its age; one function computes the cost of failures. Ruled out: a class for the report of its own, which only TargetEstimate would use. Result: no behaviour changes; unit-pool-choice and unit-balancing pass.

--- a/include/bergamotstage/balancing/TargetEstimate.h
+++ b/include/bergamotstage/balancing/TargetEstimate.h
@@ -20,6 +20,10 @@
   /// @brief Replaces the report of the target's owner.
   void recordReport(const pooling::TargetLoad &Load, Instant Now);
 
+  const pooling::TargetLoad &report() const { return m_Report; }
+  /// @brief Age of the report; that of the process's clock without one.
+  Duration reportAge(Instant Now) const { return Now - m_ReportedAt; }
+
   /// @brief Counts a statement that this VM sends to the target. The first one
   /// after an ejection is the trial.
   void recordSent(Instant Now);
--- a/include/bergamotstage/balancing/TargetSelector.h
+++ b/include/bergamotstage/balancing/TargetSelector.h
@@ -80,8 +80,6 @@
 
 private:
   struct TargetState {
-    pooling::TargetLoad Load;
-    Instant LoadAt{};
     Instant BehindUntil{};
     Instant UnreachableUntil{};
     TargetEstimate Estimate;
@@ -97,6 +95,8 @@
   bool mayPass(const VmId &Vm, const pooling::Operation &Op) const;
   Choice notAllowed(const char *Reason) const;
   double expectedTimeMs(const pooling::TargetEntry &Target) const;
+  const TargetEstimate &estimateOf(const TargetId &Target) const;
+  double failureCostMs(const TargetEstimate &Estimate) const;
   std::optional<VmId> selectOwner(const TargetId &Target,
                                   const pooling::Operation &Op) const;
 
--- a/src/balancing/TargetSelector.cpp
+++ b/src/balancing/TargetSelector.cpp
@@ -38,17 +38,13 @@
 
 void TargetSelector::recordLoad(const TargetId &Target,
                                 const TargetLoad &Load) {
-  TargetState &State = m_States[Target];
-  State.Load = Load;
-  State.LoadAt = m_Context.now();
-  State.Estimate.recordReport(Load, m_Context.now());
+  m_States[Target].Estimate.recordReport(Load, m_Context.now());
 }
 
 unsigned TargetSelector::reportedPace(const TargetId &Target) const {
-  auto Found = m_States.find(Target);
-  bool Valid = Found != m_States.end() &&
-               m_Context.now() - Found->second.LoadAt < PaceInfoLifetime;
-  return Valid ? Found->second.Load.Pace : 0;
+  const TargetEstimate &Estimate = estimateOf(Target);
+  bool Valid = Estimate.reportAge(m_Context.now()) < PaceInfoLifetime;
+  return Valid ? Estimate.report().Pace : 0;
 }
 
 void TargetSelector::recordOutcome(const TargetId &Target, bool Failed) {
@@ -150,32 +146,33 @@
   if (Rule.Type == ReadRule::Kind::LeastWait)
     return PlaceCost + expectedTimeMs(Target);
   double Cost = StatementCostMs;
-  auto Found = m_States.find(Target.Id);
-  if (Found != m_States.end()) {
-    const TargetLoad &Load = Found->second.Load;
-    Duration Age = m_Context.now() - Found->second.LoadAt;
-    if (Age < QueueInfoLifetime)
-      Cost += StatementCostMs * Load.Queued / Target.Slots;
-    if (Age < FailureInfoLifetime)
-      Cost += FailureCostMs * Load.FailedPermille / TargetLoad::Permille;
-  }
-  return Cost + PlaceCost;
+  const TargetEstimate &Estimate = estimateOf(Target.Id);
+  if (Estimate.reportAge(m_Context.now()) < QueueInfoLifetime)
+    Cost += StatementCostMs * Estimate.report().Queued / Target.Slots;
+  return Cost + failureCostMs(Estimate) + PlaceCost;
+}
+
+const TargetEstimate &TargetSelector::estimateOf(const TargetId &Target) const {
+  static const TargetEstimate Unknown;
+  auto Found = m_States.find(Target);
+  return Found == m_States.end() ? Unknown : Found->second.Estimate;
+}
+
+double TargetSelector::failureCostMs(const TargetEstimate &Estimate) const {
+  if (Estimate.reportAge(m_Context.now()) >= FailureInfoLifetime)
+    return 0;
+  return FailureCostMs * Estimate.report().FailedPermille /
+         TargetLoad::Permille;
 }
 
 /// @brief Expected time at a target; one that fails comes last.
 double TargetSelector::expectedTimeMs(const TargetEntry &Target) const {
-  static const TargetEstimate Unknown;
-  auto Found = m_States.find(Target.Id);
-  const TargetEstimate &Estimate =
-      Found == m_States.end() ? Unknown : Found->second.Estimate;
+  const TargetEstimate &Estimate = estimateOf(Target.Id);
   Instant Now = m_Context.now();
   double Cost = toMilliseconds(
       Estimate.expectedTime(Target.Slots, Now, m_Context.random()));
-  if (Found != m_States.end() &&
-      Now - Found->second.LoadAt < FailureInfoLifetime)
-    Cost += FailureCostMs * Found->second.Load.FailedPermille /
-            TargetLoad::Permille;
-  return Cost + (Estimate.isEjected(Now) ? LastResortCostMs : 0);
+  return Cost + failureCostMs(Estimate) +
+         (Estimate.isEjected(Now) ? LastResortCostMs : 0);
 }
 
 TargetSelector::Choice TargetSelector::select(const Session &Caller,
