Refuse statements that give way like all others

Cause: refuseHopeless() and the end of a begin repeated what rejectOperation() does: count the refusal, make the reply, send it. Change: TargetPool::refuse() does it for the three. Ruled out: nothing else was considered. Result: no behaviour changes; unit-pool-target, unit-pool-urgency and unit-evacuation pass.

--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -210,7 +210,10 @@
   TargetLoad load() const;
   StatementResult makeNotRunResult(NotRunReason Reason) const;
   void recordOutcome(bool Failed);
-  void rejectOperation(const OperationId &Id, NotRunReason Reason);
+  void rejectOperation(const OperationId &Id, NotRunReason Reason,
+                       Duration RetryAfter = Duration(0));
+  void refuse(const QueueEntry &Operation, NotRunReason Reason,
+              Duration RetryAfter = Duration(0));
   void failOperation(const OperationId &Id);
   void dropLink(LinkId Id, bool CloseConnection);
   Duration expectedWait() const;
--- a/src/pooling/TargetPool.cpp
+++ b/src/pooling/TargetPool.cpp
@@ -149,7 +149,9 @@
   m_FailureRate += FailureWeight * ((Failed ? 1 : 0) - m_FailureRate);
 }
 
-void TargetPool::rejectOperation(const OperationId &Id, NotRunReason Reason) {
+/// @param RetryAfter least time that the reply tells to wait
+void TargetPool::rejectOperation(const OperationId &Id, NotRunReason Reason,
+                                 Duration RetryAfter) {
   auto Found = m_Operations.find(Id);
   QueueEntry Refused = std::move(Found->second);
   m_Operations.erase(Found);
@@ -158,8 +160,16 @@
     Link.ActiveOperation.reset();
     rollBack(Link);
   }
-  m_Hooks.Refused(Reason, Refused.Request.Priority);
-  reply(Refused, makeNotRunResult(Reason));
+  refuse(Refused, Reason, RetryAfter);
+}
+
+/// @brief Counts a refusal and replies that the statement was not run.
+void TargetPool::refuse(const QueueEntry &Operation, NotRunReason Reason,
+                        Duration RetryAfter) {
+  m_Hooks.Refused(Reason, Operation.Request.Priority);
+  StatementResult Result = makeNotRunResult(Reason);
+  Result.RetryAfter = std::max(Result.RetryAfter, RetryAfter);
+  reply(Operation, std::move(Result));
 }
 
 void TargetPool::failOperation(const OperationId &Id) {
@@ -390,8 +400,7 @@
   m_Operations.erase(Found);
   if (Opened && m_Evacuated) {
     dropLink(AssignedLink, true);
-    m_Hooks.Refused(NotRunReason::Leaving, Ended.Request.Priority);
-    return reply(Ended, makeNotRunResult(NotRunReason::Leaving));
+    return refuse(Ended, NotRunReason::Leaving);
   }
   if (Opened)
     rollBack(Link);
--- a/src/pooling/TargetPoolQueue.cpp
+++ b/src/pooling/TargetPoolQueue.cpp
@@ -130,17 +130,8 @@
   for (const admission::HopelessWork &Work : m_Queue.findHopeless(
            Sorted, m_Context.now(), workingSlots(), timeUntilSlot()))
     Refused.emplace_back(Entries[Work.Key]->Request.Id, Work.ExpectedWait);
-  for (const auto &[Id, ExpectedWait] : Refused) {
-    auto Found = m_Operations.find(Id);
-    if (Found == m_Operations.end())
-      continue;
-    QueueEntry Ended = std::move(Found->second);
-    m_Operations.erase(Found);
-    StatementResult Result = makeNotRunResult(NotRunReason::TooLate);
-    Result.RetryAfter = std::max(Result.RetryAfter, ExpectedWait);
-    m_Hooks.Refused(NotRunReason::TooLate, Ended.Request.Priority);
-    reply(Ended, std::move(Result));
-  }
+  for (const auto &[Id, ExpectedWait] : Refused)
+    rejectOperation(Id, NotRunReason::TooLate, ExpectedWait);
 }
 
 /// @brief Charges a statement that starts to the fair share of its account.
