Read the fields of cold starts of a configuration once

Cause: the check of a configuration read cold_start_s and cold_per_s a second time, as it was written before GroupConfig had them. Change: the check uses GroupConfig. Ruled out: removing them from GroupConfig, which the bound for cold targets uses. Result: unit-config-check and unit-platform-codec pass, with the same text. By reading, a value of another type was reported twice before; not run.

--- a/include/bergamotstage/configcheck/Draft.h
+++ b/include/bergamotstage/configcheck/Draft.h
@@ -27,8 +27,6 @@
   };
   struct Service : Entry {
     pooling::GroupConfig Config;
-    double ColdStartSeconds = 0; ///< 0 for no bound.
-    double ColdPerSecond = 0;    ///< Statements; 0 for no bound.
   };
   struct Account : Entry {
     pooling::AccountConfig Config;
--- a/src/configcheck/Differences.cpp
+++ b/src/configcheck/Differences.cpp
@@ -270,10 +270,10 @@
                  "targets get another number of statements after a start",
                  Effect::ColdStartChanged,
                  "targets get another number of statements after a start"};
-  compareNumbers(Of, m_Names.ColdStart, Before.ColdStartSeconds,
-                 After.ColdStartSeconds, Cold);
-  compareNumbers(Of, m_Names.ColdRate, Before.ColdPerSecond,
-                 After.ColdPerSecond, Cold);
+  compareNumbers(Of, m_Names.ColdStart, toSeconds(Before.Config.ColdStart),
+                 toSeconds(After.Config.ColdStart), Cold);
+  compareNumbers(Of, m_Names.ColdRate, Before.Config.ColdPerSecond,
+                 After.Config.ColdPerSecond, Cold);
 }
 
 void Differences::compareAccounts() {
--- a/src/configcheck/EntryChecks.cpp
+++ b/src/configcheck/EntryChecks.cpp
@@ -140,10 +140,12 @@
                                " is more than all VMs can open; at " +
                                std::to_string(MaxLinks) +
                                " the ports of a target's owner are used up");
-  if (Service.ColdStartSeconds > 0 && Service.ColdPerSecond <= 0)
+  bool HasColdStart = Service.Config.ColdStart > Duration(0);
+  bool HasColdRate = Service.Config.ColdPerSecond > 0;
+  if (HasColdStart && !HasColdRate)
     Warn(m_Names.ColdRate,
          "is 0 or missing, so that " + m_Names.ColdStart + " has no effect");
-  if (Service.ColdPerSecond > 0 && Service.ColdStartSeconds <= 0)
+  if (HasColdRate && !HasColdStart)
     Warn(m_Names.ColdStart,
          "is 0 or missing, so that " + m_Names.ColdRate + " has no effect");
 }
