--- a/review/standin/DrainBusy.h
+++ b/review/standin/DrainBusy.h
@@ -28,7 +28,7 @@
       open(Number, "before", 0);
     m_Io.after(9000, [this] {
       for (int Number = 0; Number < Clients; ++Number)
-        open(Number, "around", TransactionAfterMs);
+        open(Number, "around", TransactionAfterMs + StaggerMs * Number);
     });
     m_Io.after(9000 + ConnectBeforeMs, [this] {
       m_TermAt = nowMs();
@@ -40,10 +40,12 @@
   int result() const { return m_Result; }
 
 private:
-  static constexpr int Clients = 4;
+  static constexpr int Clients = 9;
   static constexpr int Statements = 12; ///< BEGIN and COMMIT included.
   static constexpr double ConnectBeforeMs = 300;
   static constexpr double TransactionAfterMs = 1700; ///< After connecting.
+  static constexpr double StaggerMs = 43;
+  static constexpr double PauseMs = 1; ///< Between two statements.
   static constexpr double GraceMs = 6000;
   static constexpr double ExcusedMs = 3000;
 
@@ -86,7 +88,7 @@
       if (!Got.Code.empty())
         return Of->Peer->close();
       if (Number < Statements - 1)
-        return step(Of);
+        return m_Io.after(PauseMs, [this, Of] { step(Of); });
       Of->Served = true;
       Of->Peer->close();
     });
