--- a/review/standin/Instances.h
+++ b/review/standin/Instances.h
@@ -434,6 +434,14 @@
   if (Verb == "STATUS" || Verb == "PAUSE" || Verb == "RESUME" ||
       Verb == "STEPDOWN") {
     unsigned At = Rest.empty() ? 0 : static_cast<unsigned>(std::stoul(Rest));
+    // The row shows the state in which the command finds the instance.
+    std::string Row = std::string("ROW ") +
+                      (IsPrimary ? "primary " : "replica ") +
+                      std::to_string(Term) + " " + std::to_string(Term) + "." +
+                      std::to_string(Log.size()) + " " +
+                      std::to_string(PausedAt) + " 0 " +
+                      std::to_string(m_SlotsUsed) + " " +
+                      std::to_string(m_Sessions.size()) + "\r\n";
     if (Verb == "PAUSE" && !IsPrimary && At > Term)
       PausedAt = At;
     if (Verb == "RESUME")
@@ -443,15 +451,7 @@
       heartbeat();
     }
     m_Service.m_Record.add(Verb + " at " + m_Id + " " + Rest);
-    // The term in which its log was written is the one that it holds.
-    return finish(From, std::string("ROW ") +
-                            (IsPrimary ? "primary " : "replica ") +
-                            std::to_string(Term) + " " + std::to_string(Term) +
-                            "." + std::to_string(Log.size()) + " " +
-                            std::to_string(Term) + " 0 " +
-                            std::to_string(m_SlotsUsed) + " " +
-                            std::to_string(m_Sessions.size()) +
-                            "\r\nCOMPLETE -\r\n" + ready(From));
+    return finish(From, Row + "COMPLETE -\r\n" + ready(From));
   }
   if (Own.State == 'E')
     return finish(From, error(From, "MALFORMED"));
