--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,8 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../standin/run-scenario" drain-busy "$(dirname "$0")"
+# Plays the case. TROUBLE=0 does the same without the disruption.
+# Exit code: 0 the rule held, 1 it was broken, 2 the case couldn't run.
+set -u
+trouble=on
+[ "${TROUBLE:-1}" = 0 ] && trouble=off
+case=$(dirname "$0")
+exec "$case/../standin/run-scenario" drain-busy "$case" "$trouble"
--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -1,5 +1,5 @@
-// Runs one scenario of the review: world SCENARIO ROOT FOLDER RECORD
-// TROUBLE=0 in the environment leaves the disruption out.
+// Runs one scenario of the review: world SCENARIO ROOT FOLDER RECORD on|off
+// With "off" the disruption is left out.
 // Exit code: 0 the rule held, 1 it was broken, 2 the case couldn't run.
 
 #include "DrainBusy.h"
@@ -53,10 +53,9 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
-  if (Count != 5)
+  if (Count != 6)
     return 2;
-  const char *Given = std::getenv("TROUBLE");
-  bool Trouble = Given == nullptr || std::strcmp(Given, "0") != 0;
+  bool Trouble = std::strcmp(Arguments[5], "off") != 0;
   std::string Name = Arguments[1];
   char **Rest = Arguments + 1;
   if (Name == "drain-busy")
