Request a proof that is young enough for the read

Callers saw: after a configuration added a bounded route with a staleness bound of 20 ms, the VM that owns the primary's links answered nobody any more, then the next owner, until all three VMs hung.

Cause: a read without a young enough proof requests one from the owner of the primary's links. The request did not say how young it had to be, and the owner answers from its last proof if that is at most 60 ms old. Where the VM is the owner itself, request and reply are local messages: the read was tried again at the same instant, found the proof too old and requested it again, without end. The same happened with a proof of a superseded primary, whose term is never used.

Ruled out: the links, the pool and the store; the process did not return from PoolNode::dispatchLocalMessages(), and the same run with a bound of 1,500 ms was served. The other local messages are bounded by attempts or timers.

Change: ProofRequest carries the maximum age that serves the read. The age of a reply ends as the request arrives, so that a proof that was requested for it has the age 0, whatever time the target took. The reply therefore always satisfies the read that requested it. A proof of a superseded primary counts as a failure, after which the next request waits.

--- a/include/bergamotstage/pooling/FleetMessage.h
+++ b/include/bergamotstage/pooling/FleetMessage.h
@@ -66,13 +66,16 @@
   TargetId Target;
   AccountId Account;
   std::uint64_t Timestamp = 0; ///< Requester's clock; echoed in the reply.
+  Duration MaxAge{};           ///< An older proof is of no use.
 };
 /// @brief Reply to a ProofRequest. Position is valid only if Proven is set.
 struct ProofReply {
   TargetId Target;
   bool Proven = false;
   HistoryPoint Position;
-  Duration Age{}; ///< Time since the target was asked.
+  /// Time from the request to the target to the arrival of the ProofRequest; 0
+  /// if the target was asked after it.
+  Duration Age{};
   std::uint64_t Timestamp = 0;
 };
 
--- a/include/bergamotstage/pooling/Sessions.h
+++ b/include/bergamotstage/pooling/Sessions.h
@@ -96,7 +96,7 @@
   void dispatch(Session &CallerSession);
   void defer(Session &CallerSession, const char *Reason);
   void sendNextStatement(Session &CallerSession);
-  void requestProof(const DatabaseId &Group, const AccountId &Account);
+  void requestProof(const Operation &Op, Duration MaxAge);
 
   void onAnswered(Session &CallerSession, const StatementResult &Result);
   void onNotRun(Session &CallerSession, const StatementResult &Result);
--- a/src/pooling/FleetMessage.cpp
+++ b/src/pooling/FleetMessage.cpp
@@ -44,6 +44,7 @@
     Out.text(Body.Target.value());
     Out.text(Body.Account.value());
     Out.varint(Body.Timestamp);
+    write(Out, Body.MaxAge);
   }
   void operator()(const ProofReply &Body) {
     Out.text(Body.Target.value());
@@ -173,6 +174,7 @@
   Body.Target = TargetId(In.text());
   Body.Account = AccountId(In.text());
   Body.Timestamp = In.varint();
+  Body.MaxAge = readDuration(In);
   return Body;
 }
 
--- a/src/pooling/PoolNodeMessages.cpp
+++ b/src/pooling/PoolNodeMessages.cpp
@@ -1,5 +1,6 @@
 #include "bergamotstage/pooling/PoolNode.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 #include <variant>
@@ -128,14 +129,15 @@
     return replyToPeer(From,
                        ProofReply{Body.Target, false, {}, {}, Body.Timestamp});
   Pool->provePrimary(
-      Body.Account, MaxSharedProofAge,
-      [this, From, Target = Body.Target, Timestamp = Body.Timestamp](
-          std::optional<HistoryPoint> Position, Instant RequestedAt) {
+      Body.Account, std::min(Body.MaxAge, MaxSharedProofAge),
+      [this, From, ReceivedAt = m_Context.now(), Target = Body.Target,
+       Timestamp = Body.Timestamp](std::optional<HistoryPoint> Position,
+                                   Instant RequestedAt) {
         ProofReply Reply;
         Reply.Target = Target;
         Reply.Proven = Position.has_value();
         Reply.Position = Position.value_or(HistoryPoint());
-        Reply.Age = m_Context.now() - RequestedAt;
+        Reply.Age = std::max(Duration(0), ReceivedAt - RequestedAt);
         Reply.Timestamp = Timestamp;
         replyToPeer(From, std::move(Reply));
       });
--- a/src/pooling/Sessions.cpp
+++ b/src/pooling/Sessions.cpp
@@ -313,7 +313,7 @@
   TargetSelector::Choice Selected = m_Selector.select(CallerSession, Op);
   switch (Selected.Type) {
   case TargetSelector::Choice::Kind::NoPosition:
-    requestProof(Op.Route.Group, Op.Account);
+    requestProof(Op, m_Context.now() - Op.Arrived + Op.Route.MaxStaleness);
     return defer(CallerSession, "no proven position is young enough");
   case TargetSelector::Choice::Kind::NoPrimary:
     return defer(CallerSession, "no primary is known");
@@ -330,10 +330,10 @@
   }
   if (!needsPrimary(Op.Mode)) {
     auto Newest = m_Selector.proofs(Op.Route.Group).newest();
-    bool Stale =
-        !Newest || m_Context.now() - *Newest > Op.Route.MaxStaleness / 2;
+    Duration RenewalAge = Op.Route.MaxStaleness / 2;
+    bool Stale = !Newest || m_Context.now() - *Newest > RenewalAge;
     if (Stale)
-      requestProof(Op.Route.Group, Op.Account);
+      requestProof(Op, RenewalAge);
   }
   m_Deferred.erase(Op.Number);
   ++Op.Attempts;
@@ -403,7 +403,9 @@
   m_Hooks.Send(Op.Owner, std::move(Next));
 }
 
-void Sessions::requestProof(const DatabaseId &Group, const AccountId &Account) {
+/// @param MaxAge maximum age, at this time, of a proof that serves the purpose
+void Sessions::requestProof(const Operation &Op, Duration MaxAge) {
+  const DatabaseId &Group = Op.Route.Group;
   auto LastRequest = m_ProofRequestedAt.find(Group);
   bool Pending = LastRequest != m_ProofRequestedAt.end() &&
                  LastRequest->second + ProofTimeout > m_Context.now();
@@ -419,22 +421,26 @@
   if (Selected.Type != TargetSelector::Choice::Kind::Chosen)
     return;
   m_ProofRequestedAt[Group] = m_Context.now();
-  m_Hooks.Send(Selected.Owner, ProofRequest{Selected.Target, Account,
-                                            toTimestamp(m_Context.now())});
+  m_Hooks.Send(Selected.Owner,
+               ProofRequest{Selected.Target, Op.Account,
+                            toTimestamp(m_Context.now()), MaxAge});
 }
 
 void Sessions::onProof(const ProofReply &Reply) {
   const TargetEntry *Target = m_Targets.find(Reply.Target);
   if (Target == nullptr)
     return;
+  PositionProofs &Proofs = m_Selector.proofs(Target->Group);
+  bool Superseded = Reply.Position.AtTerm < Proofs.highestTerm();
   // After a failure the recorded time stays, which delays the next request.
-  if (!Reply.Proven)
+  // Without a delay, an owner that replies to itself at once would be asked
+  // again without end.
+  if (!Reply.Proven || Superseded)
     return;
   m_ProofRequestedAt.erase(Target->Group);
-  // The owner computed the age after this VM sent the request. The target was
+  // The owner received the request after this VM sent it. The target was
   // therefore asked no earlier than the send time minus the age.
-  m_Selector.proofs(Target->Group)
-      .add(fromTimestamp(Reply.Timestamp) - Reply.Age, Reply.Position);
+  Proofs.add(fromTimestamp(Reply.Timestamp) - Reply.Age, Reply.Position);
   retryDeferred();
 }
 
--- a/test/unit-pool-message.cpp
+++ b/test/unit-pool-message.cpp
@@ -82,7 +82,7 @@
       Next,
       AbortOperation{9},
       StatementReply{77, sampleResult()},
-      ProofRequest{TargetId("t"), AccountId("a"), 123},
+      ProofRequest{TargetId("t"), AccountId("a"), 123, milliseconds(20)},
       ProofReply{
           TargetId("t"), true, {Term(1), LogPosition(2)}, milliseconds(3), 123},
       TokenRequest{AccountId("a"),
--- a/test/unit-pool-sessions.cpp
+++ b/test/unit-pool-sessions.cpp
@@ -363,6 +363,51 @@
   CHECK_TRUE(Small.sendAndWait(Verb::Read, seconds(2)).Error.has_value());
 }
 
+TEST(PoolSessions, ABoundBelowTheAgeOfSharedProofsIsServed) {
+  // Guards against an endless loop: the owner of the primary's links answered
+  // itself with a shared proof that was too old for the read.
+  SmallFleet Small(1);
+  SiteConfig Strict = Small.Config;
+  Strict.Version = 2;
+  Strict.Routes["bounded-0"].MaxStaleness = milliseconds(20);
+  Small.Fleet.configure(Strict);
+  Small.Fleet.run(seconds(1));
+  Small.connect("bounded-0");
+  for (int Count = 0; Count < 40; ++Count)
+    CHECK_FALSE(
+        Small.sendAndWait(Verb::Read, milliseconds(20)).Error.has_value());
+}
+
+TEST(PoolSessions, ABoundOfZeroIsServed) {
+  // Guards against the same at its limit, where each read needs a proof that
+  // was requested after it arrived, from another VM too.
+  SmallFleet Small;
+  SiteConfig Strict = Small.Config;
+  Strict.Version = 2;
+  Strict.Routes["bounded-0"].MaxStaleness = Duration(0);
+  Small.Fleet.configure(Strict);
+  Small.Fleet.run(seconds(1));
+  Small.connect("bounded-0");
+  for (int Count = 0; Count < 20; ++Count)
+    CHECK_FALSE(
+        Small.sendAndWait(Verb::Read, milliseconds(50)).Error.has_value());
+}
+
+TEST(PoolSessions, ProofsOfASupersededPrimaryEndInARefusal) {
+  // Guards against an endless loop: the owner of a superseded primary's links
+  // answered itself with a proof of an old term, which is never used.
+  SmallFleet Small(1);
+  ProofReply Newer{TargetId("group-0-0"),
+                   true,
+                   {Term(9), LogPosition(1)},
+                   Duration(0),
+                   toTimestamp(Small.Fleet.now())};
+  Small.Fleet.node(Vm)->onPeerMessage(Small.Fleet.now(), Vm, Newer);
+  Small.Fleet.run(seconds(2));
+  Small.connect("bounded-0");
+  CHECK_TRUE(Small.sendAndWait(Verb::Read).Error == ErrorCode::Busy);
+}
+
 TEST(PoolSessions, ALostReadKeepsItsToken) {
   // Guards against an account that exceeds its contract at a target which does
   // not answer: each lost read gave its token back although it was sent.
