Ask draining replicas when a synchronous primary is replaced

Callers saw: commits that had been acknowledged were gone after the primary crashed while one of two replicas was draining and the other one had received nothing for a while.

Cause: FailoverController::isCandidate() left out every replica that accepts no operations, unless its data centre was evacuated. A draining replica accepts none, but it receives commits and counts as a synchronous replica until it ends, so that it may hold the only other copy of an acknowledged commit. It was neither paused nor asked, and the replica without the commits was promoted.

Ruled out: the wait for replies (all that were asked had answered), the pause before the comparison, and promotions by votes, which ask every target of a group.

Change: after a failure in a group with synchronous replicas all replicas are candidates. A draining one that is promoted for its commits gives way to another replica as any draining primary does. Among equal logs a replica that stays is preferred. Groups without synchronous replicas keep passing over draining ones.

--- a/include/bergamotstage/pooling/FailoverController.h
+++ b/include/bergamotstage/pooling/FailoverController.h
@@ -86,8 +86,6 @@
     std::set<TargetId> PausedReplicas; ///< Asked to pause in this attempt.
 
     bool hasFinalLogEnds() const;
-    std::map<TargetId, TargetStatus>::const_iterator
-    bestReplica(bool SkipUnresponsive) const;
   };
 
   void start(const DatabaseId &Group, std::optional<TargetId> OldPrimary,
@@ -99,6 +97,8 @@
                      const TargetId &Target,
                      const std::optional<LinkReply> &Reply);
   void chooseCandidate(const DatabaseId &Group, std::uint64_t Number);
+  std::map<TargetId, TargetStatus>::const_iterator
+  bestReplica(const Attempt &Current, bool SkipUnresponsive) const;
   bool maySkipUnresponsive(const DatabaseId &Group) const;
   bool mustPauseReplicas(const DatabaseId &Group, const Attempt &Current) const;
   bool isCandidate(const DatabaseId &Group, const Attempt &Current,
--- a/src/pooling/FailoverCandidates.cpp
+++ b/src/pooling/FailoverCandidates.cpp
@@ -15,18 +15,20 @@
 } // namespace
 
 /// @brief Returns the replica with the longest received log; ties go to the
-/// fewest failed orders.
+/// fewest failed orders, then to a replica that need not be replaced.
 ///
 /// @param SkipUnresponsive ranks targets that ignored promotion orders last
 std::map<TargetId, TargetStatus>::const_iterator
-FailoverController::Attempt::bestReplica(bool SkipUnresponsive) const {
-  auto Rank = [this, SkipUnresponsive](const auto &Entry) {
-    auto Found = FailedOrders.find(Entry.first);
-    int OrderCount = Found == FailedOrders.end() ? 0 : Found->second;
+FailoverController::bestReplica(const Attempt &Current,
+                                bool SkipUnresponsive) const {
+  auto Rank = [&](const auto &Entry) {
+    auto Found = Current.FailedOrders.find(Entry.first);
+    int OrderCount = Found == Current.FailedOrders.end() ? 0 : Found->second;
     int Skipped = SkipUnresponsive ? OrderCount / MaxOrdersPerTarget : 0;
-    return std::make_tuple(-Skipped, Entry.second.Received, -OrderCount);
+    return std::make_tuple(-Skipped, Entry.second.Received, -OrderCount,
+                           m_Targets.acceptsOperations(Entry.first));
   };
-  return std::max_element(Statuses.begin(), Statuses.end(),
+  return std::max_element(Current.Statuses.begin(), Current.Statuses.end(),
                           [&Rank](const auto &Left, const auto &Right) {
                             return Rank(Left) < Rank(Right);
                           });
@@ -70,15 +72,14 @@
 
 /// @brief Whether a replica may be promoted.
 ///
-/// After a failure in a group with synchronous replicas, the longest log may be
-/// in an evacuated data centre. That replica is promoted for its commits, and
-/// then replaced like any primary there.
+/// After a failure in a group with synchronous replicas, the only other copy of
+/// an acknowledged commit may be on a draining replica, which receives until it
+/// ends, or in an evacuated data centre. That replica is promoted for its
+/// commits, and then replaced like any primary that must move.
 bool FailoverController::isCandidate(const DatabaseId &Group,
                                      const Attempt &Current,
                                      const TargetId &Id) const {
-  if (m_Targets.acceptsOperations(Id))
-    return true;
-  return m_Targets.isEvacuated(Id) && mustPauseReplicas(Group, Current);
+  return m_Targets.acceptsOperations(Id) || mustPauseReplicas(Group, Current);
 }
 
 /// @brief Drops the replies of replicas whose data centre was evacuated while
--- a/src/pooling/FailoverController.cpp
+++ b/src/pooling/FailoverController.cpp
@@ -268,7 +268,7 @@
   Current->TermsKnown = true;
   if (mustPauseReplicas(Group, *Current) && !Current->hasFinalLogEnds())
     return queryReplicas(Group, Number);
-  auto Best = Current->bestReplica(maySkipUnresponsive(Group));
+  auto Best = bestReplica(*Current, maySkipUnresponsive(Group));
   Current->Candidate = Best->first;
   m_Context.log(WriteLog::Level::Info, "promotion_candidate",
                 {{"group", Group.value()},
--- a/test/unit-pool-promotion.cpp
+++ b/test/unit-pool-promotion.cpp
@@ -46,6 +46,20 @@
     Statuses[Entry.Id] = Status;
   }
 
+  /// Adds the primary, which answers nobody any more.
+  void addSuspectedPrimary(const char *Id) {
+    add(Id, 9);
+    Targets.recordPromotion(Group, TargetId(Id), Term(1));
+    Statuses.erase(TargetId(Id));
+  }
+
+  void drain(const char *Id) {
+    TargetEntry Entry = *Targets.find(TargetId(Id));
+    Entry.Version = 100;
+    Entry.Draining = true;
+    Targets.apply(Entry, Ctx.now());
+  }
+
   FailoverController::Hooks hooks() {
     FailoverController::Hooks Callbacks;
     Callbacks.ProvePrimary =
@@ -227,6 +241,48 @@
   LONGS_EQUAL(0, Bench.Paused.size());
 }
 
+TEST(FailoverController, KeepsCommitsThatOnlyADrainingReplicaHolds) {
+  // Guards against promoting a replica that lacks acknowledged commits while a
+  // draining one, which counts as a synchronous replica, holds them.
+  FailoverBench Bench;
+  Bench.addSuspectedPrimary("old");
+  Bench.add("a", 12);
+  Bench.add("b", 9);
+  Bench.drain("a");
+  Bench.Controller.onPrimarySuspected(Group, TargetId("old"));
+  Bench.advance(milliseconds(1000));
+  CHECK_TRUE(Bench.Ordered == std::vector<TargetId>{TargetId("a")});
+  // The draining primary gives way once another replica has its whole log.
+  Bench.advance(seconds(2));
+  LONGS_EQUAL(1, Bench.Ordered.size());
+  Bench.Statuses[TargetId("b")].Received = point(12);
+  Bench.advance(seconds(2));
+  CHECK_TRUE(Bench.Targets.primary(Group) == TargetId("b"));
+}
+
+TEST(FailoverController, PrefersAReplicaThatStays) {
+  FailoverBench Bench;
+  Bench.addSuspectedPrimary("old");
+  Bench.add("a", 9);
+  Bench.add("b", 9);
+  Bench.drain("a");
+  Bench.Controller.onPrimarySuspected(Group, TargetId("old"));
+  Bench.advance(seconds(2));
+  CHECK_TRUE(Bench.Ordered == std::vector<TargetId>{TargetId("b")});
+}
+
+TEST(FailoverController, ADrainingReplicaIsNoCandidateWithoutNeed) {
+  FailoverBench Bench;
+  Bench.SyncReplicas = 0;
+  Bench.addSuspectedPrimary("old");
+  Bench.add("a", 12);
+  Bench.add("b", 9);
+  Bench.drain("a");
+  Bench.Controller.onPrimarySuspected(Group, TargetId("old"));
+  Bench.advance(seconds(2));
+  CHECK_TRUE(Bench.Ordered == std::vector<TargetId>{TargetId("b")});
+}
+
 TEST(FailoverController, KeepsCommitsOfADrainingPrimaryThatIsSilent) {
   FailoverBench Bench;
   Bench.add("old", 9);
@@ -234,12 +290,7 @@
   Bench.add("b", 8);
   Bench.Acknowledged = 9;
   Bench.Targets.recordPromotion(Group, TargetId("old"), Term(1));
-  TargetEntry Leaving;
-  Leaving.Id = TargetId("old");
-  Leaving.Group = Group;
-  Leaving.Version = 100;
-  Leaving.Draining = true;
-  Bench.Targets.apply(Leaving, Bench.Ctx.now());
+  Bench.drain("old");
   Bench.UnansweredStepDown = true;
   Bench.ReplyDelay = milliseconds(2);
   for (int Step = 0; Step < 2000; ++Step)
