End transactions at a stop with an answer

Callers saw: a VM that got SIGTERM went on taking the statements of their open transactions and passing them on, then closed the connection 5.5 s after the signal without an answer to what was in flight.

Cause: from the first half of the grace period on, a check every 50 ms aborted the transactions that waited for their caller at that moment. A transaction with short pauses almost always has a statement in flight then, so it went on until PoolNode::drain() ended the process.

Ruled out: lost or late replies of targets; the targets ran and answered what was cut. The answers of the process itself were sent before it exited.

Change: after the first half of the grace period no statement is sent any more. One in flight runs to its end; then its transaction is rolled back, and the next statement gets ABORTED, for which the session stays open for 500 ms. Before, such a session was closed at once, and a COMMIT under way had an unknown outcome. Pipelined operations are refused as not run. On related paths: a stopping owner refuses further statements of other VMs' transactions, too, where a commit in flight at its exit became an unknown outcome; and statements in flight 600 ms before the end of the grace period get a last answer, ABORTED or UNKNOWN, 100 ms before the process exits.

TargetPool::evacuate() is now stopSending(), as a stop uses it as well.

--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -238,6 +238,9 @@
   std::vector<DatabaseId> groups() const;
   void runHousekeeping();
   void drain();
+  /// @brief Whether the part of the grace period is over in which open
+  /// transactions may end.
+  bool isTransactionTimeOver() const;
 
   Settings m_Settings;
   Hooks m_Hooks;
--- a/include/bergamotstage/pooling/Session.h
+++ b/include/bergamotstage/pooling/Session.h
@@ -54,6 +54,10 @@
   std::set<TargetId> ExcludedTargets;
   SharedValues SentValues; ///< Session values sent to the owner.
   std::string DeferReason; ///< Why it last waited for a target.
+  /// Why the proxy ended the transaction between two statements; empty once the
+  /// caller was told.
+  std::string AbortCause;
+  Instant AbortedAt{};
 
   /// @brief Arrival time of Current.
   Instant currentArrival() const {
@@ -82,6 +86,11 @@
   /// Until then, its next operation retries one that got no token.
   Instant RetryExpectedUntil{};
 
+  /// @brief Whether an open transaction waits for the caller.
+  bool isTransactionIdle() const {
+    return state() == SessionState::InTransaction && !Op->AwaitingReply;
+  }
+
   SessionState state() const {
     bool Transaction = Op && isTransaction(Op->Mode);
     if (!Transaction)
--- a/include/bergamotstage/pooling/Sessions.h
+++ b/include/bergamotstage/pooling/Sessions.h
@@ -63,14 +63,24 @@
   /// @brief Closes sessions that are between operations, now and from now on.
   /// @param IncludeUnused whether to close sessions without a reply yet, too
   void closeIdle(bool IncludeUnused);
-  /// @brief Aborts idle open transactions so that the process can stop.
-  void abortTransactions();
+  /// @brief Ends all transactions, now and from now on, so that the process can
+  /// stop.
+  ///
+  /// A statement in flight runs to its end and is answered. Later statements
+  /// are refused as not kept, and no new operation begins.
+  void endTransactions();
+  /// @brief Answers the statements that are still in flight as the process
+  /// ends.
+  void refuseInFlight();
 
   std::size_t size() const { return m_Sessions.size(); }
   /// @brief Number of operations in flight, open transactions included.
   std::size_t operations() const { return m_CallersByOperation.size(); }
 
 private:
+  static constexpr const char *ShutdownCause = "the VM is shutting down";
+  /// Suggested retry delay if another VM can serve at once.
+  static constexpr Duration OtherVmRetryAfter = milliseconds(50);
   /// The first number is below 2^40 so that numbers encode into six bytes.
   static constexpr unsigned NumberFreeBits = 24;
 
@@ -101,6 +111,7 @@
   void onAnswered(Session &CallerSession, const StatementResult &Result);
   void onNotRun(Session &CallerSession, const StatementResult &Result);
   void onLost(Session &CallerSession, const std::string &Cause);
+  void refuseLost(Session &CallerSession, const std::string &Cause);
   bool retryRead(Session &CallerSession);
   bool retryElsewhere(Session &CallerSession, const char *Reason);
   void recordTargetState(const Operation &Op, const StatementResult &Result);
@@ -111,7 +122,10 @@
   void endOperation(Session &CallerSession);
   /// @brief Ends an operation; its owner rolls back an open transaction.
   void abortOperation(Session &CallerSession);
+  void abortTransaction(Session &CallerSession, const char *Cause);
   void rejectSession(CallerId Caller, ErrorCode Code, const char *Text);
+  static CallerReply makeRefusal(ErrorCode Code, const std::string &Cause,
+                                 Duration RetryAfter);
   void recordMetrics(const Operation &Op, const CallerReply &Reply);
   void logOutcome(const Session &CallerSession, const CallerReply &Reply);
 
@@ -133,6 +147,7 @@
   std::uint64_t m_LastOperation;
   std::optional<TimerId> m_RetryTimer;
   bool m_Closing = false;
+  bool m_EndsTransactions = false; ///< No further statement is sent.
 };
 
 } // namespace bergamotstage::pooling
--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -73,14 +73,14 @@
   void stopAdmission() { m_AcceptsOperations = false; }
   void resumeAdmission() {
     m_AcceptsOperations = true;
-    m_Evacuated = false;
+    m_SendingStopped = false;
   }
   /// @brief Refuses operations that wait for a first slot, so that they run
   /// elsewhere.
   void refuseWaiting();
   /// @brief Sends nothing more: ends all operations but statements in flight
   /// and closes their links, which rolls transactions back.
-  void evacuate();
+  void stopSending();
 
   /// @brief Queues a new operation. Each statement gets exactly one reply
   /// unless the operation is aborted.
@@ -234,7 +234,7 @@
   Hooks m_Hooks;
   Limits m_Limits;
   bool m_AcceptsOperations = true;
-  bool m_Evacuated = false; ///< Nothing more may be sent.
+  bool m_SendingStopped = false; ///< Nothing more may be sent.
   std::map<OperationId, QueueEntry> m_Operations;
   std::map<LinkId, PoolLink> m_Links;
   std::map<std::uint64_t, ControlRequest> m_ControlRequests;
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -29,8 +29,10 @@
 /// probes, one second apart, have failed.
 constexpr Duration AcceptAfterSignal = milliseconds(2300);
 constexpr Duration DrainInterval = milliseconds(50);
-/// Part of the grace period that remains at the forced exit.
+/// Parts of the grace period that remain at the forced exit, and when the
+/// statements in flight get their last answers.
 constexpr Duration ShutdownMargin = milliseconds(500);
+constexpr Duration LastAnswerMargin = ShutdownMargin + 2 * DrainInterval;
 
 bool expectsAnswer(const FleetMessage &Message) {
   return std::holds_alternative<StartOperation>(Message) ||
@@ -231,14 +233,16 @@
     Pool->setLimits(Limits);
     bool IsPrimary = m_Targets.primary(Target->Group) == Id &&
                      m_Targets.mayServeAsPrimary(Id, m_Context.now());
-    if (m_Targets.acceptsOperations(Id) || IsPrimary)
+    if (isTransactionTimeOver())
+      Pool->stopSending();
+    else if (m_Targets.acceptsOperations(Id) || IsPrimary)
       Pool->resumeAdmission();
     else
       Pool->stopAdmission();
     if (m_Targets.isEvacuated(Id) && !IsPrimary)
       Pool->refuseWaiting();
     if (!m_Targets.maySend(Id, m_Context.now()))
-      Pool->evacuate();
+      Pool->stopSending();
   }
 }
 
@@ -337,14 +341,25 @@
   dispatchLocalMessages();
 }
 
+bool PoolNode::isTransactionTimeOver() const {
+  return m_LeavingSince &&
+         m_Context.now() - *m_LeavingSince >= m_Settings.Grace / 2;
+}
+
 void PoolNode::drain() {
   Duration Elapsed = m_Context.now() - *m_LeavingSince;
   bool Accepting = Elapsed < AcceptAfterSignal;
   m_Sessions.closeIdle(!Accepting);
   if (!Accepting)
     m_Hooks.StopAccepting();
-  if (Elapsed >= m_Settings.Grace / 2)
-    m_Sessions.abortTransactions();
+  if (isTransactionTimeOver()) {
+    m_Sessions.endTransactions();
+    // Transactions of other VMs' callers end as well.
+    for (auto &[Id, Pool] : m_Pools)
+      Pool->stopSending();
+  }
+  if (Elapsed >= m_Settings.Grace - LastAnswerMargin)
+    m_Sessions.refuseInFlight();
   bool Drained =
       m_Sessions.size() == 0 &&
       std::all_of(m_Pools.begin(), m_Pools.end(),
--- a/src/pooling/Sessions.cpp
+++ b/src/pooling/Sessions.cpp
@@ -175,13 +175,19 @@
 void Sessions::endFailedTransaction(Session &CallerSession,
                                     const Statement &Stmt) {
   CallerReply Reply;
-  if (Stmt.Kind == Verb::Rollback || Stmt.Kind == Verb::Commit) {
+  std::string AbortCause = std::exchange(CallerSession.Op->AbortCause, {});
+  bool Commits = Stmt.Kind == Verb::Commit;
+  bool RollsBack = Stmt.Kind == Verb::Rollback;
+  if (Commits || RollsBack)
     abortOperation(CallerSession);
-    if (Stmt.Kind == Verb::Commit) {
-      Reply.Error = ErrorCode::Aborted;
-      Reply.ErrorText = "the transaction was rolled back";
-    }
-  } else {
+  if (!RollsBack && !AbortCause.empty()) {
+    Reply = makeRefusal(ErrorCode::Aborted,
+                        "the transaction was rolled back: " + AbortCause,
+                        OtherVmRetryAfter);
+  } else if (Commits) {
+    Reply.Error = ErrorCode::Aborted;
+    Reply.ErrorText = "the transaction was rolled back";
+  } else if (!RollsBack) {
     Reply.Error = ErrorCode::Malformed;
     Reply.ErrorText =
         "the transaction has failed; only COMMIT or ROLLBACK is allowed";
@@ -194,7 +200,9 @@
   CallerReply Reply;
   auto Route = m_Config->Routes.find(CallerSession.Database);
   auto Key = m_Config->Keys.find(CallerSession.Key);
-  if (Route == m_Config->Routes.end()) {
+  if (m_EndsTransactions) {
+    Reply = makeRefusal(ErrorCode::Busy, ShutdownCause, OtherVmRetryAfter);
+  } else if (Route == m_Config->Routes.end()) {
     Reply.Error = ErrorCode::NoDatabase;
     Reply.ErrorText = "the database no longer exists";
   } else if (!Route->second.Open && Key == m_Config->Keys.end()) {
--- a/src/pooling/SessionsOutcome.cpp
+++ b/src/pooling/SessionsOutcome.cpp
@@ -178,15 +178,22 @@
 
 void Sessions::onLost(Session &CallerSession, const std::string &Cause) {
   Operation &Op = *CallerSession.Op;
-  bool Commits = Op.Current.Kind == Verb::Commit;
-  bool MayHaveTakenEffect =
-      isTransaction(Op.Mode) ? Commits && Op.HasWritten : Op.Current.writes();
   Op.ExcludedOwners.insert({Op.Owner, Op.Target});
   Op.ExcludedTargets.insert(Op.Target);
   // The target may have run it: its token is spent and not returned.
   Op.Admitted = false;
   if (Op.isSingleRead() && retryElsewhere(CallerSession, "no reply"))
     return;
+  refuseLost(CallerSession, Cause);
+}
+
+/// @brief Refuses a statement whose reply is not awaited any longer.
+void Sessions::refuseLost(Session &CallerSession, const std::string &Cause) {
+  Operation &Op = *CallerSession.Op;
+  bool Commits = Op.Current.Kind == Verb::Commit;
+  bool MayHaveTakenEffect =
+      Op.Dispatched &&
+      (isTransaction(Op.Mode) ? Commits && Op.HasWritten : Op.Current.writes());
   Op.Dispatched = false;
   if (MayHaveTakenEffect)
     return refuse(CallerSession, ErrorCode::OutcomeUnknown, Cause, Duration(0));
@@ -232,6 +239,14 @@
   finishStatement(CallerSession, std::move(Reply));
 }
 
+CallerReply Sessions::makeRefusal(ErrorCode Code, const std::string &Cause,
+                                  Duration RetryAfter) {
+  CallerReply Reply;
+  Reply.Error = Code;
+  Reply.ErrorText = withRetryAfter(Cause, RetryAfter);
+  return Reply;
+}
+
 void Sessions::finishStatement(Session &CallerSession, CallerReply Reply) {
   CallerId Caller = CallerSession.Id;
   bool WasAwaiting = CallerSession.Op && CallerSession.Op->AwaitingReply;
@@ -257,6 +272,8 @@
     m_Sessions.erase(Caller);
     return;
   }
+  if (m_EndsTransactions && Remaining->isTransactionIdle())
+    abortTransaction(*Remaining, ShutdownCause);
   if (Remaining->Backlog.empty() ||
       (Remaining->Op && Remaining->Op->AwaitingReply))
     return;
@@ -328,31 +345,4 @@
                  {"config", std::to_string(m_Config->Version)}});
 }
 
-// Shutdown.
-
-void Sessions::closeIdle(bool IncludeUnused) {
-  m_Closing = true;
-  std::vector<CallerId> Idle;
-  for (const auto &[Id, CallerSession] : m_Sessions)
-    if (!CallerSession.Op && CallerSession.Backlog.empty() &&
-        (CallerSession.HasReply || IncludeUnused))
-      Idle.push_back(Id);
-  for (CallerId Id : Idle) {
-    m_Hooks.Close(Id);
-    m_Sessions.erase(Id);
-  }
-}
-
-void Sessions::abortTransactions() {
-  std::vector<CallerId> Open;
-  for (const auto &[Id, CallerSession] : m_Sessions)
-    if (CallerSession.Op && isTransaction(CallerSession.Op->Mode) &&
-        !CallerSession.Op->AwaitingReply)
-      Open.push_back(Id);
-  for (CallerId Id : Open) {
-    m_Hooks.Close(Id);
-    onCallerClosed(Id);
-  }
-}
-
 } // namespace bergamotstage::pooling
--- a/src/pooling/TargetPool.cpp
+++ b/src/pooling/TargetPool.cpp
@@ -389,7 +389,7 @@
     return dropLink(Link.Id, true);
   QueueEntry &Operation = Found->second;
   bool Opened = !Reply.Error && Reply.State == SessionState::InTransaction;
-  if (Opened && !Operation.Aborted && !m_Evacuated) {
+  if (Opened && !Operation.Aborted && !m_SendingStopped) {
     Operation.TransactionOpen = true;
     return sendStatement(Operation, Link);
   }
@@ -398,7 +398,7 @@
   Link.ActiveOperation.reset();
   QueueEntry Ended = std::move(Operation);
   m_Operations.erase(Found);
-  if (Opened && m_Evacuated) {
+  if (Opened && m_SendingStopped) {
     dropLink(AssignedLink, true);
     return refuse(Ended, NotRunReason::Leaving);
   }
@@ -438,7 +438,7 @@
   recordOutcome(Reply.Error == ErrorCode::Failed ||
                 Reply.Error == ErrorCode::Timeout ||
                 Reply.Error == ErrorCode::Busy);
-  bool RetryBusy = !m_Evacuated && Reply.Error == ErrorCode::Busy &&
+  bool RetryBusy = !m_SendingStopped && Reply.Error == ErrorCode::Busy &&
                    m_Context.now() + BusyRetryDelay < Operation.Deadline &&
                    !Operation.Aborted;
   if (RetryBusy && Single) {
@@ -470,14 +470,14 @@
     Operation.State = Phase::Idle;
     Operation.WaitingSince = m_Context.now();
     reply(Operation, std::move(Result));
-    if (m_Evacuated)
+    if (m_SendingStopped)
       dropLink(Link.Id, true);
     return;
   }
   QueueEntry Ended = std::move(Operation);
   m_Operations.erase(Found);
   Link.ActiveOperation.reset();
-  if (m_Evacuated)
+  if (m_SendingStopped)
     dropLink(Link.Id, true);
   else if (!Finished)
     rollBack(Link);
--- a/src/pooling/TargetPoolLinks.cpp
+++ b/src/pooling/TargetPoolLinks.cpp
@@ -344,7 +344,7 @@
     return markUnreachable("a probe connection was not opened in time");
   }
   bool ProbeAgain =
-      m_Unreachable && !m_Evacuated && m_ProbedAt + ReprobeInterval <= Now;
+      m_Unreachable && !m_SendingStopped && m_ProbedAt + ReprobeInterval <= Now;
   std::optional<Instant> Oldest;
   for (const auto &[Id, Link] : m_Links)
     if (!Link.Unanswered.empty() &&
@@ -434,10 +434,10 @@
     rejectOperation(Id, NotRunReason::Leaving);
 }
 
-void TargetPool::evacuate() {
-  if (m_Evacuated)
+void TargetPool::stopSending() {
+  if (m_SendingStopped)
     return;
-  m_Evacuated = true;
+  m_SendingStopped = true;
   m_AcceptsOperations = false;
   refuseWaiting();
   std::vector<LinkId> Unused;
--- a/test/unit-pool-target.cpp
+++ b/test/unit-pool-target.cpp
@@ -170,7 +170,7 @@
     Bench.start(1, Mode, Bench.statement(Verb::Read, "r1"));
     LinkId Link = Bench.openNext();
     CHECK_TRUE(Bench.last() == LinkRequest::Kind::Begin);
-    Bench.Pool.evacuate();
+    Bench.Pool.stopSending();
     Bench.reply(SessionState::InTransaction);
     LONGS_EQUAL(1, Bench.Requests.size());
     CHECK_TRUE(Bench.Closed == std::vector<LinkId>{Link});
