Answer ABORTED after the owner of a transaction is lost

Callers saw: in a transaction between two statements, whose owner was lost meanwhile, the next statement got MALFORMED, which promises nothing and blames the caller.

Cause: the operation was marked as failed, and a failed transaction accepts only COMMIT or ROLLBACK. But the caller had not been told that it failed.

Change: the transaction is aborted with a cause, as at a stop. The next statement gets ABORTED, later ones MALFORMED. ABORTED is true: without a COMMIT the owner or the target rolls back.

--- a/src/pooling/SessionsOutcome.cpp
+++ b/src/pooling/SessionsOutcome.cpp
@@ -12,6 +12,8 @@
 /// The same for a read that targets refuse because of their load: two replicas.
 constexpr unsigned MaxOverloadedAttempts = 2;
 constexpr Duration BusyRetryAfter = milliseconds(50);
+constexpr const char *OwnerLostCause =
+    "the VM that owns the connection is unreachable";
 /// One in this many successful statements within the latency target is logged.
 constexpr std::uint64_t SuccessLogInterval = 256;
 
@@ -214,11 +216,11 @@
         !CallerSession->Op->Dispatched || CallerSession->Op->Owner != Owner)
       continue;
     if (CallerSession->Op->AwaitingReply) {
-      onLost(*CallerSession, "the VM that owns the connection is unreachable");
+      onLost(*CallerSession, OwnerLostCause);
       continue;
     }
     CallerSession->Op->Dispatched = false;
-    CallerSession->Op->TransactionFailed = true;
+    abortTransaction(*CallerSession, OwnerLostCause);
   }
 }
 
--- a/test/unit-pool-shutdown.cpp
+++ b/test/unit-pool-shutdown.cpp
@@ -207,3 +207,24 @@
   for (CallerId Id : Writers)
     CHECK_TRUE(Run.Callers.at(Id).Error == ErrorCode::Aborted);
 }
+
+TEST(Shutdown, ATransactionOfALostOwnerIsAborted) {
+  // Guards against MALFORMED for a valid statement, which promises nothing: the
+  // caller had not been told that its transaction failed.
+  ShutdownRun Run;
+  Run.startWriter(VmId("vm-1"));
+  VmId Owner = *Run.OwnerOfPrimary;
+  VmId Origin(Owner == VmId("vm-1") ? "vm-2" : "vm-1");
+  CallerId Reader = Run.startWriter(Origin);
+  CallerId Committer = Run.startWriter(Origin);
+  Run.Fleet.kill(Owner, seconds(10));
+  Run.Fleet.run(seconds(1));
+  Run.send(Reader, Verb::Read);
+  Run.send(Committer, Verb::Commit);
+  Run.Fleet.run(milliseconds(100));
+  CHECK_TRUE(Run.Callers.at(Reader).Error == ErrorCode::Aborted);
+  CHECK_TRUE(Run.Callers.at(Committer).Error == ErrorCode::Aborted);
+  Run.send(Reader, Verb::Read);
+  Run.Fleet.run(milliseconds(100));
+  CHECK_TRUE(Run.Callers.at(Reader).Error == ErrorCode::Malformed);
+}
