Take a new address of a target for a restart

Cause: TargetTable::apply() reported a restart only if the start time differed, and the pool of a target keeps the address with which it was created.

Change: a new address is a restart, too. The pool is dropped, and the next one uses the new address.

Measured: TargetTable.ANewAddressIsARestart failed before and passes.

--- a/src/pooling/TargetTable.cpp
+++ b/src/pooling/TargetTable.cpp
@@ -13,9 +13,8 @@
 /// @brief Whether two entries of a target differ at most in their versions, and
 /// in how much longer a cold target stays cold.
 bool tellSame(const TargetEntry &Left, const TargetEntry &Right) {
-  return Left.Group == Right.Group && Left.Address == Right.Address &&
-         Left.DataCentre == Right.DataCentre && Left.Slots == Right.Slots &&
-         Left.Draining == Right.Draining &&
+  return Left.Group == Right.Group && Left.DataCentre == Right.DataCentre &&
+         Left.Slots == Right.Slots && Left.Draining == Right.Draining &&
          Left.ReportsPrimary == Right.ReportsPrimary &&
          (Left.ColdFor > Duration(0)) == (Right.ColdFor > Duration(0));
 }
@@ -41,7 +40,9 @@
   if (Added)
     return Change::Added;
   TargetEntry Before = std::exchange(Found->second, Entry);
-  if (Before.ProcessStart != Entry.ProcessStart)
+  // A process does not change its address.
+  if (Before.ProcessStart != Entry.ProcessStart ||
+      Before.Address != Entry.Address)
     return Change::Restarted;
   if (Before.Version == Entry.Version)
     return Reappeared ? Change::Modified : Change::None;
--- a/test/unit-pool-choice.cpp
+++ b/test/unit-pool-choice.cpp
@@ -122,6 +122,17 @@
   CHECK_TRUE(Table.apply(First, at(1)) == TargetTable::Change::Restarted);
 }
 
+TEST(TargetTable, ANewAddressIsARestart) {
+  // Guards against links that are opened to the earlier address for good.
+  TargetTable Table;
+  TargetEntry Entry = entry("a", false, 1);
+  Entry.Address = "10.0.0.1:80";
+  Table.apply(Entry, at(0));
+  Entry.Address = "10.0.0.1:81";
+  Entry.Version = 2;
+  CHECK_TRUE(Table.apply(Entry, at(1)) == TargetTable::Change::Restarted);
+}
+
 TEST_GROUP(TargetSelector) {
   Context Ctx{VmId("vm-a"), DataCentreId("east"), 1};
   TargetTable Table;
