Skip entries that name no usable target

Operators of similar systems saw processes end or stop following the list. Here no process ended and the list was followed, but callers saw BUSY: statements went to targets that do not exist.

Cause: an entry was listed whose address had no port, the port 0 or one out of range, and whose capacity exceeds 32 bits. The conversion of such a capacity is undefined; x86-64 and arm64 give different numbers. And a row that became unreadable kept the earlier entry in use at VMs that follow the table, while a VM that read the whole table did not know the target.

Ruled out: the parser's depth (30,000 levels of nesting are parsed and skipped), numbers above the range of a double, bytes that are not UTF-8.

Values of other writers are cut to 64 characters in error texts. The soak has odd entries in its table of targets throughout.

--- a/soak/PlatformText.cpp
+++ b/soak/PlatformText.cpp
@@ -75,4 +75,30 @@
   }
 }
 
+std::string targetEntry(const std::string &Service, const std::string &Address,
+                        const std::string &Capacity) {
+  return R"({"service": ")" + Service + R"(", "address": ")" + Address +
+         R"(", "zone": "east", "version": "v1", "capacity": )" + Capacity +
+         R"(, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+         "db_role": "replica", "born": 1788967659047})";
+}
+
+std::vector<std::string> oddTargetEntries(const std::string &Service) {
+  constexpr std::size_t Depth = 30000;
+  const char *const Address = "10.0.0.1:80";
+  std::string Opened(Depth, '[');
+  std::string Closed(Depth, ']');
+  std::vector<std::string> Odd = {
+      "", "\x80\xff", Opened, Opened + Closed,
+      targetEntry(Service, Address, Opened + "3" + Closed)};
+  for (const char *Capacity : {"1e300", "1e400", "4294967296", "-3"})
+    Odd.push_back(targetEntry(Service, Address, Capacity));
+  for (const char *Unusable :
+       {"10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536",
+        "10.0.0.1:99999999999999999999", "10.0.0.1:-80", "10.0.0.1:80x",
+        "10.0.0.256:80", "host:80", ":80", "0.0.0.0:80", "224.0.0.1:80"})
+    Odd.push_back(targetEntry(Service, Unusable, "3"));
+  return Odd;
+}
+
 } // namespace bergamotstage::soak
--- a/soak/ProcessFleet.cpp
+++ b/soak/ProcessFleet.cpp
@@ -85,12 +85,15 @@
             std::make_unique<FaultProxy>(m_Io, State.StandIn->address(Vm)));
     }
   }
-  m_Store->onView([this](unsigned Vm, const std::string &Key,
-                         const std::string &Value) {
-    Json Entry = Json::parse(Value);
-    Entry["address"] = m_Targets.at(TargetId(Key)).Proxies.at(Vm)->address();
-    return Entry.dump();
-  });
+  m_Store->onView(
+      [this](unsigned Vm, const std::string &Key, const std::string &Value) {
+        auto Named = m_Targets.find(TargetId(Key));
+        if (Named == m_Targets.end())
+          return Value;
+        Json Entry = Json::parse(Value);
+        Entry["address"] = Named->second.Proxies.at(Vm)->address();
+        return Entry.dump();
+      });
   m_Store->onPromote(
       [this](const std::string &Service, const std::string &Name) {
         return promote(Service, Name);
@@ -127,6 +130,9 @@
   m_Store->put("op", "config", configDocument(m_Config));
   for (const auto &[Name, State] : m_Targets)
     publish(Name);
+  unsigned Number = 0;
+  for (const std::string &Odd : oddTargetEntries(m_Groups[0]->id().value()))
+    m_Store->put("servers", "odd-" + std::to_string(++Number), Odd);
   for (unsigned Vm = 0; Vm < m_Processes.size(); ++Vm) {
     Process &State = m_Processes[Vm];
     State.CallerPort = freePort(m_Io);
--- a/src/configcheck/JsonFields.cpp
+++ b/src/configcheck/JsonFields.cpp
@@ -7,6 +7,12 @@
 #include <limits>
 
 namespace bergamotstage::configcheck {
+namespace {
+
+/// Length of a value in a message; rows of other writers can be 64 KiB long.
+constexpr std::size_t MaxShownLength = 64;
+
+} // namespace
 
 std::string JsonFields::path(std::string_view Name) const {
   if (m_List == nullptr)
@@ -31,7 +37,7 @@
     return add(Severity::Error, Name, Reason);
   std::string Message = path(Name) + " " + std::string(Reason);
   if (!Value.empty())
-    Message += ": " + std::string(Value);
+    Message += ": " + std::string(Value.substr(0, MaxShownLength));
   throw Fault{Message};
 }
 
--- a/src/runtime/Address.h
+++ b/src/runtime/Address.h
@@ -25,6 +25,12 @@
   return asio::ip::tcp::endpoint(Ip, static_cast<std::uint16_t>(*Port));
 }
 
+/// @brief Whether an endpoint names one host and a port, to connect to.
+inline bool isConnectable(const asio::ip::tcp::endpoint &Endpoint) {
+  return Endpoint.port() != 0 && !Endpoint.address().is_unspecified() &&
+         !Endpoint.address().is_multicast();
+}
+
 } // namespace bergamotstage::runtime
 
 #endif // BERGAMOTSTAGE_RUNTIME_ADDRESS_H
--- a/src/runtime/site/StoreTables.cpp
+++ b/src/runtime/site/StoreTables.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/Documents.h"
 #include "platform/StoreCodec.h"
+#include "runtime/Address.h"
 
 #include <memory>
 #include <utility>
@@ -14,6 +15,8 @@
 constexpr Duration OperatorPollTimeout = milliseconds(1500);
 /// A leaving target must receive no new statements after seven seconds.
 constexpr Duration TargetsPollTimeout = seconds(5);
+/// Length of an address of another writer in a log line.
+constexpr std::size_t MaxShownAddress = 64;
 
 } // namespace
 
@@ -77,10 +80,12 @@
     m_Hooks.Targets(All);
   };
   Hooks.Changed = [this](const platform::ListedRow &Row) {
-    if (Row.Deleted)
+    auto Entry = Row.Deleted ? std::nullopt : parseEntry(Row);
+    // A row that names no usable target does not keep the earlier one, as if
+    // the table were read again.
+    if (!Entry)
       return m_Hooks.TargetRemoved(TargetId(Row.Key));
-    if (auto Entry = parseEntry(Row))
-      m_Hooks.Target(*Entry);
+    m_Hooks.Target(*Entry);
   };
   Hooks.Answered = [] {};
   return Hooks;
@@ -89,6 +94,13 @@
 std::optional<pooling::TargetEntry>
 StoreTables::parseEntry(const platform::ListedRow &Row) {
   auto Entry = platform::parseTargetEntry(Row.Key, Row.Value, Row.Version);
+  if (Entry) {
+    auto Endpoint = parseEndpoint(Entry->Address);
+    if (!Endpoint || !isConnectable(*Endpoint))
+      Entry = tl::make_unexpected(
+          "address is not an IP address with a port from 1 to 65535: " +
+          Entry->Address.substr(0, MaxShownAddress));
+  }
   if (Entry)
     return *Entry;
   m_Hooks.Log({WriteLog::Level::Warning,
--- a/test/unit-platform-codec.cpp
+++ b/test/unit-platform-codec.cpp
@@ -261,6 +261,12 @@
        std::vector<std::pair<std::string, std::string>>{
            {"\"capacity\": 3", "\"capacity\": \"3\""},
            {"\"capacity\": 3", "\"capacity\": 0"},
+           {"\"capacity\": 3", "\"capacity\": -1"},
+           {"\"capacity\": 3", "\"capacity\": 4294967296"},
+           {"\"capacity\": 3", "\"capacity\": 1e300"},
+           {"\"capacity\": 3", "\"capacity\": 1e400"},
+           {"\"sequence\": 4", "\"sequence\": 18446744073709551616"},
+           {"1788967659047", "1e300"},
            {"\"ready\"", "\"asleep\""},
            {"\"replica\"", "\"king\""},
            {"\"sequence\": 4", "\"sequence\": null"},
--- a/test/unit-store-tables.cpp
+++ b/test/unit-store-tables.cpp
@@ -1,5 +1,6 @@
 #include "bergamotstage/placement/Evacuations.h"
 #include "runtime/site/StoreTables.h"
+#include "soak/PlatformText.h"
 #include "soak/StoreStandIn.h"
 
 #include <asio/io_context.hpp>
@@ -53,11 +54,20 @@
                               std::uint64_t Version) {
       m_Known.applyChange(DataCentre, Evacuated, Version, Instant(seconds(1)));
     };
-    Hooks.Targets = [](const std::vector<pooling::TargetEntry> &) {};
-    Hooks.Target = [](const pooling::TargetEntry &) {};
-    Hooks.TargetRemoved = [](const TargetId &) {};
+    Hooks.Targets = [this](const std::vector<pooling::TargetEntry> &All) {
+      Listed.clear();
+      for (const pooling::TargetEntry &Entry : All)
+        Listed.insert(Entry.Id);
+    };
+    Hooks.Target = [this](const pooling::TargetEntry &Entry) {
+      Listed.insert(Entry.Id);
+    };
+    Hooks.TargetRemoved = [this](const TargetId &Id) { Listed.erase(Id); };
     Hooks.Answered = [] {};
-    Hooks.Log = [](WriteLog &&) {};
+    Hooks.Log = [this](WriteLog &&Entry) {
+      if (Entry.EventName == "target_entry_skipped")
+        ++Skipped;
+    };
     return Hooks;
   }
 
@@ -66,9 +76,15 @@
 
 public:
   soak::StoreStandIn Store;
+  std::set<TargetId> Listed;
+  unsigned Skipped = 0; ///< Entries that were logged as skipped.
   StoreTables Tables;
 };
 
+std::string soundEntry(const std::string &Address) {
+  return soak::targetEntry("svc", Address, "3");
+}
+
 } // namespace
 
 TEST_GROUP(StoreTables){};
@@ -106,3 +122,33 @@
   Bench.run();
   Bench.checkEvacuated({West});
 }
+
+// Guards against statements to a target that does not exist: an entry with an
+// unusable address or capacity was listed.
+TEST(StoreTables, OddEntriesNameNoTarget) {
+  TablesBench Bench;
+  Bench.Store.put("servers", "sound", soundEntry("10.0.0.1:80"));
+  unsigned Number = 0;
+  for (const std::string &Odd : soak::oddTargetEntries("svc"))
+    Bench.Store.put("servers", "odd-" + std::to_string(++Number), Odd);
+  Bench.run();
+  CHECK_TRUE(Bench.Listed == std::set<TargetId>{TargetId("sound")});
+  LONGS_EQUAL(Number, Bench.Skipped);
+  Bench.Store.put("servers", "later", soundEntry("10.0.0.2:80"));
+  Bench.run();
+  LONGS_EQUAL(2, Bench.Listed.size());
+}
+
+// Guards against a target that stays in use after another writer has replaced
+// its entry, although a VM that reads the whole table does not know it.
+TEST(StoreTables, AnOddEntryReplacesTheTargetsOwn) {
+  TablesBench Bench;
+  for (const std::string &Odd : soak::oddTargetEntries("svc")) {
+    Bench.Store.put("servers", "a", soundEntry("10.0.0.1:80"));
+    Bench.run();
+    LONGS_EQUAL(1, Bench.Listed.size());
+    Bench.Store.put("servers", "a", Odd);
+    Bench.run();
+    LONGS_EQUAL(0, Bench.Listed.size());
+  }
+}
