--- a/include/bergamotstage/pooling/Sessions.h
+++ b/include/bergamotstage/pooling/Sessions.h
@@ -147,7 +147,7 @@
   std::uint64_t m_LastOperation;
   std::optional<TimerId> m_RetryTimer;
   bool m_Closing = false;
-  bool m_EndsTransactions = false; ///< No further statement is sent.
+  bool m_EndsTransactions = false; ///< No further statement is accepted.
 };
 
 } // namespace bergamotstage::pooling
--- a/test/unit-pool-sessions.cpp
+++ b/test/unit-pool-sessions.cpp
@@ -52,6 +52,16 @@
     Fleet.run(milliseconds(10));
   }
 
+  /// @brief Connects on a bounded route whose staleness bound is changed.
+  void connectBounded(Duration MaxStaleness) {
+    SiteConfig Changed = Config;
+    Changed.Version = 2;
+    Changed.Routes["bounded-0"].MaxStaleness = MaxStaleness;
+    Fleet.configure(Changed);
+    Fleet.run(seconds(1));
+    connect("bounded-0");
+  }
+
   std::string send(Verb Kind, const std::string &Text) {
     Statement Stmt;
     Stmt.RequestId = "r" + std::to_string(++LastRequest);
@@ -367,12 +377,7 @@
   // Guards against an endless loop: the owner of the primary's links answered
   // itself with a shared proof that was too old for the read.
   SmallFleet Small(1);
-  SiteConfig Strict = Small.Config;
-  Strict.Version = 2;
-  Strict.Routes["bounded-0"].MaxStaleness = milliseconds(20);
-  Small.Fleet.configure(Strict);
-  Small.Fleet.run(seconds(1));
-  Small.connect("bounded-0");
+  Small.connectBounded(milliseconds(20));
   for (int Count = 0; Count < 40; ++Count)
     CHECK_FALSE(
         Small.sendAndWait(Verb::Read, milliseconds(20)).Error.has_value());
@@ -382,12 +387,7 @@
   // Guards against the same at its limit, where each read needs a proof that
   // was requested after it arrived, from another VM too.
   SmallFleet Small;
-  SiteConfig Strict = Small.Config;
-  Strict.Version = 2;
-  Strict.Routes["bounded-0"].MaxStaleness = Duration(0);
-  Small.Fleet.configure(Strict);
-  Small.Fleet.run(seconds(1));
-  Small.connect("bounded-0");
+  Small.connectBounded(Duration(0));
   for (int Count = 0; Count < 20; ++Count)
     CHECK_FALSE(
         Small.sendAndWait(Verb::Read, milliseconds(50)).Error.has_value());
--- a/test/unit-pool-shutdown.cpp
+++ b/test/unit-pool-shutdown.cpp
@@ -115,6 +115,12 @@
     }
   }
 
+  /// @brief Runs a write to find the VM that owns the primary's links.
+  VmId findOwner() {
+    startWriter(VmId("vm-1"));
+    return *OwnerOfPrimary;
+  }
+
   /// @brief Opens a transaction that has written, and waits for the replies.
   CallerId startWriter(const VmId &Vm) {
     CallerId Id = connect(Vm, "primary-0");
@@ -191,8 +197,7 @@
   // Guards against commits of other VMs' callers that were sent to a stopping
   // owner up to its exit and cut there.
   ShutdownRun Run;
-  Run.startWriter(VmId("vm-1"));
-  VmId Owner = *Run.OwnerOfPrimary;
+  VmId Owner = Run.findOwner();
   VmId Origin(Owner == VmId("vm-1") ? "vm-2" : "vm-1");
   std::vector<CallerId> Writers;
   for (int Count = 0; Count < 9; ++Count)
@@ -212,8 +217,7 @@
   // Guards against MALFORMED for a valid statement, which promises nothing: the
   // caller had not been told that its transaction failed.
   ShutdownRun Run;
-  Run.startWriter(VmId("vm-1"));
-  VmId Owner = *Run.OwnerOfPrimary;
+  VmId Owner = Run.findOwner();
   VmId Origin(Owner == VmId("vm-1") ? "vm-2" : "vm-1");
   CallerId Reader = Run.startWriter(Origin);
   CallerId Committer = Run.startWriter(Origin);
