--- a/test/unit-pool-shutdown.cpp
+++ b/test/unit-pool-shutdown.cpp
@@ -199,8 +199,10 @@
   ShutdownRun Run;
   VmId Owner = Run.findOwner();
   VmId Origin(Owner == VmId("vm-1") ? "vm-2" : "vm-1");
+  constexpr int WriterCount = 9;
   std::vector<CallerId> Writers;
-  for (int Count = 0; Count < 9; ++Count)
+  Writers.reserve(WriterCount);
+  for (int Count = 0; Count < WriterCount; ++Count)
     Writers.push_back(Run.startWriter(Origin));
   Run.Fleet.terminate(Owner);
   Run.Fleet.run(milliseconds(4950));
