Give each process of the soak other ports

A soak of 100 VMs saw one of them exit 74 times: "cannot listen on 127.0.0.1:30714", address already in use. Ports are drawn at random among those that are free, and the process that owns one may be down; with 300 draws of 12,000 two were the same. A port is now given once in a run.

--- a/soak/ProcessFleet.cpp
+++ b/soak/ProcessFleet.cpp
@@ -10,6 +10,7 @@
 #include <fcntl.h>
 #include <fstream>
 #include <iterator>
+#include <set>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
@@ -37,8 +38,9 @@
 constexpr unsigned FirstPort = 20000;
 constexpr unsigned LastPort = 32000;
 
-/// @brief Returns a free port below the ephemeral range.
+/// @brief Returns a free port below the ephemeral range, another one each time.
 unsigned freePort(asio::io_context &Io) {
+  static std::set<unsigned> Given;
   std::random_device Device;
   std::uniform_int_distribution<unsigned> Ports(FirstPort, LastPort);
   while (true) {
@@ -48,7 +50,7 @@
     std::error_code Error;
     Probe.open(Local.protocol(), Error);
     Probe.bind(Local, Error);
-    if (!Error)
+    if (!Error && Given.insert(Local.port()).second)
       return Local.port();
   }
 }
