--- a/review/standin-2/Lab.cpp
+++ b/review/standin-2/Lab.cpp
@@ -895,7 +895,10 @@
           Found = Each.Data.at(Item);
       if (Peer->Staged.count(Item) > 0)
         Found = Peer->Staged[Item];
-      Lines = "ROW " + Found + "\r\n" + Signed;
+      std::istringstream Rows(Found);
+      for (std::string Row; std::getline(Rows, Row);)
+        Lines += "ROW " + Row + "\r\n";
+      Lines += Signed;
     }
     if (Ran.Outcome.empty())
       Ran.Outcome = "ok";
--- a/review/standin-2/Lab.h
+++ b/review/standin-2/Lab.h
@@ -184,7 +184,7 @@
   int HandshakeMs = 12;
   int StoreMs = 4;
   unsigned MaxConnections = 23;
-  /// Items that all instances hold from the start.
+  /// Items that all instances hold from the start, one row a line.
   std::map<std::string, std::string> Stored;
   std::uint64_t Promotions = 0;
 
