review: an open transaction outlives its withdrawn key

Case 9 (CONFIG). The key is looked up when an operation begins, not at the later statements of a transaction. Statements sent 6 to 11 s after the acknowledgement of the version without the key are run, and the COMMIT.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 mkdir -p target/review-2
 flags="-std=c++17 -O1 -Wall -Wextra"
 g++ $flags -c review/standin-2/Lab.cpp -o target/review-2/Lab.o
-for source in review/6/case.cpp review/7/case.cpp review/8/case.cpp; do
+for source in review/6/case.cpp review/7/case.cpp review/8/case.cpp review/9/case.cpp; do
   number=$(basename "$(dirname "$source")")
   g++ $flags "$source" target/review-2/Lab.o -lpthread \
     -o "target/review-2/case-$number"
