Share the fleet of three VMs between tests, and let a fleet reset new links

PoolFleet can reset a VM's new links to a target, which a silent cut does not model, and slow its targets down.

--- a/src/standin/site/PoolFleet.h
+++ b/src/standin/site/PoolFleet.h
@@ -80,6 +80,7 @@
   std::mt19937_64 &random() { return m_Random; }
   std::vector<VmId> vms() const;
   pooling::PoolNode *node(const VmId &Vm);
+  const MemberState &member(const VmId &Vm) const { return m_Vms.at(Vm).Self; }
   ModelGroup &group(unsigned Index) { return *m_Groups.at(Index); }
   unsigned groups() const { return static_cast<unsigned>(m_Groups.size()); }
 
@@ -95,11 +96,14 @@
   void terminate(const VmId &Vm);
   void cutPeers(const VmId &Left, const VmId &Right, bool Cut);
   void cutTarget(const VmId &Vm, const TargetId &Target, bool Cut);
+  /// @brief Sets whether a VM's new links to a target are reset.
+  void resetNewLinks(const VmId &Vm, const TargetId &Target, bool Reset);
   /// @brief Sets whether a target ignores requests and new links.
   void setUnresponsive(const TargetId &Target, bool Unresponsive);
   void drain(const TargetId &Target, bool Draining);
   /// @brief Writes or removes the row that evacuates a data centre.
   void evacuate(const DataCentreId &DataCentre, bool Evacuated);
+  void setMeanServiceTime(Duration Time) { m_Settings.MeanServiceTime = Time; }
   void setLag(Duration Lag) { m_Settings.ReplicaLag = Lag; }
   void setStoreDown(bool Down);
   /// @brief Sets the fraction (0 to 1) of store writes without answer; half of
@@ -218,6 +222,7 @@
   void closeLink(std::uint64_t Key);
   /// @brief Factor on the time of a statement that starts now.
   static double slowdown(const TargetModel &Model, Instant Now);
+  void resetLink(std::uint64_t Key);
   void resetLinksTo(const TargetId &Target);
   void sendPeer(const VmId &From, const MemberState &To,
                 const pooling::FleetMessage &Message);
@@ -258,6 +263,7 @@
   std::map<std::uint64_t, PublishedConfig> m_Configs; ///< By version.
   std::set<std::pair<VmId, VmId>> m_CutPeers;
   std::set<std::pair<VmId, TargetId>> m_CutTargets;
+  std::set<std::pair<VmId, TargetId>> m_ResetLinks;
   bool m_StoreDown = false;
   double m_LostWriteAnswerRatio = 0;
   double m_LostReplyRatio = 0;
--- a/src/standin/site/PoolFleetEnvironment.cpp
+++ b/src/standin/site/PoolFleetEnvironment.cpp
@@ -47,6 +47,8 @@
         !canReachTarget(Found->second.Vm, Found->second.Target))
       return;
     Link &Opened = Found->second;
+    if (m_ResetLinks.count({Opened.Vm, Opened.Target}) > 0)
+      return resetLink(Key);
     auto IsOpenToTarget = [&](const auto &Entry) {
       return Entry.second.Target == Opened.Target && Entry.second.Open;
     };
@@ -188,14 +190,17 @@
   for (const auto &[Key, Opened] : m_Links)
     if (Opened.Target == Target)
       Closed.push_back(Key);
-  for (std::uint64_t Key : Closed) {
-    Link Opened = m_Links.at(Key);
-    closeLink(Key);
-    deliverAfter(Opened.Vm, Opened.Generation, m_Settings.LinkDelay,
-                 [this, Id = Opened.Id](PoolNode &Node) {
-                   Node.onLinkFailed(m_Now, Id, "reset");
-                 });
-  }
+  for (std::uint64_t Key : Closed)
+    resetLink(Key);
+}
+
+void PoolFleet::resetLink(std::uint64_t Key) {
+  Link Reset = m_Links.at(Key);
+  closeLink(Key);
+  deliverAfter(Reset.Vm, Reset.Generation, m_Settings.LinkDelay,
+               [this, Id = Reset.Id](PoolNode &Node) {
+                 Node.onLinkFailed(m_Now, Id, "reset");
+               });
 }
 
 // Peers.
@@ -266,6 +271,14 @@
     m_CutTargets.erase({Name, Target});
 }
 
+void PoolFleet::resetNewLinks(const VmId &Name, const TargetId &Target,
+                              bool Reset) {
+  if (Reset)
+    m_ResetLinks.insert({Name, Target});
+  else
+    m_ResetLinks.erase({Name, Target});
+}
+
 void PoolFleet::setUnresponsive(const TargetId &Target, bool Unresponsive) {
   TargetModel &Model = m_Targets.at(Target);
   if (Model.Unresponsive && !Unresponsive) {
--- a/test/unit-pool-sessions.cpp
+++ b/test/unit-pool-sessions.cpp
@@ -1,5 +1,5 @@
+#include "SmallFleet.h"
 #include "standin/site/PoolCallers.h"
-#include "standin/site/PoolFleet.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -16,77 +16,6 @@
 
 const VmId Vm("vm-0");
 
-/// @brief A small fleet with one caller and the replies that it received.
-struct SmallFleet {
-  PoolFleet Fleet;
-  pooling::SiteConfig Config;
-  std::vector<pooling::CallerReply> Replies;
-  std::vector<ModelGroup::Execution> Runs;
-  bool Closed = false;
-  CallerId Caller;
-  unsigned LastRequest = 0;
-
-  explicit SmallFleet(unsigned Vms = 3, Duration Lag = milliseconds(10))
-      : Fleet(settings(Vms, Lag)), Config(poolConfig(1, 2, 100)) {
-    Fleet.onAnswer(
-        [this](const VmId &, CallerId, const pooling::CallerReply &Reply) {
-          Replies.push_back(Reply);
-        });
-    Fleet.onClose([this](const VmId &, CallerId) { Closed = true; });
-    Fleet.group(0).onExecution(
-        [this](const ModelGroup::Execution &Ran) { Runs.push_back(Ran); });
-    Fleet.configure(Config);
-    Fleet.start();
-    Fleet.run(seconds(6));
-  }
-
-  static PoolFleet::Settings settings(unsigned Vms, Duration Lag) {
-    PoolFleet::Settings Options;
-    Options.Vms = Vms;
-    Options.ReplicaLag = Lag;
-    return Options;
-  }
-
-  void connect(const std::string &Route, const std::string &Key = "key-0") {
-    Caller = Fleet.connect(Vm, Route, Key);
-    Fleet.run(milliseconds(10));
-  }
-
-  /// @brief Connects on a bounded route whose staleness bound is changed.
-  void connectBounded(Duration MaxStaleness) {
-    SiteConfig Changed = Config;
-    Changed.Version = 2;
-    Changed.Routes["bounded-0"].MaxStaleness = MaxStaleness;
-    Fleet.configure(Changed);
-    Fleet.run(seconds(1));
-    connect("bounded-0");
-  }
-
-  std::string send(Verb Kind, const std::string &Text) {
-    Statement Stmt;
-    Stmt.RequestId = "r" + std::to_string(++LastRequest);
-    Stmt.Kind = Kind;
-    Stmt.Text = Text;
-    Fleet.send(Vm, Caller, Stmt);
-    return Stmt.RequestId;
-  }
-
-  /// @brief Sends a statement, waits for @p Wait and for the reply.
-  const pooling::CallerReply &sendAndWait(Verb Kind,
-                                          Duration Wait = seconds(1)) {
-    std::size_t Before = Replies.size();
-    send(Kind, "text");
-    Instant End = Fleet.now() + Wait;
-    Fleet.run(milliseconds(1));
-    while (Fleet.now() < End || Replies.size() == Before) {
-      if (Fleet.now() > End + seconds(5))
-        FAIL("a statement was not answered");
-      Fleet.run(milliseconds(10));
-    }
-    return Replies.back();
-  }
-};
-
 } // namespace
 
 TEST_GROUP(PoolSessions){};
