Probe a target whose first connections failed

Cause: a probe is a connection, which belongs to a client account, and TargetPool::checkLiveness() took the account of a queued operation or of an earlier statement. A pool whose first two connections failed had neither and refused all that could have given it one, so that it never probed.

Ruled out: the promotion lease (its holder ends each attempt with "the primary answers this VM"), the order of owners (the same before and after), and timers (the tick went on every 300 ms).

Change: the node names the account of a probe, as it does for its own requests to targets. FairShares::anyAccount(), which could name an account that has left the configuration, is gone.

--- a/include/bergamotstage/admission/FairShares.h
+++ b/include/bergamotstage/admission/FairShares.h
@@ -34,9 +34,6 @@
   /// @brief Corrects a charge once the real slot time is known.
   void correct(const AccountId &Account, double Expected, double Real);
 
-  /// @brief Any account that was charged; empty if there is none.
-  AccountId anyAccount() const;
-
 private:
   std::map<AccountId, double> m_FinishTags; ///< Virtual times in seconds.
   double m_VirtualTime = 0;
--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -41,6 +41,8 @@
         PositionProven;
     /// An operation of a priority was refused as not run.
     std::function<void(NotRunReason, unsigned Priority)> Refused;
+    /// Returns the account of a probe that no operation waits for.
+    std::function<AccountId()> ProbeAccount;
   };
 
   /// @brief Limits of one target.
--- a/src/admission/FairShares.cpp
+++ b/src/admission/FairShares.cpp
@@ -24,8 +24,4 @@
     Found->second += Real - Expected;
 }
 
-AccountId FairShares::anyAccount() const {
-  return m_FinishTags.empty() ? AccountId() : m_FinishTags.begin()->first;
-}
-
 } // namespace bergamotstage::admission
--- a/src/pooling/PoolNodeHooks.cpp
+++ b/src/pooling/PoolNodeHooks.cpp
@@ -48,6 +48,7 @@
   Callbacks.Refused = [this](NotRunReason Reason, unsigned Priority) {
     ++m_Refusals[{Reason, Priority}];
   };
+  Callbacks.ProbeAccount = [this] { return anyAccount(); };
   return Callbacks;
 }
 
--- a/src/pooling/TargetPoolLinks.cpp
+++ b/src/pooling/TargetPoolLinks.cpp
@@ -354,13 +354,10 @@
       Oldest && Now - std::max(*Oldest, m_LastReceivedAt) >= ProbeAfterSilence;
   if (!ProbeAgain && !Suspect)
     return;
-  AccountId Account;
-  for (const auto &[Id, Operation] : m_Operations)
-    Account = Operation.Request.Account;
-  if (Account.value().empty())
-    Account = m_Queue.shares().anyAccount();
-  if (Account.value().empty())
-    return;
+  // A link of a waiting operation's account can serve it afterwards.
+  AccountId Account = m_Operations.empty()
+                          ? m_Hooks.ProbeAccount()
+                          : m_Operations.rbegin()->second.Request.Account;
   if (m_Links.size() >= m_Limits.MaxLinks && !evictIdleLink())
     return;
   PoolLink Created;
--- a/test/unit-pool-target.cpp
+++ b/test/unit-pool-target.cpp
@@ -55,6 +55,7 @@
     Callbacks.PositionProven = [](const TargetId &, Instant,
                                   const HistoryPoint &) {};
     Callbacks.Refused = [](NotRunReason, unsigned) {};
+    Callbacks.ProbeAccount = [] { return Ward; };
     return Callbacks;
   }
 
@@ -358,6 +359,30 @@
   CHECK_TRUE(Bench.Pool.isReachable());
 }
 
+TEST(TargetPool, ATargetWhoseFirstConnectionsFailedIsProbed) {
+  // Guards against a pool that refused its target for good: it knew no account
+  // to probe with, as no statement of any had been sent.
+  PoolBench Bench;
+  Bench.start(1, Access::Replica, Bench.statement(Verb::Read, "r1"));
+  for (int Count = 0; Count < 2; ++Count) {
+    Bench.Pool.onLinkFailed(Bench.Opened.back().first, "reset");
+    Bench.advance(milliseconds(100));
+  }
+  CHECK_FALSE(Bench.Pool.isReachable());
+  LONGS_EQUAL(1, Bench.Replies.size());
+  // Probes go on after one has failed, too.
+  for (std::size_t Probes = 1; Probes <= 2; ++Probes) {
+    Bench.advance(milliseconds(400));
+    LONGS_EQUAL(2 + Probes, Bench.Opened.size());
+    if (Probes == 1)
+      Bench.Pool.onLinkFailed(Bench.Opened.back().first, "reset");
+  }
+  Bench.openNext();
+  CHECK_TRUE(Bench.Pool.isReachable());
+  Bench.start(2, Access::Replica, Bench.statement(Verb::Read, "r2"));
+  CHECK_EQUAL("r2", Bench.Requests.back().Request.Stmt.RequestId);
+}
+
 TEST(TargetPool, RejectsOperationsForADrainingTarget) {
   PoolBench Bench;
   Bench.Pool.stopAdmission();
--- a/test/unit-pool-urgency.cpp
+++ b/test/unit-pool-urgency.cpp
@@ -64,6 +64,7 @@
     Callbacks.PositionProven = [](const TargetId &, Instant,
                                   const HistoryPoint &) {};
     Callbacks.Refused = [](NotRunReason, unsigned) {};
+    Callbacks.ProbeAccount = [] { return AccountId("a"); };
     return Callbacks;
   }
 
