Suspect a target whose first connection hangs

Cause: a target was probed after a request without an answer, and a connection that was being opened did not count as one; closing it after a second did not count as a failure. Without an open connection nobody suspected the primary, and a promotion begins with a suspicion while one is listed.

Ruled out: the failover itself (it promotes within a second once the target is unreachable), and marking the target at the end of OpenTimeout: a VM that wakes from a freeze would find its connections overdue before it reads what arrived.

Change: opening counts as the first request on a link, so that the usual probe decides after 700 ms. A target that sends data while its probe hangs is slow to accept and keeps its state.

--- a/include/bergamotstage/pooling/PoolLink.h
+++ b/include/bergamotstage/pooling/PoolLink.h
@@ -36,6 +36,16 @@
   Instant OpenedAt{};
   Instant LastUsedAt{};
 
+  /// @brief Time of the oldest request without a reply; opening a link is the
+  /// first one.
+  std::optional<Instant> awaitsReplySince() const {
+    if (!Open)
+      return OpenedAt;
+    if (Unanswered.empty())
+      return std::nullopt;
+    return Unanswered.front().SentAt;
+  }
+
   /// @brief Whether another operation of its account may use the link.
   bool isFree() const {
     return Open && !ActiveOperation && !ControlRequestId && Unanswered.empty();
--- a/src/pooling/TargetPoolLinks.cpp
+++ b/src/pooling/TargetPoolLinks.cpp
@@ -341,15 +341,19 @@
       return;
     LinkId Probe = *m_ProbeLink;
     dropLink(Probe, true);
-    return markUnreachable("a probe connection was not opened in time");
+    // One that has sent data meanwhile is only slow to accept connections.
+    if (m_LastReceivedAt < m_ProbedAt)
+      markUnreachable("a probe connection was not opened in time");
+    return;
   }
   bool ProbeAgain =
       m_Unreachable && !m_SendingStopped && m_ProbedAt + ReprobeInterval <= Now;
   std::optional<Instant> Oldest;
-  for (const auto &[Id, Link] : m_Links)
-    if (!Link.Unanswered.empty() &&
-        (!Oldest || Link.Unanswered.front().SentAt < *Oldest))
-      Oldest = Link.Unanswered.front().SentAt;
+  for (const auto &[Id, Link] : m_Links) {
+    auto Since = Link.awaitsReplySince();
+    if (Since && (!Oldest || *Since < *Oldest))
+      Oldest = Since;
+  }
   bool Suspect =
       Oldest && Now - std::max(*Oldest, m_LastReceivedAt) >= ProbeAfterSilence;
   if (!ProbeAgain && !Suspect)
--- a/test/unit-pool-partition.cpp
+++ b/test/unit-pool-partition.cpp
@@ -123,3 +123,17 @@
   LONGS_EQUAL(0, Site.Fleet.promotions());
   LONGS_EQUAL(10, Site.countServed(Verb::Write, "primary-0", 10));
 }
+
+TEST(Partition, APrimaryThatIsSilentFromTheStartIsReplaced) {
+  // Guards against a primary that is never suspected, as no connection to it
+  // has been open since the VMs started.
+  PartitionedFleet Site;
+  CHECK_TRUE(Site.run(Verb::Write, "primary-0"));
+  for (const VmId &Vm : Site.Fleet.vms())
+    Site.Fleet.kill(Vm, seconds(1));
+  Site.Fleet.setUnresponsive(Primary, true);
+  Site.Fleet.run(seconds(2));
+  Site.countServed(Verb::Write, "primary-0", 20);
+  LONGS_EQUAL(1, Site.Fleet.promotions());
+  LONGS_EQUAL(10, Site.countServed(Verb::Write, "primary-0", 10));
+}
--- a/test/unit-pool-target.cpp
+++ b/test/unit-pool-target.cpp
@@ -383,6 +383,38 @@
   CHECK_EQUAL("r2", Bench.Requests.back().Request.Stmt.RequestId);
 }
 
+TEST(TargetPool, ATargetWhoseFirstConnectionHangsIsUnreachable) {
+  // Guards against a pool that opens one silent connection after the other and
+  // keeps each operation until its deadline, so that no one suspects a primary.
+  PoolBench Bench;
+  Bench.start(1, Access::Replica, Bench.statement(Verb::Read, "r1"));
+  Bench.advance(milliseconds(1100));
+  CHECK_FALSE(Bench.Pool.isReachable());
+  Bench.Replies.clear();
+  Bench.start(2, Access::Replica, Bench.statement(Verb::Read, "r2"));
+  CHECK_TRUE(Bench.Replies.front().second.Reason == NotRunReason::Unreachable);
+  for (std::size_t Before = Bench.Opened.size(); Bench.Opened.size() == Before;)
+    Bench.advance(milliseconds(25));
+  Bench.openNext();
+  CHECK_TRUE(Bench.Pool.isReachable());
+}
+
+TEST(TargetPool, AHangingConnectionDoesNotMakeATargetThatAnswersUnreachable) {
+  PoolBench Bench;
+  Bench.start(1, Access::Replica, Bench.statement(Verb::Read, "r1"), Ward);
+  Bench.openNext();
+  Bench.reply(SessionState::Idle);
+  Bench.start(2, Access::Replica, Bench.statement(Verb::Read, "r2"), Desk);
+  for (std::uint64_t Number = 3; Number < 12; ++Number) {
+    Bench.advance(milliseconds(100));
+    std::size_t Before = Bench.Requests.size();
+    Bench.start(Number, Access::Replica, Bench.statement(Verb::Read, "r"));
+    LONGS_EQUAL(Before + 1, Bench.Requests.size());
+    Bench.reply(SessionState::Idle);
+  }
+  CHECK_TRUE(Bench.Pool.isReachable());
+}
+
 TEST(TargetPool, RejectsOperationsForADrainingTarget) {
   PoolBench Bench;
   Bench.Pool.stopAdmission();
