Ask another owner for a proof that the first one does not give

Cause: Sessions::requestProof() asked the first owner in the order and, after a failure, the same one again.

Ruled out: the replicas and their lag (a proof at any owner lets them serve), and a request to several owners at once, which would open connections on all of them.

Change: an owner that gave no proof, or none in time, is asked after the others for a second. Once all candidates have failed, the delay of 250 ms stays as before. MaxAttempts moves to the header, as it bounds both.

Test: Partition.AReplicaReadIsServedThoughTheFirstOwnerCannotProve failed before.

--- a/include/bergamotstage/pooling/Sessions.h
+++ b/include/bergamotstage/pooling/Sessions.h
@@ -12,8 +12,10 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 namespace bergamotstage::pooling {
 
@@ -54,7 +56,7 @@
   /// @brief Handles an owner's reply to a statement.
   void onReply(const VmId &Owner, const StatementReply &Reply);
   /// @brief Handles a proven position, or the failure to prove one.
-  void onProof(const ProofReply &Reply);
+  void onProof(const VmId &Owner, const ProofReply &Reply);
   /// @brief Fails the operations of an owner that became unreachable.
   void onOwnerLost(const VmId &Owner);
   /// @brief Retries operations that wait for a target.
@@ -79,6 +81,9 @@
 
 private:
   static constexpr const char *ShutdownCause = "the VM is shutting down";
+  /// Maximum number of owners that are asked to run an operation, or to prove a
+  /// position within FailedProofLifetime.
+  static constexpr unsigned MaxAttempts = 4;
   /// Suggested retry delay if another VM can serve at once.
   static constexpr Duration OtherVmRetryAfter = milliseconds(50);
   /// The first number is below 2^40 so that numbers encode into six bytes.
@@ -91,6 +96,14 @@
     std::deque<Statement> Backlog;
   };
 
+  /// @brief The latest request for a proven position of a group.
+  struct ProofState {
+    Instant RequestedAt{};
+    std::optional<std::pair<VmId, TargetId>> Unanswered;
+    /// Owners that gave no proof, and when they were asked.
+    std::map<std::pair<VmId, TargetId>, Instant> FailedOwners;
+  };
+
   Session *find(CallerId Caller);
   void queueStatement(CallerId Caller, std::deque<Statement> &Backlog,
                       Statement Stmt);
@@ -107,6 +120,7 @@
   void defer(Session &CallerSession, const char *Reason);
   void sendNextStatement(Session &CallerSession);
   void requestProof(const Operation &Op, Duration MaxAge);
+  TargetSelector::Choice selectProofOwner(const DatabaseId &Group);
 
   void onAnswered(Session &CallerSession, const StatementResult &Result);
   void onNotRun(Session &CallerSession, const StatementResult &Result);
@@ -141,7 +155,7 @@
   std::unordered_map<CallerId, Session> m_Sessions;
   std::map<std::uint64_t, CallerId> m_CallersByOperation;
   std::map<std::uint64_t, CallerId> m_Deferred; ///< By operation number.
-  std::map<DatabaseId, Instant> m_ProofRequestedAt;
+  std::map<DatabaseId, ProofState> m_ProofStates;
   /// Number of the last operation. It starts at random: other VMs may still
   /// run operations from before a restart of this process.
   std::uint64_t m_LastOperation;
--- a/src/pooling/PoolNodeMessages.cpp
+++ b/src/pooling/PoolNodeMessages.cpp
@@ -143,8 +143,8 @@
       });
 }
 
-void PoolNode::handle(const VmId & /*From*/, ProofReply &&Body) {
-  m_Sessions.onProof(Body);
+void PoolNode::handle(const VmId &From, ProofReply &&Body) {
+  m_Sessions.onProof(From, Body);
 }
 
 void PoolNode::handle(const VmId &From, TokenRequest &&Body) {
--- a/src/pooling/Sessions.cpp
+++ b/src/pooling/Sessions.cpp
@@ -24,6 +24,8 @@
 constexpr Duration NoTargetRetryAfter = milliseconds(200);
 /// Time after which an unanswered proof request may be repeated.
 constexpr Duration ProofTimeout = milliseconds(250);
+/// Time for which an owner that gave no proof is asked after the others.
+constexpr Duration FailedProofLifetime = seconds(1);
 /// Time after its retry delay in which the next operation of a session that was
 /// refused for its account's rate counts as a retry.
 constexpr Duration RetryGrace = milliseconds(500);
@@ -414,38 +416,71 @@
 /// @param MaxAge maximum age, at this time, of a proof that serves the purpose
 void Sessions::requestProof(const Operation &Op, Duration MaxAge) {
   const DatabaseId &Group = Op.Route.Group;
-  auto LastRequest = m_ProofRequestedAt.find(Group);
-  bool Pending = LastRequest != m_ProofRequestedAt.end() &&
-                 LastRequest->second + ProofTimeout > m_Context.now();
-  if (Pending)
+  ProofState &State = m_ProofStates[Group];
+  if (State.RequestedAt + ProofTimeout > m_Context.now())
     return;
-  auto Primary = m_Targets.primary(Group);
-  if (!Primary)
-    return;
-  Operation Probe;
-  Probe.Route.Group = Group;
-  Session NoSession;
-  TargetSelector::Choice Selected = m_Selector.select(NoSession, Probe);
+  if (State.Unanswered)
+    State.FailedOwners[*State.Unanswered] = State.RequestedAt;
+  State.Unanswered.reset();
+  TargetSelector::Choice Selected = selectProofOwner(Group);
   if (Selected.Type != TargetSelector::Choice::Kind::Chosen)
     return;
-  m_ProofRequestedAt[Group] = m_Context.now();
+  State.RequestedAt = m_Context.now();
+  State.Unanswered = {Selected.Owner, Selected.Target};
   m_Hooks.Send(Selected.Owner,
                ProofRequest{Selected.Target, Op.Account,
                             toTimestamp(m_Context.now()), MaxAge});
 }
 
-void Sessions::onProof(const ProofReply &Reply) {
+/// @brief Selects an owner of the primary that has not failed to prove its
+/// position lately, or the first one if all have.
+TargetSelector::Choice Sessions::selectProofOwner(const DatabaseId &Group) {
+  ProofState &State = m_ProofStates[Group];
+  Operation Probe;
+  Probe.Route.Group = Group;
+  for (auto Next = State.FailedOwners.begin();
+       Next != State.FailedOwners.end();) {
+    auto Failed = Next++;
+    if (Failed->second + FailedProofLifetime <= m_Context.now())
+      State.FailedOwners.erase(Failed);
+    else
+      Probe.ExcludedOwners.insert(Failed->first);
+  }
+  Session NoSession;
+  TargetSelector::Choice Selected;
+  if (Probe.ExcludedOwners.size() < MaxAttempts)
+    Selected = m_Selector.select(NoSession, Probe);
+  if (Selected.Type == TargetSelector::Choice::Kind::Chosen)
+    return Selected;
+  Probe.ExcludedOwners.clear();
+  return m_Selector.select(NoSession, Probe);
+}
+
+void Sessions::onProof(const VmId &Owner, const ProofReply &Reply) {
   const TargetEntry *Target = m_Targets.find(Reply.Target);
   if (Target == nullptr)
     return;
+  ProofState &State = m_ProofStates[Target->Group];
   PositionProofs &Proofs = m_Selector.proofs(Target->Group);
   bool Superseded = Reply.Position.AtTerm < Proofs.highestTerm();
-  // After a failure the recorded time stays, which delays the next request.
-  // Without a delay, an owner that replies to itself at once would be asked
-  // again without end.
-  if (!Reply.Proven || Superseded)
+  std::pair<VmId, TargetId> Source(Owner, Reply.Target);
+  if (!Reply.Proven || Superseded) {
+    State.FailedOwners[Source] = m_Context.now();
+    if (State.Unanswered == Source)
+      State.Unanswered.reset();
+    // Another owner may be asked at once. Otherwise the recorded time delays
+    // the next request: an owner that replies to itself at once would be asked
+    // again without end.
+    TargetSelector::Choice Next = selectProofOwner(Target->Group);
+    bool HasOther = Next.Type == TargetSelector::Choice::Kind::Chosen &&
+                    State.FailedOwners.count({Next.Owner, Next.Target}) == 0;
+    if (HasOther && !State.Unanswered)
+      State.RequestedAt = Instant();
     return;
-  m_ProofRequestedAt.erase(Target->Group);
+  }
+  State.RequestedAt = Instant();
+  State.Unanswered.reset();
+  State.FailedOwners.erase(Source);
   // The owner received the request after this VM sent it. The target was
   // therefore asked no earlier than the send time minus the age.
   Proofs.add(fromTimestamp(Reply.Timestamp) - Reply.Age, Reply.Position);
--- a/src/pooling/SessionsOutcome.cpp
+++ b/src/pooling/SessionsOutcome.cpp
@@ -7,8 +7,6 @@
 namespace bergamotstage::pooling {
 namespace {
 
-/// Maximum number of times that an operation is sent to an owner.
-constexpr unsigned MaxAttempts = 4;
 /// The same for a read that targets refuse because of their load: two replicas.
 constexpr unsigned MaxOverloadedAttempts = 2;
 constexpr Duration BusyRetryAfter = milliseconds(50);
--- a/test/unit-pool-partition.cpp
+++ b/test/unit-pool-partition.cpp
@@ -137,3 +137,12 @@
   LONGS_EQUAL(1, Site.Fleet.promotions());
   LONGS_EQUAL(10, Site.countServed(Verb::Write, "primary-0", 10));
 }
+
+TEST(Partition, AReplicaReadIsServedThoughTheFirstOwnerCannotProve) {
+  // Guards against replica reads that are all refused: only the first owner of
+  // the primary was asked for a proven position.
+  PartitionedFleet Site;
+  Site.cutOwners(1);
+  Site.Fleet.run(seconds(3));
+  CHECK_TRUE(Site.countServed(Verb::Read, "bounded-0", 10) >= 9);
+}
