Let the lease holder serve a primary that the first owners cannot reach

No statement to the primary is served as long as the cut lasts, though five VMs reach it.

Cause: an operation is sent to four owners at most, always the first four, and the holder of the promotion lease reached the primary, so that nothing was promoted.

Ruled out: more attempts, which would spread the connections to a dead target over the whole fleet; and a memory of owners that refused, which would move traffic away from a good owner for a single lost connection.

Change: the fourth owner that an operation or a request for a proof tries is the holder of the promotion lease. It serves, or it replaces the primary.

Test: Partition.TheLeaseHolderServesAPrimaryThatTheFirstOwnersCannotReach failed before.

--- a/include/bergamotstage/balancing/TargetSelector.h
+++ b/include/bergamotstage/balancing/TargetSelector.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace bergamotstage::balancing {
@@ -25,6 +26,10 @@
 
   using DataCentreHook = std::function<DataCentreId(const VmId &)>;
 
+  /// @brief Returns the VM that may replace the primary of a group, if known.
+  using LeaseHolderHook =
+      std::function<std::optional<VmId>(const DatabaseId &)>;
+
   /// @brief The selected target and owner, or why there is none.
   struct Choice {
     enum class Kind : std::uint8_t {
@@ -58,6 +63,14 @@
     m_DataCentreOf = std::move(DataCentreOf);
   }
 
+  /// @brief Sets the function that returns the holder of a promotion lease.
+  ///
+  /// It replaces a primary that it cannot reach itself. Therefore it is the
+  /// owner to use if the first ones cannot reach a primary that remains.
+  void setLeaseHolderHook(LeaseHolderHook Hook) {
+    m_LeaseHolder = std::move(Hook);
+  }
+
   /// @brief Proven positions of a group.
   pooling::PositionProofs &proofs(const DatabaseId &Group) {
     return m_Proofs[Group];
@@ -99,11 +112,14 @@
   double failureCostMs(const TargetEstimate &Estimate) const;
   std::optional<VmId> selectOwner(const TargetId &Target,
                                   const pooling::Operation &Op) const;
+  bool mayOwn(const VmId &Vm, const TargetId &Target,
+              const pooling::Operation &Op) const;
 
   pooling::Context &m_Context;
   const pooling::TargetTable &m_Targets;
   OwnersHook m_Owners;
   DataCentreHook m_DataCentreOf;
+  LeaseHolderHook m_LeaseHolder;
   placement::HomeRegions m_Homes;
   std::map<DatabaseId, pooling::PositionProofs> m_Proofs;
   std::map<TargetId, TargetState> m_States;
--- a/src/balancing/TargetSelector.cpp
+++ b/src/balancing/TargetSelector.cpp
@@ -1,6 +1,7 @@
 #include "bergamotstage/balancing/TargetSelector.h"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace bergamotstage::balancing {
 
@@ -19,6 +20,9 @@
 /// Validity of a reported pace. Losing an owner takes under two seconds to
 /// notice; a target that was well so recently needs no careful start.
 constexpr Duration PaceInfoLifetime = seconds(3);
+/// Owners that an operation tries before the holder of the promotion lease,
+/// which has to come before the limit of attempts.
+constexpr std::size_t OwnersBeforeLeaseHolder = 3;
 /// Slot time of one statement.
 constexpr double StatementCostMs = 15;
 /// Another data centre adds a round trip and paid traffic.
@@ -61,12 +65,29 @@
 
 std::optional<VmId> TargetSelector::selectOwner(const TargetId &Target,
                                                 const Operation &Op) const {
-  for (const VmId &Vm : m_Owners(Target))
-    if (Op.ExcludedOwners.count({Vm, Target}) == 0 && mayPass(Vm, Op))
+  const std::vector<VmId> &Owners = m_Owners(Target);
+  if (m_LeaseHolder && Op.ExcludedOwners.size() >= OwnersBeforeLeaseHolder &&
+      m_Targets.primary(Op.Route.Group) == Target) {
+    auto Holder = m_LeaseHolder(Op.Route.Group);
+    bool Usable =
+        Holder && mayOwn(*Holder, Target, Op) &&
+        std::find(Owners.begin(), Owners.end(), *Holder) != Owners.end();
+    if (Usable)
+      return Holder;
+  }
+  for (const VmId &Vm : Owners)
+    if (mayOwn(Vm, Target, Op))
       return Vm;
   return std::nullopt;
 }
 
+/// @brief Whether a VM has not failed an operation, and its home regions allow
+/// the VM.
+bool TargetSelector::mayOwn(const VmId &Vm, const TargetId &Target,
+                            const Operation &Op) const {
+  return Op.ExcludedOwners.count({Vm, Target}) == 0 && mayPass(Vm, Op);
+}
+
 /// @brief Whether the home regions of an operation include a target's.
 bool TargetSelector::mayRunAt(const TargetId &Target,
                               const Operation &Op) const {
--- a/src/pooling/PoolNode.cpp
+++ b/src/pooling/PoolNode.cpp
@@ -87,6 +87,11 @@
         const MemberState *Member = m_Members.find(Vm);
         return Member == nullptr ? DataCentreId() : Member->DataCentre;
       });
+  m_Selector.setLeaseHolderHook(
+      [this](const DatabaseId &Group) -> std::optional<VmId> {
+        auto Lease = m_Rows.promotionLease(Group);
+        return Lease ? std::optional(Lease->Holder) : std::nullopt;
+      });
 }
 
 void PoolNode::setTime(Instant Now) { m_Context.setNow(Now); }
--- a/test/unit-pool-partition.cpp
+++ b/test/unit-pool-partition.cpp
@@ -146,3 +146,18 @@
   Site.Fleet.run(seconds(3));
   CHECK_TRUE(Site.countServed(Verb::Read, "bounded-0", 10) >= 9);
 }
+
+TEST(Partition, TheLeaseHolderServesAPrimaryThatTheFirstOwnersCannotReach) {
+  // Guards against a service that is lost to a cut of the first owners: all
+  // attempts of a statement went to them, and the holder of the promotion
+  // lease saw no reason for a promotion.
+  PartitionedFleet Site;
+  VmId Holder = Site.leaseHolder();
+  for (const VmId &Cut : Site.cutOwners(4))
+    CHECK_TRUE(Cut != Holder);
+  Site.Fleet.run(seconds(2));
+  CHECK_TRUE(Site.countServed(Verb::Write, "primary-0", 20) >= 19);
+  CHECK_TRUE(Site.LastSender == Holder);
+  CHECK_TRUE(Site.countServed(Verb::Read, "bounded-0", 20) >= 18);
+  LONGS_EQUAL(0, Site.Fleet.promotions());
+}
