Remember a session's last commit in each group

Cause: Session kept one commit with its group; the commit in the second group replaced the first. Reads of the first group then were as young as the staleness bound asks, and no younger.

Ruled out: proofs (kept by group; with the lag alone the reads wait), the copy of the route in an operation (a commit counts for the group in which its operation began), session values and prepared statements (restored on each link). serve keeps a position for each database already.

Change: Session::LastCommits, by group.

--- a/include/bergamotstage/pooling/Session.h
+++ b/include/bergamotstage/pooling/Session.h
@@ -78,8 +78,8 @@
   std::shared_ptr<const ReadRule> Reads;
   SharedValues Values;
   std::map<std::string, PreparedQuery> Prepared;
-  std::optional<HistoryPoint> LastCommit;
-  DatabaseId LastCommitGroup;
+  /// Its last commit in each group: the route may move between groups.
+  std::map<DatabaseId, HistoryPoint> LastCommits;
   std::optional<Operation> Op;
   std::deque<Statement> Backlog; ///< Received before the last reply.
   bool HasReply = false;         ///< A statement of it has a reply.
--- a/src/balancing/TargetSelector.cpp
+++ b/src/balancing/TargetSelector.cpp
@@ -145,12 +145,11 @@
       Proofs->second.oldestSince(Op.Arrived - Op.Route.MaxStaleness);
   if (!Required)
     return std::nullopt;
-  bool OwnCommit = Op.Route.Reads == Consistency::ReadYourWrites &&
-                   Caller.LastCommit &&
-                   Caller.LastCommitGroup == Op.Route.Group;
-  if (!OwnCommit || Caller.LastCommit->AtTerm < Proofs->second.highestTerm())
-    return Required;
-  return std::max(*Required, *Caller.LastCommit);
+  auto OwnCommit = Caller.LastCommits.find(Op.Route.Group);
+  bool MustBeSeen = Op.Route.Reads == Consistency::ReadYourWrites &&
+                    OwnCommit != Caller.LastCommits.end() &&
+                    !(OwnCommit->second.AtTerm < Proofs->second.highestTerm());
+  return MustBeSeen ? std::max(*Required, OwnCommit->second) : Required;
 }
 
 double TargetSelector::estimateCost(const ReadRule &Rule,
--- a/src/pooling/SessionsOutcome.cpp
+++ b/src/pooling/SessionsOutcome.cpp
@@ -137,10 +137,8 @@
     Op.HasWritten = true;
   bool Committed = !Result.Error && Op.HasWritten &&
                    (Commits || !isTransaction(Op.Mode)) && Result.Position;
-  if (Committed) {
-    CallerSession.LastCommit = Result.Position;
-    CallerSession.LastCommitGroup = Op.Route.Group;
-  }
+  if (Committed)
+    CallerSession.LastCommits[Op.Route.Group] = *Result.Position;
   Op.TransactionFailed = Result.State == SessionState::Failed;
   finishStatement(CallerSession, std::move(Reply));
 }
--- a/test/unit-pool-choice.cpp
+++ b/test/unit-pool-choice.cpp
@@ -173,8 +173,7 @@
 
 TEST(TargetSelector, TheSessionsOwnCommitIsRequired) {
   Selector.proofs(DatabaseId("g")).add(at(-1000), point(1, 5));
-  Caller.LastCommit = point(1, 9);
-  Caller.LastCommitGroup = DatabaseId("g");
+  Caller.LastCommits[DatabaseId("g")] = point(1, 9);
   CHECK_TRUE(Selector.select(Caller, Op).After == point(1, 9));
   Op.Route.Reads = Consistency::Bounded;
   CHECK_TRUE(Selector.select(Caller, Op).After == point(1, 5));
@@ -182,8 +181,7 @@
 
 TEST(TargetSelector, AProofOfALaterTermCoversTheSessionsCommit) {
   Selector.proofs(DatabaseId("g")).add(at(-1000), point(2, 5));
-  Caller.LastCommit = point(1, 9);
-  Caller.LastCommitGroup = DatabaseId("g");
+  Caller.LastCommits[DatabaseId("g")] = point(1, 9);
   CHECK_TRUE(Selector.select(Caller, Op).After == point(2, 5));
 }
 
