End operations whose key was withdrawn

Cause: a key was looked up when an operation began and never again.

Ruled out: the spread of the configuration (all VMs log config_in_force in time and refuse new sessions), and the owners (they know no keys, only the origin can tell).

Change: with each configuration, Sessions ends the operations whose key no longer names their account. An idle transaction is rolled back; a statement that waits for a token, a target or a proof, or that a rollback undoes, is refused at once. A single write or COMMIT at an owner is refused there if it has not been sent to the target (new message WithdrawStatement; VMs of earlier builds cannot read it); otherwise its result is reported as it is. No statement is sent again without the right. The refusal is NoKey while the key is unknown, and Aborted if it names another account or is back: nothing is kept, and the caller may try again. Sessions::refuse() and makeRefusal() set code and text in one place.

--- a/include/bergamotstage/pooling/FleetMessage.h
+++ b/include/bergamotstage/pooling/FleetMessage.h
@@ -54,6 +54,11 @@
 struct AbortOperation {
   std::uint64_t Number = 0;
 };
+/// @brief Asks the owner to refuse a statement that it has not sent to the
+/// target yet. The StatementReply tells whether it was sent.
+struct WithdrawStatement {
+  std::uint64_t Number = 0; ///< Of its operation.
+};
 /// @brief Reports the result of a statement to the origin.
 struct StatementReply {
   std::uint64_t Number = 0;
@@ -184,7 +189,7 @@
                  AbortOperation, StatementReply, ProofRequest, ProofReply,
                  TokenRequest, TokenGrant, PrimarySuspected, TargetAlive,
                  Promoted, ConfigRequest, ConfigText, StoreUpdateRequest,
-                 StoreUpdate, RenewalRequest, RenewalReply>;
+                 StoreUpdate, RenewalRequest, RenewalReply, WithdrawStatement>;
 
 /// @brief Serializes a message. Complexity: linear in its size.
 std::string encodeMessage(const FleetMessage &Message);
--- a/include/bergamotstage/pooling/OperationRequest.h
+++ b/include/bergamotstage/pooling/OperationRequest.h
@@ -64,7 +64,8 @@
   AccountLimit, ///< Its account holds its share of the connections.
   Unreachable,  ///< The target does not answer this VM.
   Leaving,      ///< The VM or the target is draining.
-  UnknownTarget
+  UnknownTarget,
+  Withdrawn ///< Its origin took it back before it was sent to the target.
 };
 
 const char *notRunReasonName(NotRunReason Reason);
--- a/include/bergamotstage/pooling/PoolNode.h
+++ b/include/bergamotstage/pooling/PoolNode.h
@@ -187,6 +187,7 @@
   void handle(const VmId &From, StartOperation &&Body);
   void handle(const VmId &From, NextStatement &&Body);
   void handle(const VmId &From, AbortOperation &&Body);
+  void handle(const VmId &From, WithdrawStatement &&Body);
   void handle(const VmId &From, StatementReply &&Body);
   void handle(const VmId &From, ProofRequest &&Body);
   void handle(const VmId &From, ProofReply &&Body);
--- a/include/bergamotstage/pooling/Sessions.h
+++ b/include/bergamotstage/pooling/Sessions.h
@@ -40,7 +40,9 @@
         m_Config(std::make_shared<SiteConfig>()),
         m_LastOperation(Ctx.random()() >> NumberFreeBits) {}
 
-  /// @brief Applies a configuration to operations that begin from now on.
+  /// @brief Applies a configuration to operations that begin from now on, and
+  /// ends those whose key no longer names their client account.
+  /// Complexity: linear in the operations.
   void setConfig(SharedConfig Config);
   /// @brief Applies policies to operations that begin from now on, in open
   /// sessions too. Complexity: linear in the sessions.
@@ -81,6 +83,7 @@
 
 private:
   static constexpr const char *ShutdownCause = "the VM is shutting down";
+  static constexpr const char *KeyCause = "the key is no longer valid";
   /// Maximum number of owners that are asked to run an operation, or to prove a
   /// position within FailedProofLifetime.
   static constexpr unsigned MaxAttempts = 4;
@@ -113,6 +116,13 @@
   bool startOperation(Session &CallerSession, const Statement &Stmt,
                       Access Mode);
   void endFailedTransaction(Session &CallerSession, const Statement &Stmt);
+  // The right of an operation, in SessionsAuthorization.cpp.
+  std::optional<ErrorCode>
+  authorizationFault(const Session &CallerSession) const;
+  void endUnauthorizedOperations();
+  void endIfUnauthorized(Session &CallerSession);
+  void refuseUnauthorized(Session &CallerSession, ErrorCode Fault);
+  static const char *authorizationCause(ErrorCode Fault);
   void runStatement(Session &CallerSession, Statement Stmt);
   void admit(Session &CallerSession);
   ratelimit::Urgency tokenUrgency(const Session &CallerSession) const;
--- a/include/bergamotstage/pooling/TargetPool.h
+++ b/include/bergamotstage/pooling/TargetPool.h
@@ -98,6 +98,9 @@
   /// @brief Cancels an operation without a reply and rolls its transaction
   /// back. A statement in flight runs to its end.
   void abortOperation(const OperationId &Id);
+  /// @brief Refuses the statement of an operation if it has not been sent to
+  /// the target, and does not send it again otherwise.
+  void withdrawStatement(const OperationId &Id);
   /// @brief Cancels all operations of one origin VM.
   void abortOperationsFrom(const VmId &Origin);
 
@@ -149,6 +152,7 @@
     std::optional<LinkId> AssignedLink;
     bool TransactionOpen = false; ///< The target has opened the transaction.
     bool Aborted = false;         ///< No reply is expected.
+    bool Withdrawn = false;       ///< The statement may not be sent any more.
     Instant WaitingSince{};
     Instant Deadline{};
     Instant SentAt{};
--- a/src/pooling/FieldCodec.cpp
+++ b/src/pooling/FieldCodec.cpp
@@ -152,7 +152,7 @@
 StatementResult readResult(ByteReader &In) {
   StatementResult Result;
   Result.Outcome = readEnum(In, StatementResult::Kind::Lost);
-  Result.Reason = readEnum(In, NotRunReason::UnknownTarget);
+  Result.Reason = readEnum(In, NotRunReason::Withdrawn);
   std::uint8_t Error = In.byte();
   if (Error != NoError)
     Result.Error = static_cast<ErrorCode>(
--- a/src/pooling/FleetMessage.cpp
+++ b/src/pooling/FleetMessage.cpp
@@ -36,6 +36,7 @@
     write(Out, Body.QueueTime);
   }
   void operator()(const AbortOperation &Body) { Out.varint(Body.Number); }
+  void operator()(const WithdrawStatement &Body) { Out.varint(Body.Number); }
   void operator()(const StatementReply &Body) {
     Out.varint(Body.Number);
     write(Out, Body.Result);
@@ -306,6 +307,8 @@
     return readNextStatement(In);
   case tagOf<AbortOperation>():
     return AbortOperation{In.varint()};
+  case tagOf<WithdrawStatement>():
+    return WithdrawStatement{In.varint()};
   case tagOf<StatementReply>():
     return readStatementReply(In);
   case tagOf<ProofRequest>():
--- a/src/pooling/Names.cpp
+++ b/src/pooling/Names.cpp
@@ -80,6 +80,8 @@
     return "leaving";
   case NotRunReason::UnknownTarget:
     return "unknown-target";
+  case NotRunReason::Withdrawn:
+    return "withdrawn";
   }
   return "";
 }
--- a/src/pooling/PoolNodeMessages.cpp
+++ b/src/pooling/PoolNodeMessages.cpp
@@ -119,6 +119,12 @@
     Pool->abortOperation(Id);
 }
 
+void PoolNode::handle(const VmId &From, WithdrawStatement &&Body) {
+  OperationId Id{From, Body.Number};
+  for (auto &[Target, Pool] : m_Pools)
+    Pool->withdrawStatement(Id);
+}
+
 void PoolNode::handle(const VmId &From, StatementReply &&Body) {
   m_Sessions.onReply(From, Body);
 }
--- a/src/pooling/Sessions.cpp
+++ b/src/pooling/Sessions.cpp
@@ -57,7 +57,7 @@
   bool First = m_Config->Version == 0;
   m_Config = std::move(Config);
   if (!First)
-    return;
+    return endUnauthorizedOperations();
   std::map<CallerId, PendingStart> Pending;
   Pending.swap(m_PendingStarts);
   for (auto &[Caller, Start] : Pending) {
@@ -178,12 +178,13 @@
                                     const Statement &Stmt) {
   CallerReply Reply;
   std::string AbortCause = std::exchange(CallerSession.Op->AbortCause, {});
+  bool KeyValid = authorizationFault(CallerSession) != ErrorCode::NoKey;
   bool Commits = Stmt.Kind == Verb::Commit;
   bool RollsBack = Stmt.Kind == Verb::Rollback;
   if (Commits || RollsBack)
     abortOperation(CallerSession);
   if (!RollsBack && !AbortCause.empty()) {
-    Reply = makeRefusal(ErrorCode::Aborted,
+    Reply = makeRefusal(KeyValid ? ErrorCode::Aborted : ErrorCode::NoKey,
                         "the transaction was rolled back: " + AbortCause,
                         OtherVmRetryAfter);
   } else if (Commits) {
@@ -209,7 +210,7 @@
     Reply.ErrorText = "the database no longer exists";
   } else if (!Route->second.Open && Key == m_Config->Keys.end()) {
     Reply.Error = ErrorCode::NoKey;
-    Reply.ErrorText = "the key is no longer valid";
+    Reply.ErrorText = KeyCause;
   }
   if (Reply.Error) {
     m_Context.log(WriteLog::Level::Info, "operation_rejected",
@@ -301,9 +302,10 @@
   m_Rates.admit(CallerSession.Op->Account, tokenUrgency(CallerSession),
                 [this, Caller, Number](const RateShare::Decision &Admission) {
                   Session *Remaining = find(Caller);
-                  bool SameOperation = Remaining != nullptr && Remaining->Op &&
-                                       Remaining->Op->Number == Number;
-                  if (!SameOperation)
+                  bool StillWaits = Remaining != nullptr && Remaining->Op &&
+                                    Remaining->Op->Number == Number &&
+                                    Remaining->Op->AwaitingReply;
+                  if (!StillWaits)
                     return;
                   if (!Admission.Admitted) {
                     Remaining->RetryExpectedUntil =
@@ -319,6 +321,9 @@
 }
 
 void Sessions::dispatch(Session &CallerSession) {
+  // The configuration may have changed while the operation waited.
+  if (auto Fault = authorizationFault(CallerSession))
+    return refuseUnauthorized(CallerSession, *Fault);
   Operation &Op = *CallerSession.Op;
   TargetSelector::Choice Selected = m_Selector.select(CallerSession, Op);
   switch (Selected.Type) {
@@ -374,10 +379,8 @@
 void Sessions::defer(Session &CallerSession, const char *Reason) {
   Operation &Op = *CallerSession.Op;
   Op.DeferReason = Reason;
-  if (m_Context.now() >= Op.DispatchDeadline) {
-    m_Deferred.erase(Op.Number);
+  if (m_Context.now() >= Op.DispatchDeadline)
     return refuse(CallerSession, ErrorCode::Busy, Reason, NoTargetRetryAfter);
-  }
   m_Deferred[Op.Number] = CallerSession.Id;
   if (m_RetryTimer)
     return;
--- a/src/pooling/SessionsOutcome.cpp
+++ b/src/pooling/SessionsOutcome.cpp
@@ -145,6 +145,10 @@
 
 void Sessions::onNotRun(Session &CallerSession, const StatementResult &Result) {
   Operation &Op = *CallerSession.Op;
+  if (auto Fault = authorizationFault(CallerSession)) {
+    Op.Dispatched = false;
+    return refuseUnauthorized(CallerSession, *Fault);
+  }
   bool Started = isTransaction(Op.Mode) && Op.HasReply;
   if (Started) {
     // The owner has rolled the transaction back.
@@ -225,12 +229,11 @@
 void Sessions::refuse(Session &CallerSession, ErrorCode Code,
                       const std::string &Cause, Duration RetryAfter) {
   Operation &Op = *CallerSession.Op;
+  m_Deferred.erase(Op.Number);
   bool HasNoEffect = Code != ErrorCode::OutcomeUnknown;
   if (HasNoEffect && Op.Admitted && !Op.HasReply)
     m_Rates.refund(Op.Account);
-  CallerReply Reply;
-  Reply.Error = Code;
-  Reply.ErrorText = HasNoEffect ? withRetryAfter(Cause, RetryAfter) : Cause;
+  CallerReply Reply = makeRefusal(Code, Cause, RetryAfter);
   bool Ended = !isTransaction(Op.Mode) || Op.Current.Kind == Verb::Commit;
   Op.TransactionFailed = !Ended;
   Reply.State = Ended ? SessionState::Idle : SessionState::Failed;
@@ -241,7 +244,8 @@
                                   Duration RetryAfter) {
   CallerReply Reply;
   Reply.Error = Code;
-  Reply.ErrorText = withRetryAfter(Cause, RetryAfter);
+  bool MayRetry = Code != ErrorCode::OutcomeUnknown && Code != ErrorCode::NoKey;
+  Reply.ErrorText = MayRetry ? withRetryAfter(Cause, RetryAfter) : Cause;
   return Reply;
 }
 
@@ -272,6 +276,8 @@
   }
   if (m_EndsTransactions && Remaining->isTransactionIdle())
     abortTransaction(*Remaining, ShutdownCause);
+  else if (Remaining->isTransactionIdle())
+    endIfUnauthorized(*Remaining);
   if (Remaining->Backlog.empty() ||
       (Remaining->Op && Remaining->Op->AwaitingReply))
     return;
--- a/src/pooling/TargetPool.cpp
+++ b/src/pooling/TargetPool.cpp
@@ -359,7 +359,9 @@
     return dropLink(Link.Id, true);
   QueueEntry &Operation = Found->second;
   bool Opened = !Reply.Error && Reply.State == SessionState::InTransaction;
-  if (Opened && !Operation.Aborted && !m_SendingStopped) {
+  bool MaySend =
+      !Operation.Aborted && !Operation.Withdrawn && !m_SendingStopped;
+  if (Opened && MaySend) {
     Operation.TransactionOpen = true;
     return sendStatement(Operation, Link);
   }
@@ -376,6 +378,8 @@
     rollBack(Link);
   else if (Reply.State != SessionState::Idle)
     dropLink(AssignedLink, true);
+  if (Opened && Ended.Withdrawn)
+    return refuse(Ended, NotRunReason::Withdrawn);
   StatementResult Result;
   Result.Outcome = StatementResult::Kind::Answered;
   Result.Error = Reply.Error.value_or(ErrorCode::Other);
@@ -410,7 +414,7 @@
                 Reply.Error == ErrorCode::Busy);
   bool RetryBusy = !m_SendingStopped && Reply.Error == ErrorCode::Busy &&
                    m_Context.now() + BusyRetryDelay < Operation.Deadline &&
-                   !Operation.Aborted;
+                   !Operation.Aborted && !Operation.Withdrawn;
   if (RetryBusy && Single) {
     Link.ActiveOperation.reset();
     requeue(Operation);
--- a/src/pooling/TargetPoolCancel.cpp
+++ b/src/pooling/TargetPoolCancel.cpp
@@ -28,6 +28,17 @@
   dispatchWaiting();
 }
 
+void TargetPool::withdrawStatement(const OperationId &Id) {
+  auto Found = m_Operations.find(Id);
+  if (Found == m_Operations.end())
+    return;
+  Found->second.Withdrawn = true;
+  if (Found->second.State != Phase::Waiting)
+    return;
+  rejectOperation(Id, NotRunReason::Withdrawn);
+  dispatchWaiting();
+}
+
 void TargetPool::abortOperationsFrom(const VmId &Origin) {
   std::vector<OperationId> Dropped;
   for (const auto &[Id, Operation] : m_Operations)
--- a/test/unit-pool-message.cpp
+++ b/test/unit-pool-message.cpp
@@ -99,7 +99,8 @@
       StoreUpdateRequest{1, 2, 77, 5, {TargetId("t")}},
       Update,
       RenewalRequest{"east 10.0.0.1:1 5 0.25", 77},
-      RenewalReply{77, true}};
+      RenewalReply{77, true},
+      WithdrawStatement{9}};
 }
 
 } // namespace
