Change configurations at random in the test of guarantees

Now routes move between groups and keys are withdrawn and come back every 400 ms, 30 s without and 30 s with faults. The check keeps a commit for each group, a statement sent more than 3 s after its key was withdrawn must not run (judged without faults, as VMs beside faults may learn of it late), and a refusal for a missing key promises that nothing is kept.

--- a/src/standin/site/PoolCallers.h
+++ b/src/standin/site/PoolCallers.h
@@ -35,6 +35,9 @@
     unsigned Transactions = 0;
   };
 
+  /// Time in which a configuration has to be in force on all VMs.
+  static constexpr Duration ConfigTimeout = seconds(3);
+
   using OperationHook = std::function<void(const std::string &, bool Served)>;
 
   PoolCallers(Fleet &Site, pooling::SiteConfig Config)
@@ -74,6 +77,15 @@
         Caller.Pause = Pause;
   }
 
+  /// @brief Reports that the configuration withdraws an account's key, or gives
+  /// it back.
+  void setKeyWithdrawn(unsigned Account, bool Withdrawn) {
+    if (Withdrawn)
+      m_KeysWithdrawnAt[Account] = m_Fleet.now();
+    else
+      m_KeysWithdrawnAt.erase(Account);
+  }
+
   /// @brief Starts no further operations.
   void stop() { m_Stopped = true; }
 
@@ -108,7 +120,8 @@
     std::uint64_t Transaction = 0;
     Instant TransactionStarted{};
     std::vector<std::string> Writes; ///< Writes of the current operation.
-    std::string LastCommit;          ///< A write of its last commit.
+    /// A write of its last commit in each group.
+    std::map<unsigned, std::string> LastCommits;
   };
   /// @brief What the execution of a request at a target must match.
   struct ExpectedExecution {
@@ -116,8 +129,9 @@
     Statement Stmt;
     pooling::SessionValues Values;
     std::uint64_t Transaction = 0;
-    Instant FirstByte{};
-    std::string LastCommit;
+    Instant SentAt{};
+    Instant FirstByte{}; ///< Of its transaction.
+    std::map<unsigned, std::string> LastCommits;
     /// First statement of its operation that reads, writes or commits.
     bool StartsOperation = false;
     bool CountedAgainstRate = false;
@@ -156,7 +170,7 @@
     Caller.Prepared.clear();
     Caller.Transaction = 0;
     Caller.Writes.clear();
-    Caller.LastCommit.clear();
+    Caller.LastCommits.clear();
     m_Fleet.after(milliseconds(200), [this, Index] {
       if (!m_Callers[Index].Open && !m_Stopped)
         connect(Index);
@@ -248,9 +262,10 @@
     Expectation.Stmt = Caller.LastSent;
     Expectation.Values = Caller.Values;
     Expectation.Transaction = Caller.Transaction;
+    Expectation.SentAt = m_Fleet.now();
     Expectation.FirstByte =
         Caller.Transaction == 0 ? m_Fleet.now() : Caller.TransactionStarted;
-    Expectation.LastCommit = Caller.LastCommit;
+    Expectation.LastCommits = Caller.LastCommits;
     bool Runs = Caller.LastSent.Kind == Verb::Read ||
                 Caller.LastSent.Kind == Verb::Write ||
                 Caller.LastSent.Kind == Verb::Execute ||
@@ -271,7 +286,8 @@
   static bool guaranteesNoEffect(ErrorCode Code) {
     return Code == ErrorCode::Busy || Code == ErrorCode::Aborted ||
            Code == ErrorCode::Behind || Code == ErrorCode::ReadOnly ||
-           Code == ErrorCode::WrongTarget || Code == ErrorCode::TooManyLinks;
+           Code == ErrorCode::WrongTarget || Code == ErrorCode::TooManyLinks ||
+           Code == ErrorCode::NoKey;
   }
 
   void onReply(const VmId &Vm, CallerId Id, const pooling::CallerReply &Reply) {
@@ -336,12 +352,13 @@
     if (Caller.Writes.empty())
       return;
     ++m_Counts.Commits;
-    Caller.LastCommit = Caller.Writes.front();
-    auto Committed = m_CommittedAt.find(Caller.LastCommit);
+    const std::string &Write = Caller.Writes.front();
+    auto Committed = m_CommittedAt.find(Write);
     if (Committed == m_CommittedAt.end())
-      return report("acknowledged, but never committed: " + Caller.LastCommit);
-    m_Acknowledged[Committed->second.first].push_back(
-        {m_Fleet.now(), Caller.LastCommit, Committed->second.second});
+      return report("acknowledged, but never committed: " + Write);
+    auto [Group, LogIndex] = Committed->second;
+    Caller.LastCommits[Group] = Write;
+    m_Acknowledged[Group].push_back({m_Fleet.now(), Write, LogIndex});
   }
 
   void onError(std::size_t Index, CallerState &Caller,
@@ -395,6 +412,10 @@
     if (Executed.Stmt.Kind == Verb::Execute &&
         !(Executed.Prepared == Expectation.Stmt.Prepared))
       report("ran a different prepared statement: " + Executed.Stmt.RequestId);
+    auto Withdrawn = m_KeysWithdrawnAt.find(Caller.Account);
+    if (Withdrawn != m_KeysWithdrawnAt.end() &&
+        Expectation.SentAt > Withdrawn->second + ConfigTimeout)
+      report("ran with a withdrawn key: " + Executed.Stmt.RequestId);
     checkTransaction(Group, Executed, Expectation);
     if (Expectation.StartsOperation && !Expectation.CountedAgainstRate) {
       Expectation.CountedAgainstRate = true;
@@ -453,12 +474,12 @@
       }
     bool OwnWrites = Route.Reads == pooling::Consistency::ReadYourWrites ||
                      Route.Reads == pooling::Consistency::Primary;
-    if (!OwnWrites || Expectation.LastCommit.empty())
+    auto OwnCommit = Expectation.LastCommits.find(Group);
+    if (!OwnWrites || OwnCommit == Expectation.LastCommits.end())
       return;
-    const auto &Committed = m_CommittedAt.at(Expectation.LastCommit);
-    if (misses(Group, Executed, Expectation.LastCommit, Committed.second))
-      report("read " + Executed.Stmt.RequestId + " lacks its own " +
-             Expectation.LastCommit);
+    const std::string &Write = OwnCommit->second;
+    if (misses(Group, Executed, Write, m_CommittedAt.at(Write).second))
+      report("read " + Executed.Stmt.RequestId + " lacks its own " + Write);
   }
 
   /// @brief Whether a read did not see a commit that the primary has.
@@ -486,6 +507,7 @@
   std::map<std::string, std::pair<unsigned, std::size_t>> m_CommittedAt;
   std::set<std::string> m_NotCommitted;
   std::map<unsigned, std::vector<Acknowledged>> m_Acknowledged;
+  std::map<unsigned, Instant> m_KeysWithdrawnAt; ///< By account.
   RateContract m_Rates;
   std::vector<std::string> m_Violations;
   Counts m_Counts;
--- a/test/unit-pool-random.cpp
+++ b/test/unit-pool-random.cpp
@@ -68,6 +68,19 @@
     m_Fleet.setPolicies(*Policies);
   }
 
+  /// @brief Changes the configuration at random every 400 ms: routes move to
+  /// other groups, keys are withdrawn and come back.
+  void runWithChanges(Duration Span, bool WithFaults) {
+    Instant End = m_Fleet.now() + Span;
+    while (m_Fleet.now() < End) {
+      if (WithFaults)
+        injectFault();
+      // VMs beside faults may learn of a change late.
+      changeConfig(!WithFaults);
+      m_Fleet.run(milliseconds(400));
+    }
+  }
+
   PoolFleet &fleet() { return m_Fleet; }
   const PoolCallers<PoolFleet> &callers() const { return m_Callers; }
 
@@ -96,6 +109,23 @@
     return Options;
   }
 
+  void changeConfig(bool JudgeKeys) {
+    unsigned Account = randomBelow(Accounts);
+    std::string Key = "key-" + std::to_string(Account);
+    if (randomBelow(4) > 0) {
+      pooling::RouteConfig &Route =
+          m_Config.Routes.at("own-" + std::to_string(randomBelow(Groups)));
+      Route.Group = DatabaseId("group-" + std::to_string(randomBelow(Groups)));
+    } else if (m_Config.Keys.erase(Key) == 0) {
+      m_Config.Keys[Key] = AccountId("account-" + std::to_string(Account));
+      m_Callers.setKeyWithdrawn(Account, false);
+    } else if (JudgeKeys) {
+      m_Callers.setKeyWithdrawn(Account, true);
+    }
+    ++m_Config.Version;
+    m_Fleet.configure(m_Config);
+  }
+
   unsigned randomBelow(unsigned Limit) {
     return std::uniform_int_distribution<unsigned>(0,
                                                    Limit - 1)(m_Fleet.random());
@@ -253,6 +283,23 @@
   }
 }
 
+// Guards against sessions that forget a commit when their route moves, and
+// against statements that run with a withdrawn key.
+TEST(PoolRandom, KeepsItsGuaranteesWhileConfigurationsChange) {
+  unsigned First = fromEnvironment("POOL_FIRST_SEED", 4001);
+  unsigned Seeds = fromEnvironment("POOL_SEEDS", 2);
+  for (std::uint64_t Seed = First; Seed < First + Seeds; ++Seed) {
+    FaultRun Run(Seed, 400);
+    Run.fleet().setLag(milliseconds(1200));
+    Run.runWithChanges(seconds(30), false);
+    check(Run, Seed);
+    CHECK_TRUE(Run.callers().counts().Served > 1000);
+    Run.runWithChanges(seconds(30), true);
+    Run.heal();
+    check(Run, Seed);
+  }
+}
+
 // Guards against operations that run twice, are reported as not run although
 // they did, or exceed an account's contract, with the policies for hard load.
 // POOL_FIRST_SEED and POOL_SEEDS select other seeds.
