Simplify the tests of partitions and keys

Read again as a newcomer would: the fleet of the partition tests had a seed that no test set, and the test of a statement that waits at an owner repeated what KeyChange does and checked an id for no reason.

--- a/test/unit-pool-keys.cpp
+++ b/test/unit-pool-keys.cpp
@@ -17,9 +17,7 @@
 struct KeyChange {
   SmallFleet Small;
 
-  explicit KeyChange(const std::string &Route = "primary-0") {
-    Small.connect(Route);
-  }
+  KeyChange() { Small.connect("primary-0"); }
 
   void openTransaction() {
     Small.sendAndWait(Verb::Begin, milliseconds(20));
@@ -117,7 +115,7 @@
 }
 
 TEST(Keys, ATransactionOnAnOpenRouteNeedsNoKey) {
-  KeyChange Change("nowhere");
+  KeyChange Change;
   Change.Small.Config.Routes["primary-0"].Open = true;
   Change.Small.reconfigure();
   Change.Small.connect("primary-0", "");
@@ -184,25 +182,24 @@
 TEST(Keys, AStatementThatWaitsAtAnOwnerIsRefusedWithItsKey) {
   // Guards against a statement that waits in the queue of a target while its
   // key is withdrawn, and runs afterwards.
-  SmallFleet Small;
-  Small.Config.Routes["primary-0"].LatencyTarget = seconds(20);
-  Small.Config.Routes["primary-0"].StatementTimeout = seconds(20);
+  KeyChange Change;
+  SmallFleet &Small = Change.Small;
+  pooling::RouteConfig &Route = Small.Config.Routes["primary-0"];
+  Route.LatencyTarget = seconds(20);
+  Route.StatementTimeout = seconds(20);
   Small.reconfigure();
-  Small.connect("primary-0", "key-1");
   Small.Fleet.setMeanServiceTime(seconds(100));
-  CallerId Busy = Small.Caller;
-  for (int Count = 0; Count < 3; ++Count) {
+  // Another account's statements take all slots of the primary.
+  for (unsigned Count = 0; Count < PoolFleet::Settings().Slots; ++Count) {
     Small.connect("primary-0", "key-1");
     Small.send(Verb::Write, "WRITE a b");
     Small.Fleet.run(milliseconds(100));
   }
-  CHECK_TRUE(Busy != Small.Caller);
   Small.connect("primary-0", "key-0");
   std::size_t Before = Small.Replies.size();
   std::string Waiting = Small.send(Verb::Write, "WRITE c d");
   Small.Fleet.run(milliseconds(100));
-  Small.Config.Keys.erase("key-0");
-  Small.reconfigure();
+  Change.withdrawKey();
   LONGS_EQUAL(Before + 1, Small.Replies.size());
   CHECK_TRUE(Small.Replies.back().Error == ErrorCode::NoKey);
   Small.Fleet.run(seconds(60));
--- a/test/unit-pool-partition.cpp
+++ b/test/unit-pool-partition.cpp
@@ -5,7 +5,6 @@
 #include <CppUTest/TestHarness.h>
 
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -25,7 +24,7 @@
   std::optional<CallerReply> LastReply;
   unsigned LastRequest = 0;
 
-  explicit PartitionedFleet(std::uint64_t Seed = 1) : Fleet(settings(Seed)) {
+  PartitionedFleet() : Fleet(settings()) {
     Fleet.onAnswer([this](const VmId &, CallerId, const CallerReply &Reply) {
       if (!Reply.Greeting)
         LastReply = Reply;
@@ -39,9 +38,8 @@
     Fleet.run(seconds(6));
   }
 
-  static PoolFleet::Settings settings(std::uint64_t Seed) {
+  static PoolFleet::Settings settings() {
     PoolFleet::Settings Options;
-    Options.Seed = Seed;
     Options.Vms = 9;
     return Options;
   }
